--- /dev/null
+++ b/crates/kelpwind-test-support/src/cluster.rs
@@ -0,0 +1,368 @@
+//! A deployment of separate processes: a log service, a proxy, nodes and backend servers.
+//!
+//! Every node has a loopback address of its own, so that the proxy can tell who sends. Nodes reach
+//! one another and the log through links of the proxy named `peer-N` and `log-N`.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use kelpwind_platform::Execution;
+use serde_json::{Value, json};
+
+use crate::http::{control, get};
+use crate::process::Process;
+
+/// Longest time to wait for something that must come.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// What a node and its backend server are.
+#[derive(Clone, Copy, Debug)]
+pub struct Target<'a> {
+    /// Service of the backend server.
+    pub service: &'a str,
+    /// Failure domain.
+    pub domain: &'a str,
+    /// More flags of the backend server.
+    pub backend: &'a [&'a str],
+}
+
+impl<'a> Target<'a> {
+    /// A target with a backend server as it is by default.
+    pub const fn new(service: &'a str, domain: &'a str) -> Target<'a> {
+        Target {
+            service,
+            domain,
+            backend: &[],
+        }
+    }
+}
+
+/// A node with the backend server beside it.
+#[derive(Debug)]
+pub struct Node {
+    /// The node's process.
+    pub process: Process,
+    /// The backend server's process.
+    pub backend: Process,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Address of the backend server.
+    pub server: SocketAddr,
+    domain: String,
+}
+
+/// A deployment.
+#[derive(Debug)]
+pub struct Cluster {
+    program: String,
+    /// The log service's process.
+    pub log: Process,
+    /// Address of the log service.
+    pub log_addr: SocketAddr,
+    /// The proxy's process.
+    pub proxy: Process,
+    proxy_addr: SocketAddr,
+    /// The nodes.
+    pub nodes: Vec<Node>,
+}
+
+fn addr(line: &str) -> SocketAddr {
+    let text: String = serde_json::from_str(line).expect("an address in JSON");
+    text.parse().expect("an address")
+}
+
+fn field(value: &Value, name: &str) -> SocketAddr {
+    value[name]
+        .as_str()
+        .and_then(|s| s.parse().ok())
+        .expect("an address in the ready line")
+}
+
+impl Cluster {
+    /// Starts a log service, a proxy, and a node with a backend server for each target.
+    pub async fn start(program: &str, targets: &[Target<'_>]) -> Cluster {
+        let log = Process::start(
+            program,
+            &["stand-in", "log", "--listen", "127.0.0.1:0"],
+            &[],
+        );
+        let proxy = Process::start(
+            program,
+            &["stand-in", "proxy", "--listen", "127.0.0.1:0"],
+            &[],
+        );
+        let (log_addr, proxy_addr) = (addr(&log.ready), addr(&proxy.ready));
+        let program = program.to_owned();
+        let mut cluster = Cluster {
+            program,
+            log,
+            log_addr,
+            proxy,
+            proxy_addr,
+            nodes: Vec::new(),
+        };
+        for target in targets {
+            cluster.add(target).await;
+        }
+        cluster
+    }
+
+    /// Adds a node with its backend server.
+    pub async fn add(&mut self, target: &Target<'_>) {
+        let i = self.nodes.len();
+        // The node's port is chosen before it starts, so that its link can be opened first.
+        let peer = free_port(i);
+        let link = self.open(&format!("peer-{i}"), peer).await;
+        let log = self.open(&format!("log-{i}"), self.log_addr).await;
+        let process = self.node_process(i, target.domain, peer, link, log);
+        let ready: Value = serde_json::from_str(&process.ready).expect("a ready line in JSON");
+        let (listen, admin) = (field(&ready, "listen"), field(&ready, "admin"));
+        let backend = self.backend_process(target, admin);
+        let server = addr(&backend.ready);
+        let domain = target.domain.to_owned();
+        self.nodes.push(Node {
+            process,
+            backend,
+            listen,
+            admin,
+            server,
+            domain,
+        });
+    }
+
+    fn node_process(
+        &self,
+        i: usize,
+        domain: &str,
+        peer: SocketAddr,
+        link: SocketAddr,
+        log: SocketAddr,
+    ) -> Process {
+        let name = format!("n{i}");
+        let any = format!("{}:0", peer.ip());
+        let (peer, link, log) = (peer.to_string(), link.to_string(), log.to_string());
+        let args = [
+            "node",
+            "--name",
+            &name,
+            "--domain",
+            domain,
+            "--listen",
+            &any,
+            "--peer",
+            &peer,
+            "--admin",
+            &any,
+            "--advertise",
+            &link,
+            "--log",
+            &log,
+        ];
+        Process::start(&self.program, &args, &[])
+    }
+
+    fn backend_process(&self, target: &Target<'_>, node: SocketAddr) -> Process {
+        let node = node.to_string();
+        let mut args = vec![
+            "stand-in",
+            "backend",
+            "--listen",
+            "127.0.0.1:0",
+            "--node",
+            &node,
+            "--service",
+            target.service,
+        ];
+        args.extend(target.backend);
+        Process::start(&self.program, &args, &[])
+    }
+
+    async fn open(&self, name: &str, target: SocketAddr) -> SocketAddr {
+        let link = json!({"name": name, "listen": "127.0.0.1:0", "target": target});
+        let answer = control(self.proxy_addr, "/open", &link)
+            .await
+            .expect("the proxy answers");
+        addr(&String::from_utf8_lossy(&answer.body))
+    }
+
+    /// Sets the faults of a link of the proxy.
+    pub async fn fault(&self, link: &str, faults: Value) {
+        let control_of = json!({"link": link, "faults": faults});
+        let answer = control(self.proxy_addr, "/control", &control_of).await;
+        assert_eq!(
+            answer.expect("the proxy answers").status,
+            200,
+            "link {link} exists"
+        );
+    }
+
+    /// Cuts a node off from all others and from the log, or joins it again.
+    pub async fn isolate(&self, i: usize, cut: bool) {
+        let both = json!({"cut_forward": cut, "cut_backward": cut});
+        self.fault(&format!("peer-{i}"), both.clone()).await;
+        self.fault(&format!("log-{i}"), both).await;
+        let ip = node_ip(i);
+        for other in (0..self.nodes.len()).filter(|o| *o != i) {
+            let from = json!({"cut_forward": cut, "cut_backward": cut, "only": [ip]});
+            self.fault(&format!("peer-{other}"), from).await;
+        }
+    }
+
+    /// Sets the faults of the log service.
+    pub async fn log_faults(&self, faults: Value) {
+        let answer = control(self.log_addr, "/control", &faults).await;
+        assert_eq!(answer.expect("the log service answers").status, 200);
+    }
+
+    /// Sets the faults of a backend server.
+    pub async fn backend_faults(&self, i: usize, faults: Value) {
+        let answer = control(self.nodes[i].server, "/control", &faults).await;
+        assert_eq!(answer.expect("the backend server answers").status, 200);
+    }
+
+    /// Everything that a backend server ran.
+    pub async fn executions(&self, i: usize) -> Vec<Execution> {
+        let answer = get(self.nodes[i].server, "/history")
+            .await
+            .expect("the backend answers");
+        let history = answer.json();
+        serde_json::from_value(history["executions"].clone()).expect("executions")
+    }
+
+    /// The status as node `i` has it.
+    pub async fn status(&self, i: usize) -> Value {
+        let status = get(self.nodes[i].admin, "/status").await;
+        status.map_or(Value::Null, |a| a.json())
+    }
+
+    /// The dump of node `i`.
+    pub async fn dump(&self, i: usize) -> Value {
+        get(self.nodes[i].admin, "/dump")
+            .await
+            .map_or(Value::Null, |a| a.json())
+    }
+
+    /// Runs an operator's command; its exit code, output and errors.
+    pub fn command(&self, i: usize, args: &[&str]) -> (i32, String, String) {
+        let node = self.nodes[i].admin.to_string();
+        command(&self.program, args, &[("KELPWIND_NODE", &node)])
+    }
+
+    /// Publishes a configuration at node `i`, however long the node takes to be ready.
+    pub async fn publish(&self, i: usize, path: &Path, base: u64) {
+        let path = path.to_str().expect("a path in UTF-8").to_owned();
+        let base = base.to_string();
+        let args = ["config", "publish", &path, "--base", &base, "--wait", "10"];
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let (code, _, errors) = self.command(i, &args);
+            if code == 0 {
+                return;
+            }
+            assert!(Instant::now() < until, "publishing fails: {errors}");
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Waits until every service has targets, `members` nodes have joined, and no slice is free.
+    pub async fn settled(&self, i: usize, members: usize) {
+        self.until("the deployment settles", async || {
+            let status = self.status(i).await;
+            let joined = status["members"].as_array().map_or(0, Vec::len) == members;
+            let services = status["services"].as_object().cloned().unwrap_or_default();
+            let served = |s: &Value| s["free"] == 0 && s["targets"].as_u64() > Some(0);
+            joined && !services.is_empty() && services.values().all(served)
+        })
+        .await;
+    }
+
+    /// Waits until something is so.
+    ///
+    /// # Panics
+    /// When it is not after [`PATIENCE`].
+    pub async fn until(&self, what: &str, is_so: impl AsyncFn() -> bool) {
+        let until = Instant::now() + PATIENCE;
+        while !is_so().await {
+            assert!(Instant::now() < until, "waited in vain: {what}");
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// The node that owns a key, as node `i` has it.
+    pub async fn owner(&self, i: usize, service: &str, key: &str) -> Option<usize> {
+        let (_, out, _) = self.command(i, &["explain", service, key, "--format", "json"]);
+        let found: Value = serde_json::from_str(&out).ok()?;
+        let holder = found["place"]["slot"]["holder"].as_str()?;
+        holder.split('/').next()?.strip_prefix('n')?.parse().ok()
+    }
+
+    /// Starts a node anew at its old addresses, after it was killed or has stopped.
+    pub async fn restart(&mut self, i: usize) {
+        let old: Value = serde_json::from_str(&self.nodes[i].process.ready).expect("JSON");
+        let (peer, link) = (field(&old, "peer"), field(&old, "advertise"));
+        let log = self.open(&format!("log-{i}"), self.log_addr).await;
+        let domain = self.nodes[i].domain.clone();
+        let name = format!("n{i}");
+        let (listen, admin) = (
+            field(&old, "listen").to_string(),
+            field(&old, "admin").to_string(),
+        );
+        let (peer, link, log) = (peer.to_string(), link.to_string(), log.to_string());
+        let args = [
+            "node",
+            "--name",
+            &name,
+            "--domain",
+            &domain,
+            "--listen",
+            &listen,
+            "--peer",
+            &peer,
+            "--admin",
+            &admin,
+            "--advertise",
+            &link,
+            "--log",
+            &log,
+        ];
+        self.nodes[i].process = Process::start(&self.program, &args, &[]);
+    }
+}
+
+/// Runs a command to its end; its exit code, output and errors.
+pub fn command(program: &str, args: &[&str], env: &[(&str, &str)]) -> (i32, String, String) {
+    let done = Command::new(program)
+        .args(args)
+        .envs(env.iter().copied())
+        .output();
+    let done = done.expect("the program can be started");
+    let text = |raw: &[u8]| String::from_utf8_lossy(raw).into_owned();
+    (
+        done.status.code().unwrap_or(-1),
+        text(&done.stdout),
+        text(&done.stderr),
+    )
+}
+
+/// The loopback address of node `i`.
+pub fn node_ip(i: usize) -> String {
+    format!("127.0.1.{}", i + 1)
+}
+
+/// An address of node `i` with a port that is free for TCP and UDP.
+fn free_port(i: usize) -> SocketAddr {
+    let any = format!("{}:0", node_ip(i));
+    loop {
+        let tcp = std::net::TcpListener::bind(&any).expect("a free port");
+        let addr = tcp.local_addr().expect("a bound address");
+        if std::net::UdpSocket::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpwind-test-support/src/history.rs
@@ -0,0 +1,67 @@
+//! Checks of what the backend servers ran.
+
+use std::collections::BTreeMap;
+
+use kelpwind_platform::Execution;
+
+/// One execution and the backend server that ran it.
+pub type Ran = (usize, Execution);
+
+/// Requests that ran more than once, with where they ran.
+pub fn ran_twice(all: &[Ran]) -> Vec<(String, Vec<usize>)> {
+    let mut by_request: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+    for (server, execution) in all {
+        by_request
+            .entry(&execution.request)
+            .or_default()
+            .push(*server);
+    }
+    let twice = by_request
+        .into_iter()
+        .filter(|(_, servers)| servers.len() > 1);
+    twice
+        .map(|(request, servers)| (request.to_owned(), servers))
+        .collect()
+}
+
+/// Pairs of executions for one key on different servers that overlap in time by more than `slack`
+/// microseconds. An owner is exclusive, so there must be none.
+pub fn overlaps(all: &[Ran], slack: u64) -> Vec<(Ran, Ran)> {
+    let mut by_key: BTreeMap<&str, Vec<&Ran>> = BTreeMap::new();
+    for ran in all.iter().filter(|(_, e)| !e.key.is_empty()) {
+        by_key.entry(&ran.1.key).or_default().push(ran);
+    }
+    let mut found = Vec::new();
+    for mut runs in by_key.into_values() {
+        runs.sort_by_key(|(_, e)| e.began);
+        for (i, first) in runs.iter().enumerate() {
+            let end = if first.1.ended == 0 {
+                u64::MAX
+            } else {
+                first.1.ended
+            };
+            let later = runs[i + 1..]
+                .iter()
+                .take_while(|(_, e)| e.began + slack < end);
+            let other = later.filter(|second| second.0 != first.0);
+            found.extend(other.map(|second| ((*first).clone(), (*second).clone())));
+        }
+    }
+    found
+}
+
+/// Executions for one key whose token is lower than that of one that began before: the key went
+/// back to an earlier owner's order.
+pub fn falling_tokens(all: &[Ran]) -> Vec<(Ran, Ran)> {
+    let mut by_key: BTreeMap<&str, Vec<&Ran>> = BTreeMap::new();
+    for ran in all.iter().filter(|(_, e)| !e.key.is_empty()) {
+        by_key.entry(&ran.1.key).or_default().push(ran);
+    }
+    let mut found = Vec::new();
+    for mut runs in by_key.into_values() {
+        runs.sort_by_key(|(_, e)| e.began);
+        let falls = runs.windows(2).filter(|w| w[1].1.token < w[0].1.token);
+        found.extend(falls.map(|w| (w[0].clone(), w[1].clone())));
+    }
+    found
+}
--- /dev/null
+++ b/src/bin/kelpwind/commands/look.rs
@@ -0,0 +1,34 @@
+//! `kelpwind status`, `kelpwind dump` and `kelpwind explain`.
+
+use kelpwind::ops;
+use kelpwind::util::error::Result;
+
+use super::nodes;
+use crate::cli::{Dump, Explain, Status};
+
+pub(super) async fn status(flags: Status) -> Result<()> {
+    let said = ops::status::status(&nodes(flags.node)?, flags.format.unwrap_or_default()).await?;
+    print!("{said}");
+    Ok(())
+}
+
+pub(super) async fn dump(flags: Dump) -> Result<()> {
+    let nodes = nodes(flags.node)?;
+    let format = flags.format.unwrap_or_default();
+    let said = match flags.all {
+        true => ops::dump::dump_all(&nodes, format).await?,
+        false => ops::dump::dump(&nodes, format).await?,
+    };
+    print!("{said}");
+    Ok(())
+}
+
+pub(super) async fn explain(flags: Explain) -> Result<()> {
+    let nodes = nodes(flags.node)?;
+    let format = flags.format.unwrap_or_default();
+    print!(
+        "{}",
+        ops::explain::explain(&nodes, &flags.service, &flags.key, format).await?
+    );
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/kelpwind/commands/mod.rs
@@ -0,0 +1,80 @@
+//! One file a command: flags in, one call of an operation, its result printed.
+
+mod config;
+mod drain;
+mod look;
+mod node;
+mod stand_in;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kelpwind::core::codes::Code;
+use kelpwind::ops;
+use kelpwind::util::error::{Error, Result};
+use kelpwind::util::table::table;
+
+use crate::cli::{Kelpwind, KelpwindCmd};
+
+/// Runs the command that the flags name.
+pub(crate) async fn run(flags: Kelpwind) -> Result<()> {
+    match flags.subcommand {
+        KelpwindCmd::Node(flags) => node::run(flags).await,
+        KelpwindCmd::Dev(flags) => {
+            ops::dev::dev(flags.run_for.map(Duration::from_secs), |line| {
+                println!("{line}")
+            })
+            .await
+        }
+        KelpwindCmd::Config(flags) => config::run(flags).await,
+        KelpwindCmd::Drain(flags) => drain::drain(flags).await,
+        KelpwindCmd::Undrain(flags) => drain::undrain(flags).await,
+        KelpwindCmd::Status(flags) => look::status(flags).await,
+        KelpwindCmd::Dump(flags) => look::dump(flags).await,
+        KelpwindCmd::Explain(flags) => look::explain(flags).await,
+        KelpwindCmd::Codes(_) => {
+            print!("{}", codes());
+            Ok(())
+        }
+        KelpwindCmd::StandIn(flags) => stand_in::run(flags).await,
+    }
+}
+
+fn codes() -> String {
+    let row = |c: &Code| {
+        vec![
+            c.number().to_string(),
+            c.outcome().to_string(),
+            c.status().to_string(),
+            c.text().to_owned(),
+        ]
+    };
+    table(&Code::ALL.iter().map(row).collect::<Vec<_>>())
+}
+
+/// The value of a flag, or of its environment variable.
+fn or_env(flag: Option<String>, variable: &str) -> Option<String> {
+    flag.or_else(|| std::env::var(format!("KELPWIND_{variable}")).ok())
+}
+
+/// The nodes to call, from `--node` or KELPWIND_NODE.
+fn nodes(flag: Option<String>) -> Result<Vec<SocketAddr>> {
+    let raw = or_env(flag, "NODE").unwrap_or_default();
+    let parts = raw.split(',').map(str::trim).filter(|p| !p.is_empty());
+    let read = |part: &str| {
+        part.parse().map_err(|e| {
+            Error::new(
+                Code::BadSetting,
+                format!("failed to read the address '{part}'"),
+            )
+            .caused_by(e)
+        })
+    };
+    parts.map(read).collect()
+}
+
+/// Who acts: the flag, KELPWIND_AUTHOR, or the user's name.
+fn author(flag: Option<String>) -> String {
+    let named = or_env(flag, "AUTHOR").or_else(|| std::env::var("USER").ok());
+    named.unwrap_or_else(|| "operator".to_owned())
+}
--- /dev/null
+++ b/src/kelpwind/core/config/mod.rs
@@ -0,0 +1,183 @@
+//! The configuration that operators publish: failure domains, policies, services and key ranges,
+//! which refer to one another by name.
+//!
+//! [`read`] turns a TOML text into a checked [`Config`] or into the list of all its faults;
+//! [`change`] says what differs between two configurations and refuses dangerous changes. A
+//! `Config` value always satisfies the checks.
+
+pub mod change;
+pub mod read;
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::ids::{Count, DomainName, PolicyName, RangeName, ServiceName, SliceId};
+use crate::util::serial;
+
+/// Kinds of configured objects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// A zone whose machines fail together.
+    FailureDomain,
+    /// How requests may be handled.
+    Policy,
+    /// A set of equal backend servers.
+    Service,
+    /// A range of keys of a service that is divided by key.
+    KeyRange,
+}
+
+impl Kind {
+    /// All kinds, in the order in which they refer to one another.
+    pub const ALL: [Kind; 4] = [
+        Kind::FailureDomain,
+        Kind::Policy,
+        Kind::Service,
+        Kind::KeyRange,
+    ];
+
+    /// The kind's name in files.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::FailureDomain => "failure-domain",
+            Kind::Policy => "policy",
+            Kind::Service => "service",
+            Kind::KeyRange => "key-range",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// A failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Domain {
+    /// Region it stands in.
+    pub region: String,
+    /// Whether the operators have taken it out: it gets no new work.
+    pub out: bool,
+}
+
+/// Whether a request may be run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, displaydoc::Display)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeat {
+    /// idempotent
+    Idempotent,
+    /// once
+    Once,
+}
+
+/// How requests of one sort are handled.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Policy {
+    /// Whether a request with unknown outcome may be run again.
+    pub repeat: Repeat,
+    /// Longest time a request may take, from its arrival.
+    #[serde(with = "serial")]
+    pub deadline: Duration,
+    /// What a request weighs when not all can be served; the heaviest are shed last.
+    pub weight: u32,
+    /// Most tries of one request after the first.
+    pub retries: u32,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Service {
+    /// Failure domains its targets stand in.
+    pub domains: Vec<DomainName>,
+    /// Policy of GET and HEAD requests.
+    pub read: PolicyName,
+    /// Policy of all other requests.
+    pub write: PolicyName,
+    /// Most requests in a target at once, whatever the target announces.
+    pub slots: Count,
+    /// Most connections to a target at once, whatever the target announces.
+    pub conns: Count,
+    /// Time in which a cold target is brought from its first requests to full use.
+    #[serde(with = "serial")]
+    pub warmup: Duration,
+}
+
+/// A range of keys, from `from` up to but not including `to`; an empty `to` has no bound.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct KeyRange {
+    /// Service the keys belong to.
+    pub service: ServiceName,
+    /// First key of the range.
+    pub from: String,
+    /// First key after the range; empty for no bound.
+    pub to: String,
+    /// Number of slices the keys are hashed to.
+    pub slices: u32,
+}
+
+impl KeyRange {
+    /// Whether the range covers `key`.
+    pub fn covers(&self, key: &str) -> bool {
+        self.from.as_str() <= key && (self.to.is_empty() || key < self.to.as_str())
+    }
+
+    /// Whether two ranges share a key.
+    pub fn overlaps(&self, other: &KeyRange) -> bool {
+        let ends_after = |a: &KeyRange, b: &KeyRange| a.to.is_empty() || a.to > b.from;
+        ends_after(self, other) && ends_after(other, self)
+    }
+
+    /// The slice that `key` is hashed to.
+    pub fn slice(&self, key: &str) -> SliceId {
+        let hash = xxhash_rust::xxh3::xxh3_64(key.as_bytes());
+        SliceId((hash % u64::from(self.slices)) as u32)
+    }
+}
+
+/// A checked configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+pub struct Config {
+    /// Failure domains by name.
+    pub failure_domain: BTreeMap<DomainName, Domain>,
+    /// Policies by name.
+    pub policy: BTreeMap<PolicyName, Policy>,
+    /// Services by name.
+    pub service: BTreeMap<ServiceName, Service>,
+    /// Key ranges by name.
+    pub key_range: BTreeMap<RangeName, KeyRange>,
+}
+
+impl Config {
+    /// Whether requests of the service go to the owner of their key.
+    pub fn is_keyed(&self, service: &ServiceName) -> bool {
+        self.key_range.values().any(|r| r.service == *service)
+    }
+
+    /// The key range of the service that covers `key`.
+    pub fn range_of(&self, service: &ServiceName, key: &str) -> Option<(&RangeName, &KeyRange)> {
+        self.key_range
+            .iter()
+            .find(|(_, r)| r.service == *service && r.covers(key))
+    }
+
+    /// Whether the failure domain is configured and not taken out.
+    pub fn is_in(&self, domain: &DomainName) -> bool {
+        self.failure_domain.get(domain).is_some_and(|d| !d.out)
+    }
+
+    /// The configuration as the TOML text that would be read as itself.
+    pub fn to_toml(&self) -> String {
+        toml::to_string(self).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/kelpwind/gate/pass.rs
@@ -0,0 +1,214 @@
+//! The checks that a request passes before the backend server gets it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::BoxFuture;
+use kelpwind_platform::Announcement;
+use parking_lot::{Mutex, RwLock};
+use tokio::time::timeout;
+
+use super::admission::Admission;
+use super::backend::Backend;
+use super::inflight::{Entered, InFlight};
+use super::limiter::Limiter;
+use crate::core::call::{Answer, Call, SliceRef};
+use crate::core::codes::Code;
+use crate::core::ids::{Count, Holder, Token};
+use crate::lease::clock::{self, Moment};
+use crate::lease::holder::Lease;
+use crate::log::ledger::Ledger;
+
+/// Longest time that a request waits for admission.
+const QUEUE_WAIT: Duration = Duration::from_millis(100);
+/// When a caller may come back that was refused for want of room.
+const BUSY_RETRY: Duration = Duration::from_millis(100);
+/// When a caller may come back that met no owner, or a wrong one.
+const OWNER_RETRY: Duration = Duration::from_millis(250);
+/// When a caller may come back that met a target being taken out.
+const DRAIN_RETRY: Duration = Duration::from_millis(50);
+
+/// The backend server beside this node, as it announced itself.
+pub struct Attached {
+    /// What it said.
+    pub said: Announcement,
+    /// The way to it.
+    pub backend: Backend,
+}
+
+/// The gate of one node.
+pub struct Gate {
+    /// This node in this incarnation.
+    pub me: Holder,
+    /// The folded state.
+    pub ledger: Arc<Ledger>,
+    /// This node's lease; none before it has joined.
+    pub lease: Arc<Mutex<Option<Lease>>>,
+    /// The backend server; none before it has announced itself.
+    pub attached: RwLock<Option<Arc<Attached>>>,
+    /// When the backend server last announced itself.
+    pub heard: Mutex<Option<Instant>>,
+    /// Admission to the backend server.
+    pub admission: Admission,
+    /// Requests in flight by slice.
+    pub inflight: InFlight,
+    /// Set once this node stops: it refuses all new work.
+    pub stopping: std::sync::atomic::AtomicBool,
+}
+
+/// Leave to send a request: under which token and until when.
+struct Leave {
+    token: Token,
+    ends: Option<Moment>,
+}
+
+/// Result of a check.
+type Result<T> = std::result::Result<T, Code>;
+
+impl Gate {
+    /// A gate without a backend server.
+    pub fn new(me: Holder, ledger: Arc<Ledger>, lease: Arc<Mutex<Option<Lease>>>) -> Gate {
+        Gate {
+            me,
+            ledger,
+            lease,
+            attached: RwLock::default(),
+            heard: Mutex::default(),
+            admission: Admission::new(Limiter::new(Count(1), Duration::from_secs(1))),
+            inflight: InFlight::default(),
+            stopping: false.into(),
+        }
+    }
+
+    /// Takes a request to its end.
+    pub async fn pass(&self, call: Call) -> Answer {
+        match self.admit_and_send(call).await {
+            Ok(answer) => answer,
+            Err(code) => refuse(code),
+        }
+    }
+
+    async fn admit_and_send(&self, call: Call) -> Result<Answer> {
+        let attached = self.attached.read().clone().ok_or(Code::NoTarget)?;
+        self.check_work(&call, &attached)?;
+        self.check_owner(&call)?;
+        let wait = call.deadline.min(Instant::now() + QUEUE_WAIT);
+        let _permit = self.admission.enter(call.weight, wait).await?;
+        let _entered = self.enter(&call)?;
+        // The wait may have been long and the process frozen meanwhile: all is checked again, with
+        // the clock read anew, right before the first byte goes out.
+        self.check_work(&call, &attached)?;
+        let leave = self.check_owner(&call)?;
+        let now = Instant::now();
+        if call.deadline <= now {
+            return Err(Code::DeadlinePast);
+        }
+        let until = until(&call, &leave, attached.said.fenced, now);
+        let sent = (attached.backend.send)(call, leave.token, until);
+        let answer = match leave.ends {
+            Some(_) => self.while_leased(sent).await,
+            None => sent.await,
+        };
+        self.learn(&answer);
+        Ok(answer)
+    }
+
+    /// Cancels the work when the lease ends before it does.
+    async fn while_leased(&self, mut sent: BoxFuture<'static, Answer>) -> Answer {
+        loop {
+            let ends = self.lease.lock().as_ref().and_then(Lease::ends);
+            let left = ends.map_or(Duration::ZERO, |e| e.since(clock::now()));
+            if left.is_zero() {
+                return Answer::refusal(Code::Revoked);
+            }
+            if let Ok(answer) = timeout(left, &mut sent).await {
+                return answer;
+            }
+        }
+    }
+
+    fn check_work(&self, call: &Call, attached: &Attached) -> Result<()> {
+        if attached.said.service != call.service.as_str() {
+            return Err(Code::StaleRoute);
+        }
+        let stopping = self.stopping.load(std::sync::atomic::Ordering::Relaxed);
+        if stopping || attached.said.draining {
+            return Err(Code::Draining);
+        }
+        let state = self.ledger.state();
+        let me = state.members.get(&self.me).ok_or(Code::NoTarget)?;
+        // The owner of a key goes on serving it until the key is handed over: nobody else may.
+        let owned = call.key.is_some();
+        if !owned && !state.takes_work(&me.member) {
+            Err(Code::Draining)
+        } else {
+            Ok(())
+        }
+    }
+
+    fn check_owner(&self, call: &Call) -> Result<Leave> {
+        let Some((_, slice)) = &call.key else {
+            return Ok(Leave {
+                token: Token(0),
+                ends: None,
+            });
+        };
+        let token = self.owned(slice)?;
+        let ends = self.lease.lock().as_ref().and_then(Lease::ends);
+        match ends.filter(|end| clock::now() < *end) {
+            Some(end) => Ok(Leave {
+                token,
+                ends: Some(end),
+            }),
+            None => Err(Code::LeaseLapsed),
+        }
+    }
+
+    fn owned(&self, slice: &SliceRef) -> Result<Token> {
+        let state = self.ledger.state();
+        let slot = state.slot(&slice.range, slice.slice).ok_or(Code::NoRange)?;
+        let retired = state.ranges.get(&slice.range).is_none_or(|r| r.retired);
+        if retired || slot.holder.as_ref() != Some(&self.me) {
+            return Err(Code::NotOwner);
+        }
+        Ok(slot.token)
+    }
+
+    fn enter(&self, call: &Call) -> Result<Option<Entered>> {
+        let Some((_, slice)) = &call.key else {
+            return Ok(None);
+        };
+        self.inflight.enter(slice).map(Some).ok_or(Code::Moving)
+    }
+
+    /// Tells the limiter how it went.
+    fn learn(&self, answer: &Answer) {
+        self.admission.limiter(|l| match answer.code {
+            Code::Done => l.served(),
+            Code::Shed => l.shed(clock::now()),
+            _ => {}
+        });
+    }
+}
+
+/// The latest moment for an answer, as the backend server is told it.
+///
+/// A server that checks fences refuses an outdated token by itself, so its work may outlast what is
+/// left of the lease now; the gate cancels it if the lease is not renewed. One that does not is
+/// bounded by the lease as it stands when the request is sent: should this process freeze, the
+/// server itself stops the work.
+fn until(call: &Call, leave: &Leave, fenced: bool, now: Instant) -> Instant {
+    match leave.ends {
+        Some(ends) if !fenced => call.deadline.min(now + ends.since(clock::now())),
+        _ => call.deadline,
+    }
+}
+
+fn refuse(code: Code) -> Answer {
+    let retry = match code {
+        Code::Busy | Code::Cold => BUSY_RETRY,
+        Code::Draining | Code::Moving | Code::StaleRoute => DRAIN_RETRY,
+        _ => OWNER_RETRY,
+    };
+    Answer::refusal(code).retry_after(retry)
+}
--- /dev/null
+++ b/src/kelpwind/lease/message.rs
@@ -0,0 +1,76 @@
+//! Datagrams between holders and witnesses.
+//!
+//! Incarnations are drawn at random from 64 bits, so one alone names a holder; names and addresses
+//! stay out of the datagrams, which come to a few tens of bytes.
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::ids::Version;
+
+/// Number of a renewal, rising for one holder.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Seq(pub u64);
+
+/// An incarnation as it stands in a datagram.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Tag(pub u64);
+
+impl From<crate::core::ids::Incarnation> for Tag {
+    fn from(inc: crate::core::ids::Incarnation) -> Tag {
+        Tag(inc.0)
+    }
+}
+
+/// What a datagram says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// A holder renews its lease with one witness.
+    Renew {
+        /// The holder.
+        holder: Tag,
+        /// The witness meant; another incarnation must not answer.
+        witness: Tag,
+        /// Number of the renewal.
+        seq: Seq,
+    },
+    /// The witness acknowledges a renewal.
+    Ack {
+        /// The holder.
+        holder: Tag,
+        /// The witness.
+        witness: Tag,
+        /// Number of the renewal.
+        seq: Seq,
+    },
+    /// The witness will never acknowledge this holder again.
+    Refuse {
+        /// The holder.
+        holder: Tag,
+        /// The witness.
+        witness: Tag,
+    },
+    /// Someone who wants to take over asks for a promise.
+    Ask {
+        /// The silent holder.
+        holder: Tag,
+        /// Version of its set, as the asker knows it.
+        version: Version,
+        /// The witness as the set lists it.
+        witness: Tag,
+        /// The asker, to whom the promise is sent.
+        asker: Tag,
+    },
+    /// The witness promises never to acknowledge the holder again.
+    Promise {
+        /// The holder.
+        holder: Tag,
+        /// Version of the set.
+        version: Version,
+        /// The witness as the set lists it.
+        witness: Tag,
+        /// Time until its last acknowledgement binds no longer, in milliseconds, rounded up.
+        remaining: u32,
+    },
+}
--- /dev/null
+++ b/src/kelpwind/lease/witness.rs
@@ -0,0 +1,117 @@
+//! The witness's side of a lease: acknowledges renewals, and promises never to do so again.
+//!
+//! A witness keeps no disk. What it promised and acknowledged is gone when it restarts; the new
+//! incarnation is in no set until a record lists it, so what it has forgotten cannot be asked for.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::clock::Moment;
+use super::message::{Message, Seq, Tag};
+use super::{LEASE, SILENCE};
+use crate::core::ids::Version;
+
+/// A witness's memory.
+#[derive(Clone, Debug)]
+pub struct Witness {
+    me: Tag,
+    born: Moment,
+    watched: BTreeMap<Tag, Moment>,
+    acked: BTreeMap<Tag, Moment>,
+    promised: BTreeSet<Tag>,
+}
+
+/// In whose name a promise is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// The set lists this incarnation.
+    Itself,
+    /// The set lists an incarnation that ran at the same address before this one. It is dead: two
+    /// processes cannot listen on one address.
+    Successor,
+}
+
+impl Witness {
+    /// A witness that has just started.
+    pub fn new(me: Tag, born: Moment) -> Witness {
+        Witness {
+            me,
+            born,
+            watched: BTreeMap::new(),
+            acked: BTreeMap::new(),
+            promised: BTreeSet::new(),
+        }
+    }
+
+    /// Takes the members that the log names: holders that are gone are forgotten, and the silence
+    /// of those that this node watches is counted from when it first knew of them.
+    pub fn follow(&mut self, members: &BTreeSet<Tag>, watching: &BTreeSet<Tag>, now: Moment) {
+        self.acked.retain(|holder, _| members.contains(holder));
+        self.promised.retain(|holder| members.contains(holder));
+        self.watched.retain(|holder, _| watching.contains(holder));
+        for holder in watching {
+            self.watched.entry(*holder).or_insert(now);
+        }
+    }
+
+    /// Answers a renewal. `member` says whether the holder is a member, as the log has it.
+    pub fn renewal(&mut self, holder: Tag, seq: Seq, member: bool, now: Moment) -> Option<Message> {
+        if self.promised.contains(&holder) {
+            return Some(Message::Refuse {
+                holder,
+                witness: self.me,
+            });
+        }
+        if !member {
+            return None;
+        }
+        self.acked.insert(holder, now);
+        if let Some(heard) = self.watched.get_mut(&holder) {
+            *heard = now;
+        }
+        Some(Message::Ack {
+            holder,
+            witness: self.me,
+            seq,
+        })
+    }
+
+    /// How long a watched holder has been silent; `None` when it is not watched.
+    pub fn silence(&self, holder: Tag, now: Moment) -> Option<Duration> {
+        self.watched.get(&holder).map(|heard| now.since(*heard))
+    }
+
+    /// Holders that are watched.
+    pub fn watched(&self) -> impl Iterator<Item = Tag> + '_ {
+        self.watched.keys().copied()
+    }
+
+    /// Gives the promise asked for, if the holder has been silent long enough. The answer says how
+    /// long the last acknowledgement still binds.
+    pub fn ask(
+        &mut self,
+        holder: Tag,
+        version: Version,
+        listed: Tag,
+        role: Role,
+        now: Moment,
+    ) -> Option<Message> {
+        let promised = self.promised.contains(&holder);
+        if !promised && self.silence(holder, now).is_none_or(|s| s < SILENCE) {
+            return None;
+        }
+        self.promised.insert(holder);
+        let bound = match role {
+            Role::Itself => self.acked.get(&holder).copied(),
+            Role::Successor => Some(self.born),
+        };
+        let left = bound.map_or(Duration::ZERO, |at| LEASE.saturating_sub(now.since(at)));
+        let remaining = left.as_micros().div_ceil(1000) as u32;
+        Some(Message::Promise {
+            holder,
+            version,
+            witness: listed,
+            remaining,
+        })
+    }
+}
--- /dev/null
+++ b/src/kelpwind/net/listen.rs
@@ -0,0 +1,84 @@
+//! HTTP listeners: one accept loop for callers, other nodes and operators.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use crate::core::codes::Code;
+use crate::util::error::{Error, Result};
+
+/// Longest time in which a client must have sent its headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time that a planned stop waits for requests in flight.
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+/// Most connections of one listener.
+const CONNECTIONS_MAX: usize = 4096;
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Opens a listener.
+pub async fn listen(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr).await.map_err(|e| {
+        Error::new(Code::PortInUse, format!("failed to listen on {addr}")).caused_by(e)
+    })
+}
+
+/// Serves requests until `stop` turns true, then lets those in flight end.
+pub async fn serve<H, F, B>(listener: TcpListener, handle: H, mut stop: watch::Receiver<bool>)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: http_body::Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let handle = Arc::new(handle);
+    let graceful = GracefulShutdown::new();
+    let limit = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        let accepted = tokio::select! {
+            accepted = accept(&listener) => accepted,
+            _ = stop.wait_for(|s| *s) => break,
+        };
+        let Ok(permit) = limit.clone().try_acquire_owned() else {
+            continue;
+        };
+        let handle = handle.clone();
+        let service = service_fn(move |request| {
+            let answer = handle(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .serve_connection(TokioIo::new(accepted), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _ = watched.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    let _ = tokio::time::timeout(STOP_TIMEOUT, graceful.shutdown()).await;
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            return stream;
+        }
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/src/kelpwind/net/pool.rs
@@ -0,0 +1,227 @@
+//! Pooled HTTP/1.1 connections to other processes.
+//!
+//! The pool's errors tell apart what the callers' answers depend on: whether a request certainly
+//! was not sent ([`CallError::is_unsent`]) or may have arrived. A call that is dropped closes its
+//! connection, which cancels the work at the other end; a connection is used again only after its
+//! whole answer was read, so an answer that comes late finds no reader.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::AbortHandle;
+use tokio::time::{timeout, timeout_at};
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which sent bytes that the other end does not confirm break the connection.
+const UNCONFIRMED_MAX: Duration = Duration::from_millis(800);
+/// Idle connections older than this are closed instead of used.
+const IDLE_MAX: Duration = Duration::from_secs(10);
+/// Most idle connections kept to one address.
+const IDLE_COUNT_MAX: usize = 64;
+/// Largest answer that is read, in bytes.
+pub const ANSWER_MAX: usize = 8 << 20;
+
+/// A call that brought no whole answer.
+#[derive(Debug, displaydoc::Display)]
+pub enum CallError {
+    /// failed to connect
+    Connect(io::Error),
+    /// no connection within the time allowed
+    ConnectTimeout,
+    /// the connection was closed before the request was sent
+    Unsent,
+    /// the connection failed after the request was sent
+    Broken(hyper::Error),
+    /// no whole answer before the deadline
+    Expired,
+    /// the answer ended before it was whole, or does not say how long it is
+    Truncated,
+    /// the answer is over the size limit
+    TooLarge,
+}
+
+impl std::error::Error for CallError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            CallError::Connect(e) => Some(e),
+            CallError::Broken(e) => Some(e),
+            _ => None,
+        }
+    }
+}
+
+impl CallError {
+    /// Whether certainly no byte of the request was sent.
+    pub fn is_unsent(&self) -> bool {
+        matches!(
+            self,
+            CallError::Connect(_) | CallError::ConnectTimeout | CallError::Unsent
+        )
+    }
+}
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, CallError>;
+
+/// Connections to any number of addresses.
+#[derive(Debug)]
+pub struct Pool {
+    local: Option<IpAddr>,
+    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    used: Instant,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Pool {
+    /// A pool whose connections come from `local`, if given.
+    pub fn new(local: Option<IpAddr>) -> Pool {
+        Pool {
+            local,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Sends a request and reads the whole answer before `deadline`.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>> {
+        let mut request = request.map(Full::new);
+        let host = addr.to_string().parse();
+        if let Ok(host) = host {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        loop {
+            let (mut connection, reused) = self.connection(addr, deadline).await?;
+            let sent = connection.sender.try_send_request(request);
+            let answer = match timeout_at(deadline.into(), sent).await {
+                Err(_) => return Err(CallError::Expired),
+                Ok(Ok(answer)) => answer,
+                Ok(Err(mut failed)) => match failed.take_message() {
+                    // The idle connection was closed under us; nothing was sent.
+                    Some(unsent) if reused => {
+                        request = unsent;
+                        continue;
+                    }
+                    Some(_) => return Err(CallError::Unsent),
+                    None => return Err(CallError::Broken(failed.into_error())),
+                },
+            };
+            let (answer, reusable) = read_whole(answer, deadline).await?;
+            if reusable {
+                self.keep(addr, connection);
+            }
+            return Ok(answer);
+        }
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.idle.lock().remove(&addr);
+    }
+
+    async fn connection(&self, addr: SocketAddr, deadline: Instant) -> Result<(Connection, bool)> {
+        let now = Instant::now();
+        while let Some(idle) = self.take_idle(addr) {
+            let fresh = now.duration_since(idle.used) < IDLE_MAX;
+            if fresh && idle.sender.is_ready() {
+                return Ok((idle, true));
+            }
+        }
+        let limit = deadline.saturating_duration_since(now).min(CONNECT_TIMEOUT);
+        let Ok(opened) = timeout(limit, self.open(addr)).await else {
+            return Err(CallError::ConnectTimeout);
+        };
+        Ok((opened.map_err(CallError::Connect)?, false))
+    }
+
+    fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
+        self.idle.lock().get_mut(&addr)?.pop()
+    }
+
+    fn keep(&self, addr: SocketAddr, mut connection: Connection) {
+        connection.used = Instant::now();
+        let mut idle = self.idle.lock();
+        let kept = idle.entry(addr).or_default();
+        if kept.len() < IDLE_COUNT_MAX {
+            kept.push(connection);
+        }
+    }
+
+    async fn open(&self, addr: SocketAddr) -> io::Result<Connection> {
+        let stream = connect(self.local, addr).await?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
+        Ok(Connection {
+            sender,
+            driver,
+            used: Instant::now(),
+        })
+    }
+}
+
+async fn connect(local: Option<IpAddr>, addr: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if addr.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    if let Some(local) = local.filter(|l| l.is_ipv4() == addr.is_ipv4()) {
+        socket.bind(SocketAddr::new(local, 0))?;
+    }
+    let stream = socket.connect(addr).await?;
+    stream.set_nodelay(true)?;
+    socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNCONFIRMED_MAX))?;
+    Ok(stream)
+}
+
+/// Reads the whole answer; also says whether the connection can be used again.
+async fn read_whole(
+    answer: Response<Incoming>,
+    deadline: Instant,
+) -> Result<(Response<Bytes>, bool)> {
+    let (parts, body) = answer.into_parts();
+    let counted = body.size_hint().exact().is_some();
+    let chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
+    if !counted && !chunked {
+        return Err(CallError::Truncated);
+    }
+    let closes = parts
+        .headers
+        .get(header::CONNECTION)
+        .is_some_and(|v| v == "close");
+    let collected = Limited::new(body, ANSWER_MAX).collect();
+    let Ok(read) = timeout_at(deadline.into(), collected).await else {
+        return Err(CallError::Expired);
+    };
+    match read {
+        Ok(body) => Ok((Response::from_parts(parts, body.to_bytes()), !closes)),
+        Err(e) if e.is::<LengthLimitError>() => Err(CallError::TooLarge),
+        Err(_) => Err(CallError::Truncated),
+    }
+}
--- /dev/null
+++ b/src/kelpwind/node/leases.rs
@@ -0,0 +1,249 @@
+//! The lease loop: sends renewals, answers other holders' datagrams, and takes over from silent
+//! ones.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Node;
+use super::directory::Watched;
+use crate::core::record::{Body, Peer};
+use crate::lease::clock::{self, Moment};
+use crate::lease::message::{Message, Tag};
+use crate::lease::takeover::Takeover;
+use crate::lease::{LEASE, RANK_STEP, RENEW, SILENCE};
+use crate::net::datagram::{self, DATAGRAM_MAX};
+use crate::place::planner;
+
+/// Time between two looks at the holders that this node witnesses.
+const WATCH_INTERVAL: Duration = Duration::from_millis(25);
+/// Longest time to wait for the fate of a takeover's record before it is sent anew.
+const REVOKE_TIME: Duration = Duration::from_secs(2);
+
+/// Renews this node's lease for as long as the process runs.
+pub async fn renew(node: Arc<Node>) {
+    let mut timer = tokio::time::interval(RENEW);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        node.renew_once().await;
+    }
+}
+
+/// Receives datagrams for as long as the process runs.
+pub async fn receive(node: Arc<Node>) {
+    let mut buffer = [0; DATAGRAM_MAX];
+    loop {
+        let Ok((size, _)) = node.udp.recv_from(&mut buffer).await else {
+            continue;
+        };
+        node.count_datagram("in", size);
+        if let Ok(message) = datagram::decode(&buffer[..size]) {
+            node.answer(message).await;
+        }
+    }
+}
+
+/// Looks for silent holders for as long as the process runs.
+pub async fn watch(node: Arc<Node>) {
+    let mut timer = tokio::time::interval(WATCH_INTERVAL);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        node.look_for_silence();
+        node.ask_for_promises().await;
+        finish_takeovers(&node);
+    }
+}
+
+impl Node {
+    /// Sends one round of renewals. A witness in this very process is told without a datagram.
+    pub async fn renew_once(&self) {
+        let renewals = {
+            let mut lease = self.lease.lock();
+            let Some(lease) = lease.as_mut() else { return };
+            lease.renew(clock::now())
+        };
+        for (peer, message) in renewals {
+            self.send_to_peer(&peer, message).await;
+        }
+    }
+
+    async fn send_to_peer(&self, peer: &Peer, message: Message) {
+        if peer.addr == self.addrs.advertise {
+            Box::pin(self.answer(message)).await;
+        } else {
+            self.send(peer.addr, message).await;
+        }
+    }
+
+    async fn send(&self, addr: SocketAddr, message: Message) {
+        let raw = datagram::encode(&message);
+        self.count_datagram("out", raw.len());
+        // A datagram that cannot be sent is as good as lost; the next round makes up for it.
+        let _ = self.udp.send_to(&raw, addr).await;
+    }
+
+    fn count_datagram(&self, direction: &str, size: usize) {
+        self.metrics.datagrams.with_label_values(&[direction]).inc();
+        self.metrics
+            .datagram_bytes
+            .with_label_values(&[direction])
+            .inc_by(size as u64);
+    }
+
+    async fn reply(&self, to: Tag, message: Message) {
+        if to == Tag::from(self.me.inc) {
+            Box::pin(self.answer(message)).await;
+            return;
+        }
+        let addr = { self.directory.read().addrs.get(&to).copied() };
+        if let Some(addr) = addr {
+            self.send(addr, message).await;
+        }
+    }
+
+    /// Takes one message.
+    pub async fn answer(&self, message: Message) {
+        let now = clock::now();
+        let mine = Tag::from(self.me.inc);
+        match message {
+            Message::Renew {
+                holder,
+                witness,
+                seq,
+            } if witness == mine => {
+                let member = self.directory.read().members.contains(&holder);
+                let answer = self.witness.lock().renewal(holder, seq, member, now);
+                if let Some(answer) = answer {
+                    self.reply(holder, answer).await;
+                }
+            }
+            Message::Ack {
+                holder,
+                witness,
+                seq,
+            } if holder == mine => {
+                if let Some(lease) = self.lease.lock().as_mut() {
+                    lease.acknowledged(witness, seq);
+                }
+            }
+            Message::Refuse { holder, witness } if holder == mine => {
+                if let Some(lease) = self.lease.lock().as_mut() {
+                    lease.refused_by(witness);
+                }
+            }
+            Message::Ask {
+                holder,
+                version,
+                witness,
+                asker,
+            } => {
+                let directory = self.directory.read().clone();
+                let role = directory.role(holder, witness, &self.me, self.addrs.advertise);
+                let Some(role) = role else { return };
+                let promise = self.witness.lock().ask(holder, version, witness, role, now);
+                if let Some(promise) = promise {
+                    self.reply(asker, promise).await;
+                }
+            }
+            Message::Promise {
+                holder,
+                version,
+                witness,
+                remaining,
+            } => {
+                if let Some(takeover) = self.takeovers.lock().get_mut(&holder) {
+                    let remaining = Duration::from_millis(remaining.into());
+                    takeover.promised(version, witness, remaining, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Starts takeovers from holders that have been silent, and ends those whose holder is back.
+    fn look_for_silence(&self) {
+        let now = clock::now();
+        let directory = self.directory.read().clone();
+        let witness = self.witness.lock();
+        let mut takeovers = self.takeovers.lock();
+        takeovers.retain(|tag, t| {
+            let same = directory
+                .watched
+                .get(tag)
+                .is_some_and(|w| w.version == t.version);
+            same && witness.silence(*tag, now).is_some_and(|s| s >= SILENCE)
+        });
+        for tag in witness.watched() {
+            let Some(watched) = directory.watched.get(&tag) else {
+                continue;
+            };
+            if watched.holder == self.me || takeovers.contains_key(&tag) {
+                continue;
+            }
+            let patience = SILENCE + RANK_STEP * watched.rank;
+            if witness.silence(tag, now).is_some_and(|s| s >= patience) {
+                self.metrics.takeovers.inc();
+                spdlog::warn!(
+                    "node {}: {} is silent, asking its witnesses",
+                    self.me,
+                    watched.holder
+                );
+                takeovers.insert(tag, start(watched));
+            }
+        }
+    }
+
+    async fn ask_for_promises(&self) {
+        let now = clock::now();
+        let mine = Tag::from(self.me.inc);
+        let questions: Vec<(Peer, Message)> = {
+            let mut takeovers = self.takeovers.lock();
+            takeovers
+                .values_mut()
+                .flat_map(|t| t.questions(mine, now))
+                .collect()
+        };
+        for (peer, message) in questions {
+            self.send_to_peer(&peer, message).await;
+        }
+    }
+
+    /// Appends the record of a takeover. The lost holder's slices go to those that bear most.
+    async fn revoke(&self, takeover: &Takeover) {
+        let moves = planner::replace(&self.ledger.state(), &takeover.target);
+        let holder = takeover.target.clone();
+        let body = Body::Revoke {
+            holder,
+            base: takeover.version,
+            moves,
+        };
+        if let Ok(fate) = self.append(body, REVOKE_TIME).await
+            && fate.verdict.is_ok()
+        {
+            spdlog::warn!("node {}: {} is revoked", self.me, takeover.target);
+        }
+    }
+}
+
+fn start(watched: &Watched) -> Takeover {
+    Takeover::new(watched.holder.clone(), watched.version, watched.set.clone())
+}
+
+fn finish_takeovers(node: &Arc<Node>) {
+    let now: Moment = clock::now();
+    let ready: Vec<Takeover> = {
+        let mut takeovers = node.takeovers.lock();
+        let ready = takeovers.values_mut().filter(|t| t.ready(now));
+        ready
+            .filter_map(|t| t.may_write(now).then(|| t.clone()))
+            .collect()
+    };
+    for takeover in ready {
+        let node = node.clone();
+        tokio::spawn(async move { node.revoke(&takeover).await });
+    }
+}
+
+const _: () = assert!(SILENCE.as_millis() < LEASE.as_millis());
--- /dev/null
+++ b/src/kelpwind/node/mod.rs
@@ -0,0 +1,170 @@
+//! One running node: the sockets and tasks around the pure parts.
+//!
+//! [`run`](start::run) opens the listeners and starts the tasks: the follower of the log, the
+//! [`leases`] loop (renewals, acknowledgements, takeovers), [`membership`] (join, witness set,
+//! leave), the [`planning`] loop, and the listeners for callers, other nodes ([`peers`]) and
+//! operators ([`admin`]).
+
+pub mod admin;
+pub mod directory;
+pub mod handover;
+pub mod leases;
+pub mod membership;
+pub mod metrics;
+pub mod peers;
+pub mod planning;
+pub mod settings;
+pub mod start;
+pub mod view;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::{Mutex, RwLock};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+
+use crate::core::chart::{Chart, ChartError, Machine};
+use crate::core::ids::Holder;
+use crate::core::record::{Body, Record};
+use crate::gate::pass::Gate;
+use crate::lease::clock::Moment;
+use crate::lease::holder::Lease;
+use crate::lease::takeover::Takeover;
+use crate::lease::witness::Witness;
+use crate::log::client::{Log, Result};
+use crate::log::follow::Health;
+use crate::log::ledger::{Fate, Ledger};
+use crate::net::pool::Pool;
+use crate::route::entry::Entry;
+use directory::Directory;
+use metrics::Metrics;
+use settings::Settings;
+
+/// The chart of a node's life.
+const NODE_CHART: &str = include_str!("../../../charts/node.toml");
+
+/// Addresses that the node really listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Addrs {
+    /// For callers.
+    pub listen: SocketAddr,
+    /// For other nodes.
+    pub peer: SocketAddr,
+    /// For operators and the backend server.
+    pub admin: SocketAddr,
+    /// What other nodes are told.
+    pub advertise: SocketAddr,
+}
+
+/// Takeovers under way, by the incarnation of the silent holder.
+pub type Takeovers = std::collections::BTreeMap<crate::lease::message::Tag, Takeover>;
+
+/// One node.
+pub struct Node {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its addresses.
+    pub addrs: Addrs,
+    /// Its name and incarnation.
+    pub me: Holder,
+    /// When it started.
+    pub born: Moment,
+    /// The log service.
+    pub log: Arc<Log>,
+    /// Whether the log answers.
+    pub health: watch::Receiver<Health>,
+    /// The folded state.
+    pub ledger: Arc<Ledger>,
+    /// Its lease.
+    pub lease: Arc<Mutex<Option<Lease>>>,
+    /// What it remembers as a witness.
+    pub witness: Mutex<Witness>,
+    /// Takeovers it has under way.
+    pub takeovers: Mutex<Takeovers>,
+    /// Members by incarnation.
+    pub directory: RwLock<Arc<Directory>>,
+    /// Its gate.
+    pub gate: Arc<Gate>,
+    /// Its entry.
+    pub entry: Arc<Entry>,
+    /// Connections to other nodes.
+    pub pool: Arc<Pool>,
+    /// Socket for datagrams.
+    pub udp: UdpSocket,
+    /// Its metrics.
+    pub metrics: Arc<Metrics>,
+    /// Where it is in its life.
+    pub life: Mutex<Machine>,
+    /// Turns true when the node begins a planned stop.
+    pub stop: watch::Sender<bool>,
+}
+
+/// A machine in the first state of the node's chart.
+pub fn life() -> std::result::Result<Machine, ChartError> {
+    Chart::try_from(NODE_CHART).map(Machine::new)
+}
+
+impl Node {
+    /// Takes an edge of the life's chart, if there is one, and logs the change.
+    pub fn fire(&self, event: &str) -> bool {
+        let fired = self.life.lock().fire(event);
+        if let Ok((left, reached)) = &fired {
+            spdlog::info!("node {}: {left} -> {reached}", self.me);
+        }
+        fired.is_ok()
+    }
+
+    /// The state of the life's chart.
+    pub fn is(&self, state: &str) -> bool {
+        self.life.lock().state() == state
+    }
+
+    /// Appends a record and waits until the fold has met it, or `limit` is over.
+    pub async fn append(&self, body: Body, limit: Duration) -> Result<Fate> {
+        self.append_record(&Record::new(&self.me, body), limit)
+            .await
+    }
+
+    /// Appends a record that was formed before.
+    pub async fn append_record(&self, record: &Record, limit: Duration) -> Result<Fate> {
+        self.metrics
+            .appends
+            .with_label_values(&[kind(&record.body)])
+            .inc();
+        self.ledger.append(&self.log, record, limit).await
+    }
+
+    /// Appends a record and goes on until its fate is known. It is the caller's business that
+    /// nothing unsafe happens while it is not.
+    pub async fn append_surely(&self, body: Body) -> Fate {
+        const TRY: Duration = Duration::from_secs(5);
+        let record = Record::new(&self.me, body);
+        loop {
+            if let Ok(fate) = self.append_record(&record, TRY).await {
+                return fate;
+            }
+        }
+    }
+
+    /// Whether the log answers.
+    pub fn log_is_up(&self) -> bool {
+        *self.health.borrow() == Health::Up
+    }
+}
+
+fn kind(body: &Body) -> &'static str {
+    match body {
+        Body::Config { .. } => "config",
+        Body::Join(_) => "join",
+        Body::Update(_) => "update",
+        Body::Leave { .. } => "leave",
+        Body::Witnesses { .. } => "witnesses",
+        Body::Revoke { .. } => "revoke",
+        Body::Assign { .. } => "assign",
+        Body::Handover { .. } => "handover",
+        Body::Release { .. } => "release",
+        Body::Snapshot(_) => "snapshot",
+    }
+}
--- /dev/null
+++ b/src/kelpwind/node/peers.rs
@@ -0,0 +1,158 @@
+//! What nodes ask of one another over TCP: requests for the gate, and calls in JSON-RPC (hand over
+//! slices, pass on records of the log).
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee::rpc_params;
+use jsonrpsee::server::{HttpBody, RpcModule, Server, StopHandle, TowerServiceBuilder};
+use jsonrpsee::types::ErrorObjectOwned;
+use tower::Service;
+
+use super::Node;
+use crate::core::call::Answer;
+use crate::core::codes::Code;
+use crate::core::ids::Offset;
+use crate::core::state::State;
+use crate::log::follow::Help;
+use crate::log::ledger::Passed;
+use crate::place::planner::Transfer;
+use crate::route::wire;
+use crate::util::error::{Error, Result, chain};
+
+/// Path of calls in JSON-RPC.
+pub const RPC_PATH: &str = "/rpc";
+/// Longest time of a call between nodes.
+const CALL_TIME: Duration = Duration::from_secs(5);
+/// Longest time to ask one other node for records.
+const HELP_TIME: Duration = Duration::from_millis(500);
+
+/// The JSON-RPC part of a listener.
+#[derive(Clone)]
+pub struct Rpc {
+    builder: TowerServiceBuilder<tower::layer::util::Identity, tower::layer::util::Identity>,
+    methods: RpcModule<Arc<Node>>,
+    stop: StopHandle,
+}
+
+impl Rpc {
+    /// The methods as a service that goes on until the process ends.
+    pub fn new(methods: RpcModule<Arc<Node>>) -> Rpc {
+        let (stop, handle) = jsonrpsee::server::stop_channel();
+        // The handle would stop the service when dropped; the service lives as long as the process.
+        std::mem::forget(handle);
+        Rpc {
+            builder: Server::builder().to_service_builder(),
+            methods,
+            stop,
+        }
+    }
+
+    /// Answers one call.
+    pub async fn call(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let mut service = self
+            .builder
+            .clone()
+            .build(self.methods.clone(), self.stop.clone());
+        match service.call(request).await {
+            Ok(response) => response,
+            Err(e) => plain(500, e.to_string()),
+        }
+    }
+}
+
+/// A short answer in plain text.
+pub fn plain(status: u16, text: String) -> Response<HttpBody> {
+    let mut response = Response::new(HttpBody::from(text));
+    *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    response
+}
+
+/// An answer of the data path as the body type of the listeners.
+pub fn reply(answer: Answer) -> Response<HttpBody> {
+    wire::to_response(answer).map(|body| HttpBody::new(Full::new(body)))
+}
+
+/// An error as JSON-RPC carries it: the code's number, the message with its causes.
+pub fn rpc_error(error: &Error) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(error.code.number().into(), chain(error), None::<()>)
+}
+
+/// Answers a request on the address for other nodes.
+pub async fn serve(node: Arc<Node>, rpc: Rpc, request: Request<Incoming>) -> Response<HttpBody> {
+    if request.uri().path() == RPC_PATH {
+        return rpc.call(request).await;
+    }
+    let answer = match wire::read(request).await {
+        Ok(call) => node.gate.pass(call).await,
+        Err(code) => Answer::refusal(code),
+    };
+    node.metrics.count(&node.metrics.gate, answer.code);
+    reply(answer)
+}
+
+/// The methods on the address for other nodes.
+pub fn methods(node: Arc<Node>) -> Result<RpcModule<Arc<Node>>> {
+    let mut module = RpcModule::new(node);
+    let registered = register(&mut module);
+    registered.map_err(|e| Error::new(Code::Internal, "failed to register calls").caused_by(e))?;
+    Ok(module)
+}
+
+fn register(
+    module: &mut RpcModule<Arc<Node>>,
+) -> std::result::Result<(), jsonrpsee::core::RegisterMethodError> {
+    module.register_async_method("hand_over", |params, node, _| async move {
+        let transfers: Vec<Transfer> = params.one()?;
+        node.hand_over(transfers).await.map_err(|e| rpc_error(&e))
+    })?;
+    module.register_method("suffix", |params, node, _| {
+        let from: Offset = params.one()?;
+        Ok::<_, ErrorObjectOwned>(node.ledger.suffix(from))
+    })?;
+    module.register_method("state", |_, node, _| {
+        Ok::<State, ErrorObjectOwned>(node.ledger.state().clone())
+    })?;
+    Ok(())
+}
+
+fn client(addr: SocketAddr, limit: Duration) -> Option<HttpClient> {
+    let url = format!("http://{addr}{RPC_PATH}");
+    HttpClientBuilder::default()
+        .request_timeout(limit)
+        .build(url)
+        .ok()
+}
+
+/// Asks an owner to hand slices over. If it does not, the next round of planning asks again.
+pub async fn ask_hand_over(addr: SocketAddr, transfers: Vec<Transfer>) {
+    let Some(client) = client(addr, CALL_TIME) else {
+        return;
+    };
+    let _ = client
+        .request::<usize, _>("hand_over", rpc_params![transfers])
+        .await;
+}
+
+/// Asks a node for the records from `next` on, or for its whole state.
+pub async fn ask_for_records(addr: SocketAddr, next: Offset) -> Help {
+    let Some(client) = client(addr, HELP_TIME) else {
+        return Help::None;
+    };
+    let suffix: std::result::Result<Option<Vec<Passed>>, _> =
+        client.request("suffix", rpc_params![next]).await;
+    match suffix {
+        Ok(Some(passed)) if next > Offset(0) => Help::Suffix(passed),
+        Ok(_) => match client.request::<State, _>("state", rpc_params![]).await {
+            Ok(state) => Help::Whole(Box::new(state)),
+            Err(_) => Help::None,
+        },
+        Err(_) => Help::None,
+    }
+}
--- /dev/null
+++ b/src/kelpwind/node/planning.rs
@@ -0,0 +1,134 @@
+//! The planning loop: gives free slices to owners, asks owners to hand slices over, and writes
+//! snapshots when they are due.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::{Node, peers};
+use crate::core::ids::{Holder, Offset, RangeName};
+use crate::core::record::Body;
+use crate::core::state::State;
+use crate::log::snapshot;
+use crate::place::planner::{self, Transfer};
+use crate::place::planner_of;
+
+/// Longest time between two rounds of planning.
+const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest time between two rounds.
+const PLAN_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time to wait for the fate of an assignment.
+const ASSIGN_TIME: Duration = Duration::from_secs(2);
+/// Slices handed over in one round, for one key range.
+const MOVES_PER_ROUND: usize = 8;
+/// Longest time to wait for the fate of a piece of a snapshot.
+const SNAPSHOT_TIME: Duration = Duration::from_secs(5);
+
+/// Plans for as long as the process runs.
+pub async fn plan(node: Arc<Node>) {
+    let mut moves = node.ledger.moves();
+    loop {
+        moves.borrow_and_update();
+        if node.is("serving") && node.log_is_up() {
+            node.plan_once().await;
+        }
+        node.release_retired().await;
+        tokio::time::sleep(PLAN_PAUSE).await;
+        let _ = timeout(PLAN_INTERVAL, moves.changed()).await;
+    }
+}
+
+/// Writes snapshots for as long as the process runs.
+pub async fn keep_snapshots(node: Arc<Node>) {
+    let mut written = { node.ledger.state().next };
+    loop {
+        tokio::time::sleep(PLAN_INTERVAL).await;
+        let next = { node.ledger.state().next };
+        let due = next.0.saturating_sub(written.0) >= node.settings.snapshot_every;
+        if due && node.log_is_up() {
+            if node.is_snapshot_writer() {
+                node.write_snapshot().await;
+            }
+            written = node.ledger.state().next;
+        }
+    }
+}
+
+impl Node {
+    async fn plan_once(&self) {
+        let (moves, transfers) = {
+            let state = self.ledger.state();
+            let mine: Vec<&RangeName> = planned_by(&state, &self.me).collect();
+            let moves: Vec<_> = mine
+                .iter()
+                .flat_map(|r| planner::assign(&state, r))
+                .collect();
+            let transfers: Vec<Transfer> = mine
+                .iter()
+                .flat_map(|r| planner::rebalance(&state, r, MOVES_PER_ROUND))
+                .collect();
+            (moves, transfers)
+        };
+        if !moves.is_empty() {
+            let _ = self.append(Body::Assign { moves }, ASSIGN_TIME).await;
+            return;
+        }
+        let mut by_owner: BTreeMap<Holder, Vec<Transfer>> = BTreeMap::new();
+        for transfer in transfers {
+            by_owner
+                .entry(transfer.from.clone())
+                .or_default()
+                .push(transfer);
+        }
+        let asked = by_owner
+            .into_iter()
+            .map(|(owner, list)| self.ask_to_hand_over(owner, list));
+        futures_util::future::join_all(asked).await;
+    }
+
+    async fn ask_to_hand_over(&self, owner: Holder, transfers: Vec<Transfer>) {
+        if owner == self.me {
+            let _ = self.hand_over(transfers).await;
+            return;
+        }
+        let addr = self
+            .ledger
+            .state()
+            .members
+            .get(&owner)
+            .map(|m| m.member.peer);
+        if let Some(addr) = addr {
+            peers::ask_hand_over(addr, transfers).await;
+        }
+    }
+
+    fn is_snapshot_writer(&self) -> bool {
+        let state = self.ledger.state();
+        state.members.keys().min_by_key(|h| h.inc) == Some(&self.me)
+    }
+
+    async fn write_snapshot(&self) {
+        let (records, next): (_, Offset) = {
+            let state = self.ledger.state();
+            (snapshot::split(&state, &self.me.to_string()), state.next)
+        };
+        let pieces = records.len();
+        for record in &records {
+            if self.append_record(record, SNAPSHOT_TIME).await.is_err() {
+                return;
+            }
+        }
+        spdlog::info!(
+            "node {}: wrote a snapshot up to {next} in {pieces} pieces",
+            self.me
+        );
+    }
+}
+
+fn planned_by<'a>(state: &'a State, me: &'a Holder) -> impl Iterator<Item = &'a RangeName> {
+    let live = state.ranges.iter().filter(|(_, r)| !r.retired);
+    let mine = live.filter(move |(_, r)| planner_of(state, &r.range.service) == Some(me));
+    mine.map(|(name, _)| name)
+}
--- /dev/null
+++ b/src/kelpwind/ops/stand_in.rs
@@ -0,0 +1,60 @@
+//! `kelpwind stand-in`: runs a stand-in of the platform as a process of its own, for tests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kelpwind_stand_ins::backend::{Backend, Options};
+use kelpwind_stand_ins::log::LogService;
+use kelpwind_stand_ins::proxy::Proxy;
+
+use super::node::stop_signal;
+use crate::core::codes::Code;
+use crate::util::error::{Error, Result};
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub enum StandIn {
+    /// The log service.
+    Log,
+    /// A backend server.
+    Backend(Options),
+    /// The proxy that injects faults.
+    Proxy,
+}
+
+/// Runs a stand-in until SIGTERM or SIGINT. `ready` is told its address.
+pub async fn run(what: StandIn, listen: SocketAddr, ready: impl FnOnce(SocketAddr)) -> Result<()> {
+    let started = match what {
+        StandIn::Log => LogService::default().start(listen).await,
+        StandIn::Backend(options) => Backend::new(options).start(listen).await,
+        StandIn::Proxy => Proxy::default().start(listen).await,
+    };
+    let addr = started.map_err(|e| {
+        Error::new(Code::PortInUse, format!("failed to listen on {listen}")).caused_by(e)
+    })?;
+    ready(addr);
+    let mut stop = stop_signal()?;
+    let _ = stop.wait_for(|s| *s).await;
+    Ok(())
+}
+
+/// Options of a backend server stand-in from numbers.
+pub fn backend(
+    service: String,
+    slots: u32,
+    conns: u32,
+    work: Duration,
+    fenced: bool,
+    warm: Duration,
+    node: Option<SocketAddr>,
+) -> StandIn {
+    StandIn::Backend(Options {
+        service,
+        slots,
+        conns,
+        work,
+        fenced,
+        warm,
+        node,
+    })
+}
--- /dev/null
+++ b/src/kelpwind/ops/status.rs
@@ -0,0 +1,87 @@
+//! `kelpwind status`: the whole at a glance.
+
+use std::net::SocketAddr;
+
+use jsonrpsee::rpc_params;
+
+use super::client::call;
+use super::{Format, print};
+use crate::node::view::Status;
+use crate::util::error::Result;
+use crate::util::table::table;
+
+/// The status as the node called has it.
+pub async fn status(nodes: &[SocketAddr], format: Format) -> Result<String> {
+    let status: Status = call(nodes, "status", rpc_params![]).await?;
+    Ok(print(format, &status, text))
+}
+
+fn text(status: &Status) -> String {
+    let out = status
+        .domains
+        .iter()
+        .filter(|(_, is_in)| !**is_in)
+        .map(|(n, _)| n.to_string());
+    let out: Vec<String> = out.collect();
+    let out = if out.is_empty() {
+        "none".to_owned()
+    } else {
+        out.join(", ")
+    };
+    format!(
+        "revision {}, log {}, offset {}, failure domains out: {out} (as {} has it)\n\n{}\n{}",
+        status.revision,
+        status.log,
+        status.offset,
+        status.from.node,
+        table(&services(status)),
+        table(&members(status)),
+    )
+}
+
+fn row(cells: &[&str]) -> Vec<String> {
+    cells.iter().map(|c| (*c).to_owned()).collect()
+}
+
+fn services(status: &Status) -> Vec<Vec<String>> {
+    let mut rows = vec![row(&["SERVICE", "TARGETS", "SLICES", "WITHOUT OWNER"])];
+    for (name, s) in &status.services {
+        let cells = [
+            name.to_string(),
+            s.targets.to_string(),
+            s.slices.to_string(),
+            s.free.to_string(),
+        ];
+        rows.push(cells.to_vec());
+    }
+    rows
+}
+
+fn members(status: &Status) -> Vec<Vec<String>> {
+    let mut rows = vec![row(&[
+        "NODE",
+        "DOMAIN",
+        "SERVICE",
+        "SLOTS",
+        "SLICES",
+        "WORK",
+        "OPERATORS",
+    ])];
+    for m in &status.members {
+        let service = m
+            .service
+            .as_ref()
+            .map_or("-".to_owned(), ToString::to_string);
+        let work = if m.takes_work { "takes" } else { "refuses" };
+        rows.push(vec![
+            m.holder.node.to_string(),
+            m.domain.to_string(),
+            service,
+            m.slots.to_string(),
+            m.slices.to_string(),
+            work.to_owned(),
+            m.admin.to_string(),
+        ]);
+    }
+    rows
+}
--- /dev/null
+++ b/src/kelpwind/route/request.rs
@@ -0,0 +1,172 @@
+//! Reads a caller's request: `/SERVICE/KEY/...` for services divided by key, `/SERVICE/...` for
+//! others, with the deadline and the idempotency key in headers.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use kelpwind_platform::DEADLINE_HEADER;
+
+use crate::core::call::{Call, RequestId, SliceRef, TEXT_MAX};
+use crate::core::codes::Code;
+use crate::core::config::{Policy, Repeat};
+use crate::core::ids::ServiceName;
+use crate::core::state::State;
+
+/// Header that names a request which its caller may send again.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Longest time in which a caller must have sent the whole body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Result of reading a request.
+pub type Result<T> = std::result::Result<T, Code>;
+
+/// A request as the caller sent it, its body read.
+#[derive(Debug)]
+pub struct Raw {
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+    came: Instant,
+}
+
+/// A request together with what its policy says.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// The request.
+    pub call: Call,
+    /// Its policy.
+    pub policy: Policy,
+    /// Whether it may be run again when its outcome is unknown.
+    pub idempotent: bool,
+}
+
+impl Raw {
+    /// Reads the whole body, up to `limit` bytes.
+    pub async fn read(request: Request<Incoming>, limit: usize) -> Result<Raw> {
+        let came = Instant::now();
+        let (parts, body) = request.into_parts();
+        let collected = Limited::new(body, limit).collect();
+        let read = tokio::time::timeout(BODY_TIMEOUT, collected).await;
+        let body = match read {
+            Err(_) => return Err(Code::BadRequest),
+            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+                return Err(Code::BodyTooLarge);
+            }
+            Ok(Err(_)) => return Err(Code::BadRequest),
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        let path = parts
+            .uri
+            .path_and_query()
+            .ok_or(Code::BadRequest)?
+            .to_string();
+        Ok(Raw {
+            method: parts.method,
+            path,
+            headers: parts.headers,
+            body,
+            came,
+        })
+    }
+
+    /// Finds service, key and policy by the configuration.
+    pub fn ask(self, state: &State) -> Result<Asked> {
+        if state.revision.0 == 0 {
+            return Err(Code::NoConfig);
+        }
+        let (service, key) = self.names()?;
+        let spec = state
+            .config
+            .service
+            .get(&service)
+            .ok_or(Code::UnknownService)?;
+        let reads = matches!(self.method, Method::GET | Method::HEAD);
+        let policy = if reads { &spec.read } else { &spec.write };
+        let policy = state
+            .config
+            .policy
+            .get(policy)
+            .ok_or(Code::Internal)?
+            .clone();
+        let key = match state.config.is_keyed(&service) {
+            true => Some(place(state, &service, key)?),
+            false => None,
+        };
+        let deadline = self.came
+            + self
+                .time_left()?
+                .unwrap_or(policy.deadline)
+                .min(policy.deadline);
+        let id = self.id()?;
+        let call = Call {
+            id,
+            service,
+            key,
+            method: self.method,
+            path: self.path,
+            kind: self.headers.get(header::CONTENT_TYPE).cloned(),
+            body: self.body,
+            weight: policy.weight,
+            deadline,
+        };
+        let idempotent = policy.repeat == Repeat::Idempotent;
+        Ok(Asked {
+            call,
+            policy,
+            idempotent,
+        })
+    }
+
+    fn names(&self) -> Result<(ServiceName, Option<&str>)> {
+        let path = self.path.split('?').next().unwrap_or_default();
+        let mut parts = path.trim_start_matches('/').split('/');
+        let service = parts.next().unwrap_or_default();
+        let service = service.parse().map_err(|_| Code::UnknownService)?;
+        let key = parts.next().filter(|k| !k.is_empty());
+        if key.is_some_and(|k| k.len() > TEXT_MAX) {
+            return Err(Code::BadRequest);
+        }
+        Ok((service, key))
+    }
+
+    fn text(&self, header: &str) -> Result<Option<&str>> {
+        let Some(value) = self.headers.get(header) else {
+            return Ok(None);
+        };
+        value.to_str().map(Some).map_err(|_| Code::BadRequest)
+    }
+
+    fn time_left(&self) -> Result<Option<Duration>> {
+        let Some(text) = self.text(DEADLINE_HEADER)? else {
+            return Ok(None);
+        };
+        match text.parse::<u64>() {
+            Ok(0) => Err(Code::DeadlinePast),
+            Ok(ms) => Ok(Some(Duration::from_millis(ms))),
+            Err(_) => Err(Code::BadRequest),
+        }
+    }
+
+    fn id(&self) -> Result<RequestId> {
+        match self.text(IDEMPOTENCY_HEADER)? {
+            Some(text) => text.parse().map_err(|_| Code::BadRequest),
+            None => Ok(RequestId::random()),
+        }
+    }
+}
+
+fn place(state: &State, service: &ServiceName, key: Option<&str>) -> Result<(String, SliceRef)> {
+    let key = key.ok_or(Code::KeyMissing)?;
+    let place = state.place(service, key).ok_or(Code::NoRange)?;
+    Ok((
+        key.to_owned(),
+        SliceRef {
+            range: place.range,
+            slice: place.slice,
+        },
+    ))
+}
--- /dev/null
+++ b/src/kelpwind/util/error.rs
@@ -0,0 +1,63 @@
+//! The error that operations return: a numbered code, what was being done, and the cause.
+
+use std::error::Error as StdError;
+use std::fmt;
+
+use crate::core::codes::Code;
+
+/// A failed operation.
+#[derive(Debug)]
+pub struct Error {
+    /// Numbered code.
+    pub code: Code,
+    context: String,
+    cause: Option<Box<dyn StdError + Send + Sync>>,
+}
+
+/// Result of an operation.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+impl Error {
+    /// An error with its code and what was being done, as in "failed to read FILE".
+    pub fn new(code: Code, context: impl Into<String>) -> Error {
+        Error {
+            code,
+            context: context.into(),
+            cause: None,
+        }
+    }
+
+    /// The same error with the cause it came from.
+    pub fn caused_by(mut self, cause: impl Into<Box<dyn StdError + Send + Sync>>) -> Error {
+        self.cause = Some(cause.into());
+        self
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} [{}]", self.context, self.code.number())
+    }
+}
+
+impl StdError for Error {
+    fn source(&self) -> Option<&(dyn StdError + 'static)> {
+        self.cause
+            .as_ref()
+            .map(|c| c.as_ref() as &(dyn StdError + 'static))
+    }
+}
+
+/// The error and its causes as text, one cause a line.
+pub fn chain(error: &dyn StdError) -> String {
+    let mut text = format!("error: {error}");
+    let mut next = error.source();
+    if next.is_some() {
+        text.push_str("\n\nCaused by:");
+    }
+    while let Some(cause) = next {
+        text.push_str(&format!("\n  {cause}"));
+        next = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/src/kelpwind/util/mod.rs
@@ -0,0 +1,7 @@
+//! Small helpers without knowledge of the domain.
+
+pub mod error;
+pub mod logging;
+pub mod near;
+pub(crate) mod serial;
+pub mod table;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Integration tests, one file a promise or feature. Those that say so run the program's own
+//! processes.
+
+mod path;
+mod support;
--- /dev/null
+++ b/tests/testsuite/path.rs
@@ -0,0 +1,43 @@
+//! The whole path as separate processes: one log service, a proxy, three nodes, three backends.
+
+use kelpwind_test_support::cluster::{Cluster, Target};
+use kelpwind_test_support::http::{get, post};
+
+use crate::support::{PROGRAM, data};
+
+const TARGETS: [Target<'static>; 3] = [
+    Target::new("historie", "rdam-a"),
+    Target::new("historie", "dordt-b"),
+    Target::new("certificaat", "delft-c"),
+];
+
+#[tokio::test]
+async fn keyed_and_unkeyed_requests_are_served_at_any_node() {
+    let cluster = Cluster::start(PROGRAM, &TARGETS).await;
+    cluster.publish(0, &data("two-services.toml"), 0).await;
+    cluster.settled(0, 3).await;
+    for node in &cluster.nodes {
+        let read = get(node.listen, "/historie/ketel-7/laatste?n=1")
+            .await
+            .unwrap();
+        assert_eq!((read.status, read.outcome.as_str()), (200, "done"));
+        assert_eq!(read.json()["key"], "ketel-7");
+        let written = post(node.listen, "/certificaat/afgeven", "c-1", "ketel 7")
+            .await
+            .unwrap();
+        assert_eq!((written.status, written.code.as_str()), (200, "0"));
+        assert_eq!(written.json()["body"], "ketel 7");
+    }
+    let mut owners = Vec::new();
+    for i in 0..3 {
+        let ran = cluster.executions(i).await;
+        if ran.iter().any(|e| e.key == "ketel-7") {
+            owners.push(i);
+        }
+    }
+    assert_eq!(owners.len(), 1, "one owner served the key");
+    assert_eq!(
+        cluster.owner(0, "historie", "ketel-7").await,
+        Some(owners[0])
+    );
+}
