--- a/crates/kelpwind-platform/src/lib.rs
+++ b/crates/kelpwind-platform/src/lib.rs
@@ -10,6 +10,11 @@
 pub const DEADLINE_HEADER: &str = "kelpwind-deadline-ms";
 /// Header: the fencing token under which the router sends a request for a key.
 pub const TOKEN_HEADER: &str = "kelpwind-token";
+/// Header: until when the sender's grant holds, in microseconds of the host's `CLOCK_BOOTTIME`, which
+/// the router's process and the backend server beside it share.
+pub const GRANT_HEADER: &str = "kelpwind-grant-until";
+/// Path at which a backend server that checks fences takes a renewed grant.
+pub const GRANT_PATH: &str = "/grant";
 /// Header: the identifier of one request, the same over all hops and retries.
 pub const REQUEST_HEADER: &str = "kelpwind-request";
 /// Header: the key that a request is about.
--- a/crates/kelpwind-stand-ins/src/backend.rs
+++ b/crates/kelpwind-stand-ins/src/backend.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use kelpwind_platform::{
-    Announcement, DEADLINE_HEADER, Execution, KEY_HEADER, LoadReport, REFUSED_HEADER,
+    Announcement, DEADLINE_HEADER, Execution, GRANT_HEADER, KEY_HEADER, LoadReport, REFUSED_HEADER,
     REQUEST_HEADER, TOKEN_HEADER,
 };
 use parking_lot::Mutex;
@@ -26,6 +26,8 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two looks while the server is frozen.
 const FREEZE_LOOK: Duration = Duration::from_millis(5);
+/// Longest time between two looks at deadline and grant while a request runs.
+const STEP: Duration = Duration::from_millis(10);
 /// How much longer each request takes for each one that the server does not bear.
 const OVERLOAD_FACTOR: u32 = 4;
 
@@ -102,6 +104,7 @@
     running: u32,
     tokens: HashMap<String, u64>,
     cold: Instant,
+    grant: u64,
 }
 
 /// A backend server.
@@ -113,12 +116,16 @@
 
 /// Microseconds since the epoch.
 pub fn micros() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since.as_micros() as u64
 }
 
+/// Microseconds of the host's clock that does not stop while the host sleeps.
+fn boot_micros() -> u64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
+}
+
 /// One request that runs; records its end, also when it is cancelled.
 struct Run {
     inner: Arc<Mutex<Inner>>,
@@ -139,19 +146,12 @@
 }
 
 fn text(headers: &HeaderMap, name: &str) -> String {
-    headers
-        .get(name)
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or_default()
-        .to_owned()
+    headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
 }
 
 fn refusal(why: &str) -> Response {
     let mut response = json(503, &why);
-    response.headers_mut().insert(
-        REFUSED_HEADER,
-        "1".parse().expect("a constant header value"),
-    );
+    response.headers_mut().insert(REFUSED_HEADER, "1".parse().expect("a constant header value"));
     response
 }
 
@@ -164,11 +164,9 @@
             running: 0,
             tokens: HashMap::new(),
             cold: Instant::now(),
+            grant: 0,
         };
-        Backend {
-            options: Arc::new(options),
-            inner: Arc::new(Mutex::new(inner)),
-        }
+        Backend { options: Arc::new(options), inner: Arc::new(Mutex::new(inner)) }
     }
 
     /// Changes faults and orders.
@@ -197,12 +195,19 @@
             .and(warp::path!("load"))
             .and(with.clone())
             .map(|backend: Backend| json(200, &backend.load()));
-        let control = warp::post()
-            .and(warp::path!("control"))
-            .and(warp::body::json())
+        let control =
+            warp::post().and(warp::path!("control")).and(warp::body::json()).and(with.clone()).map(
+                |faults: Faults, backend: Backend| {
+                    backend.set_faults(faults);
+                    json(200, &())
+                },
+            );
+        let grant = warp::post()
+            .and(warp::path!("grant"))
+            .and(warp::body::bytes())
             .and(with.clone())
-            .map(|faults: Faults, backend: Backend| {
-                backend.set_faults(faults);
+            .map(|until: Bytes, backend: Backend| {
+                backend.take_grant(std::str::from_utf8(&until).ok().and_then(|u| u.parse().ok()));
                 json(200, &())
             });
         let work = warp::method()
@@ -215,7 +220,7 @@
                     Ok::<_, Infallible>(backend.work(headers, body).await)
                 },
             );
-        let routes = history.or(load).unify().or(control).unify().or(work);
+        let routes = history.or(load).unify().or(control).unify().or(grant).unify().or(work);
         let bound = serve(addr, routes).await?;
         if let Some(node) = self.options.node {
             tokio::spawn(self.clone().announce(node, bound));
@@ -226,10 +231,7 @@
     fn load(&self) -> LoadReport {
         let inner = self.inner.lock();
         let running = inner.faults.report.unwrap_or(inner.running);
-        LoadReport {
-            running,
-            slots: self.options.slots,
-        }
+        LoadReport { running, slots: self.options.slots }
     }
 
     async fn announce(self, node: SocketAddr, bound: SocketAddr) {
@@ -260,28 +262,43 @@
             Ok(admitted) => admitted,
             Err(why) => return refusal(why),
         };
-        let deadline: u64 = text(&headers, DEADLINE_HEADER)
-            .parse()
-            .unwrap_or(u64::MAX / 2);
-        let deadline = Duration::from_millis(deadline);
-        if deadline < time {
-            tokio::time::sleep(deadline).await;
-            return json(504, &"deadline");
-        }
-        tokio::time::sleep(time.saturating_sub(began.elapsed())).await;
-        while self.inner.lock().faults.frozen {
-            tokio::time::sleep(FREEZE_LOOK).await;
+        let deadline: u64 = text(&headers, DEADLINE_HEADER).parse().unwrap_or(u64::MAX / 2);
+        let deadline = began + Duration::from_millis(deadline);
+        let fenced = self.options.fenced && headers.contains_key(GRANT_HEADER);
+        while began.elapsed() < time || self.inner.lock().faults.frozen {
+            if Instant::now() >= deadline {
+                return json(504, &"deadline");
+            }
+            if fenced && self.has_lapsed() {
+                return json(504, &"lapsed");
+            }
+            let left = time.saturating_sub(began.elapsed()).max(FREEZE_LOOK);
+            tokio::time::sleep(left.min(STEP)).await;
         }
         run.completed = true;
         drop(run);
         self.answer(&headers, &body)
     }
 
+    fn take_grant(&self, until: Option<u64>) {
+        let mut inner = self.inner.lock();
+        inner.grant = inner.grant.max(until.unwrap_or(0));
+    }
+
+    fn has_lapsed(&self) -> bool {
+        boot_micros() >= self.inner.lock().grant
+    }
+
     fn admit(&self, headers: &HeaderMap) -> Result<(Run, Duration), &'static str> {
         let mut inner = self.inner.lock();
         let key = text(headers, KEY_HEADER);
         let token: u64 = text(headers, TOKEN_HEADER).parse().unwrap_or(0);
         if self.options.fenced && !key.is_empty() {
+            inner.grant = inner.grant.max(text(headers, GRANT_HEADER).parse().unwrap_or(0));
+            if boot_micros() >= inner.grant {
+                inner.history.refused += 1;
+                return Err("lapsed grant");
+            }
             let newest = inner.tokens.entry(key.clone()).or_default();
             if token < *newest {
                 inner.history.refused += 1;
@@ -302,23 +319,9 @@
         let index = inner.history.executions.len();
         let request = text(headers, REQUEST_HEADER);
         let began = micros();
-        let execution = Execution {
-            request,
-            key,
-            token,
-            began,
-            ended: 0,
-            completed: false,
-        };
+        let execution = Execution { request, key, token, began, ended: 0, completed: false };
         inner.history.executions.push(execution);
-        Ok((
-            Run {
-                inner: self.inner.clone(),
-                index,
-                completed: false,
-            },
-            time,
-        ))
+        Ok((Run { inner: self.inner.clone(), index, completed: false }, time))
     }
 
     fn answer(&self, headers: &HeaderMap, body: &Bytes) -> Response {
--- a/crates/kelpwind-stand-ins/src/log.rs
+++ b/crates/kelpwind-stand-ins/src/log.rs
@@ -91,10 +91,7 @@
             tokens: 1.0,
             refilled: Instant::now(),
         };
-        LogService {
-            inner: Arc::new(Mutex::new(inner)),
-            grown: watch::Sender::new(0),
-        }
+        LogService { inner: Arc::new(Mutex::new(inner)), grown: watch::Sender::new(0) }
     }
 }
 
@@ -125,18 +122,8 @@
     fn batch(&self, from: u64) -> LogBatch {
         let start = self.records.front().map_or(self.end, |r| r.offset);
         let skip = from.saturating_sub(start) as usize;
-        let records = self
-            .records
-            .iter()
-            .skip(skip)
-            .take(BATCH_MAX)
-            .cloned()
-            .collect();
-        LogBatch {
-            start,
-            end: self.end,
-            records,
-        }
+        let records = self.records.iter().skip(skip).take(BATCH_MAX).cloned().collect();
+        LogBatch { start, end: self.end, records }
     }
 }
 
@@ -182,14 +169,13 @@
             .then(|query: ReadQuery, service: LogService| async move {
                 service.answer_read(query).await
             });
-        let control = warp::post()
-            .and(warp::path!("control"))
-            .and(warp::body::json())
-            .and(with)
-            .and_then(|faults: Faults, service: LogService| async move {
-                service.set_faults(faults);
-                Ok::<_, Infallible>(json(200, &()))
-            });
+        let control =
+            warp::post().and(warp::path!("control")).and(warp::body::json()).and(with).and_then(
+                |faults: Faults, service: LogService| async move {
+                    service.set_faults(faults);
+                    Ok::<_, Infallible>(json(200, &()))
+                },
+            );
         serve(addr, append.or(read).unify().or(control)).await
     }
 
--- a/crates/kelpwind-stand-ins/src/proxy.rs
+++ b/crates/kelpwind-stand-ins/src/proxy.rs
@@ -77,8 +77,7 @@
     fn set(&self, faults: Faults) {
         let mut known = self.faults.lock();
         if faults.silence > known.silence {
-            self.silent_before
-                .store(self.opened.load(Ordering::SeqCst), Ordering::SeqCst);
+            self.silent_before.store(self.opened.load(Ordering::SeqCst), Ordering::SeqCst);
         }
         *known = faults;
     }
@@ -89,11 +88,7 @@
 
     fn is_cut(&self, forward: bool, source: IpAddr) -> bool {
         let faults = self.faults.lock();
-        let cut = if forward {
-            faults.cut_forward
-        } else {
-            faults.cut_backward
-        };
+        let cut = if forward { faults.cut_forward } else { faults.cut_backward };
         cut && Shared::applies(&faults, source)
     }
 
@@ -136,24 +131,22 @@
     pub async fn start(&self, addr: SocketAddr) -> io::Result<SocketAddr> {
         let proxy = self.clone();
         let with = warp::any().map(move || proxy.clone());
-        let open = warp::post()
-            .and(warp::path!("open"))
-            .and(warp::body::json())
-            .and(with.clone())
-            .then(|link: Link, proxy: Proxy| async move {
-                match proxy.open(link).await {
-                    Ok(bound) => json(200, &bound),
-                    Err(e) => json(500, &e.to_string()),
-                }
-            });
-        let control = warp::post()
-            .and(warp::path!("control"))
-            .and(warp::body::json())
-            .and(with)
-            .map(|control: Control, proxy: Proxy| {
-                let status = if proxy.set(control) { 200 } else { 404 };
-                json(status, &())
-            });
+        let open =
+            warp::post().and(warp::path!("open")).and(warp::body::json()).and(with.clone()).then(
+                |link: Link, proxy: Proxy| async move {
+                    match proxy.open(link).await {
+                        Ok(bound) => json(200, &bound),
+                        Err(e) => json(500, &e.to_string()),
+                    }
+                },
+            );
+        let control =
+            warp::post().and(warp::path!("control")).and(warp::body::json()).and(with).map(
+                |control: Control, proxy: Proxy| {
+                    let status = if proxy.set(control) { 200 } else { 404 };
+                    json(status, &())
+                },
+            );
         serve(addr, open.or(control)).await
     }
 }
@@ -164,13 +157,7 @@
             continue;
         };
         let number = shared.opened.fetch_add(1, Ordering::SeqCst);
-        tokio::spawn(pass_stream(
-            stream,
-            source.ip(),
-            target,
-            number,
-            shared.clone(),
-        ));
+        tokio::spawn(pass_stream(stream, source.ip(), target, number, shared.clone()));
     }
 }
 
@@ -190,23 +177,10 @@
     let _ = (stream.set_nodelay(true), onward.set_nodelay(true));
     let (from_source, to_source) = stream.into_split();
     let (from_target, to_target) = onward.into_split();
-    let forward = Pump {
-        forward: true,
-        source,
-        number,
-        shared: shared.clone(),
-    };
-    let backward = Pump {
-        forward: false,
-        source,
-        number,
-        shared,
-    };
+    let forward = Pump { forward: true, source, number, shared: shared.clone() };
+    let backward = Pump { forward: false, source, number, shared };
     // The end of one direction is passed on as the end of that direction only.
-    tokio::join!(
-        forward.run(from_source, to_target),
-        backward.run(from_target, to_source)
-    );
+    tokio::join!(forward.run(from_source, to_target), backward.run(from_target, to_source));
 }
 
 /// Passes bytes in one direction of one connection.
@@ -281,10 +255,7 @@
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(io::Error::other)?;
-        let answer = sender
-            .send_request(request)
-            .await
-            .map_err(io::Error::other)?;
+        let answer = sender.send_request(request).await.map_err(io::Error::other)?;
         let status = answer.status().as_u16();
         let body = http_body_util::BodyExt::collect(answer.into_body()).await;
         driver.abort();
--- a/crates/kelpwind-test-support/src/cluster.rs
+++ b/crates/kelpwind-test-support/src/cluster.rs
@@ -11,6 +11,7 @@
 use kelpwind_platform::Execution;
 use serde_json::{Value, json};
 
+use crate::history::Ran;
 use crate::http::{control, get};
 use crate::process::Process;
 
@@ -19,6 +20,9 @@
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// Records after which the nodes of tests write a snapshot.
+const SNAPSHOT_EVERY: &str = "20";
+
 /// What a node and its backend server are.
 #[derive(Clone, Copy, Debug)]
 pub struct Target<'a> {
@@ -33,11 +37,7 @@
 impl<'a> Target<'a> {
     /// A target with a backend server as it is by default.
     pub const fn new(service: &'a str, domain: &'a str) -> Target<'a> {
-        Target {
-            service,
-            domain,
-            backend: &[],
-        }
+        Target { service, domain, backend: &[] }
     }
 }
 
@@ -72,41 +72,32 @@
     pub nodes: Vec<Node>,
 }
 
+/// Where a node listens and whom it reaches.
+struct Place {
+    listen: String,
+    admin: String,
+    peer: String,
+    link: String,
+    log: String,
+}
+
 fn addr(line: &str) -> SocketAddr {
     let text: String = serde_json::from_str(line).expect("an address in JSON");
     text.parse().expect("an address")
 }
 
 fn field(value: &Value, name: &str) -> SocketAddr {
-    value[name]
-        .as_str()
-        .and_then(|s| s.parse().ok())
-        .expect("an address in the ready line")
+    value[name].as_str().and_then(|s| s.parse().ok()).expect("an address in the ready line")
 }
 
 impl Cluster {
     /// Starts a log service, a proxy, and a node with a backend server for each target.
     pub async fn start(program: &str, targets: &[Target<'_>]) -> Cluster {
-        let log = Process::start(
-            program,
-            &["stand-in", "log", "--listen", "127.0.0.1:0"],
-            &[],
-        );
-        let proxy = Process::start(
-            program,
-            &["stand-in", "proxy", "--listen", "127.0.0.1:0"],
-            &[],
-        );
+        let log = Process::start(program, &["stand-in", "log", "--listen", "127.0.0.1:0"], &[]);
+        let proxy = Process::start(program, &["stand-in", "proxy", "--listen", "127.0.0.1:0"], &[]);
         let (log_addr, proxy_addr) = (addr(&log.ready), addr(&proxy.ready));
         let program = program.to_owned();
-        let mut cluster = Cluster {
-            program,
-            log,
-            log_addr,
-            proxy,
-            proxy_addr,
-            nodes: Vec::new(),
-        };
+        let mut cluster = Cluster { program, log, log_addr, proxy, proxy_addr, nodes: Vec::new() };
         for target in targets {
             cluster.add(target).await;
         }
@@ -120,50 +111,38 @@
         let peer = free_port(i);
         let link = self.open(&format!("peer-{i}"), peer).await;
         let log = self.open(&format!("log-{i}"), self.log_addr).await;
-        let process = self.node_process(i, target.domain, peer, link, log);
+        let any = format!("{}:0", peer.ip());
+        let at = Place {
+            listen: any.clone(),
+            admin: any,
+            peer: peer.to_string(),
+            link: link.to_string(),
+            log: log.to_string(),
+        };
+        let process = self.node_process(i, target.domain, &at, &[]);
         let ready: Value = serde_json::from_str(&process.ready).expect("a ready line in JSON");
         let (listen, admin) = (field(&ready, "listen"), field(&ready, "admin"));
         let backend = self.backend_process(target, admin);
         let server = addr(&backend.ready);
         let domain = target.domain.to_owned();
-        self.nodes.push(Node {
-            process,
-            backend,
-            listen,
-            admin,
-            server,
-            domain,
-        });
+        self.nodes.push(Node { process, backend, listen, admin, server, domain });
     }
 
-    fn node_process(
-        &self,
-        i: usize,
-        domain: &str,
-        peer: SocketAddr,
-        link: SocketAddr,
-        log: SocketAddr,
-    ) -> Process {
+    fn node_process(&self, i: usize, domain: &str, at: &Place, more: &[&str]) -> Process {
         let name = format!("n{i}");
-        let any = format!("{}:0", peer.ip());
-        let (peer, link, log) = (peer.to_string(), link.to_string(), log.to_string());
-        let args = [
-            "node",
-            "--name",
-            &name,
-            "--domain",
-            domain,
-            "--listen",
-            &any,
-            "--peer",
-            &peer,
-            "--admin",
-            &any,
-            "--advertise",
-            &link,
-            "--log",
-            &log,
+        let flags = [
+            ("--name", name.as_str()),
+            ("--domain", domain),
+            ("--listen", &at.listen),
+            ("--peer", &at.peer),
+            ("--admin", &at.admin),
+            ("--advertise", &at.link),
+            ("--log", &at.log),
+            ("--snapshot-every", SNAPSHOT_EVERY),
         ];
+        let mut args = vec!["node"];
+        args.extend(flags.iter().flat_map(|(flag, value)| [*flag, *value]));
+        args.extend(more);
         Process::start(&self.program, &args, &[])
     }
 
@@ -185,9 +164,7 @@
 
     async fn open(&self, name: &str, target: SocketAddr) -> SocketAddr {
         let link = json!({"name": name, "listen": "127.0.0.1:0", "target": target});
-        let answer = control(self.proxy_addr, "/open", &link)
-            .await
-            .expect("the proxy answers");
+        let answer = control(self.proxy_addr, "/open", &link).await.expect("the proxy answers");
         addr(&String::from_utf8_lossy(&answer.body))
     }
 
@@ -195,11 +172,7 @@
     pub async fn fault(&self, link: &str, faults: Value) {
         let control_of = json!({"link": link, "faults": faults});
         let answer = control(self.proxy_addr, "/control", &control_of).await;
-        assert_eq!(
-            answer.expect("the proxy answers").status,
-            200,
-            "link {link} exists"
-        );
+        assert_eq!(answer.expect("the proxy answers").status, 200, "link {link} exists");
     }
 
     /// Cuts a node off from all others and from the log, or joins it again.
@@ -228,13 +201,20 @@
 
     /// Everything that a backend server ran.
     pub async fn executions(&self, i: usize) -> Vec<Execution> {
-        let answer = get(self.nodes[i].server, "/history")
-            .await
-            .expect("the backend answers");
+        let answer = get(self.nodes[i].server, "/history").await.expect("the backend answers");
         let history = answer.json();
         serde_json::from_value(history["executions"].clone()).expect("executions")
     }
 
+    /// Everything that all backend servers ran.
+    pub async fn all_executions(&self) -> Vec<Ran> {
+        let mut all = Vec::new();
+        for i in 0..self.nodes.len() {
+            all.extend(self.executions(i).await.into_iter().map(|e| (i, e)));
+        }
+        all
+    }
+
     /// The status as node `i` has it.
     pub async fn status(&self, i: usize) -> Value {
         let status = get(self.nodes[i].admin, "/status").await;
@@ -243,9 +223,7 @@
 
     /// The dump of node `i`.
     pub async fn dump(&self, i: usize) -> Value {
-        get(self.nodes[i].admin, "/dump")
-            .await
-            .map_or(Value::Null, |a| a.json())
+        get(self.nodes[i].admin, "/dump").await.map_or(Value::Null, |a| a.json())
     }
 
     /// Runs an operator's command; its exit code, output and errors.
@@ -302,52 +280,54 @@
         holder.split('/').next()?.strip_prefix('n')?.parse().ok()
     }
 
+    /// The address by which other nodes know node `i`.
+    pub fn link(&self, i: usize) -> String {
+        let ready: Value = serde_json::from_str(&self.nodes[i].process.ready).expect("JSON");
+        field(&ready, "advertise").to_string()
+    }
+
+    /// A key of a service that node `owner` owns, as node `i` has it.
+    ///
+    /// # Panics
+    /// When it owns none of the first 200 keys.
+    pub async fn key_owned_by(&self, i: usize, service: &str, owner: usize) -> String {
+        for key in 0..200 {
+            let key = format!("ketel-{key}");
+            if self.owner(i, service, &key).await == Some(owner) {
+                return key;
+            }
+        }
+        panic!("node {owner} owns no key");
+    }
+
     /// Starts a node anew at its old addresses, after it was killed or has stopped.
     pub async fn restart(&mut self, i: usize) {
+        self.restart_with(i, &[]).await;
+    }
+
+    /// Starts a node anew with more flags.
+    pub async fn restart_with(&mut self, i: usize, more: &[&str]) {
         let old: Value = serde_json::from_str(&self.nodes[i].process.ready).expect("JSON");
-        let (peer, link) = (field(&old, "peer"), field(&old, "advertise"));
+        let text = |name| field(&old, name).to_string();
         let log = self.open(&format!("log-{i}"), self.log_addr).await;
+        let at = Place {
+            listen: text("listen"),
+            admin: text("admin"),
+            peer: text("peer"),
+            link: text("advertise"),
+            log: log.to_string(),
+        };
         let domain = self.nodes[i].domain.clone();
-        let name = format!("n{i}");
-        let (listen, admin) = (
-            field(&old, "listen").to_string(),
-            field(&old, "admin").to_string(),
-        );
-        let (peer, link, log) = (peer.to_string(), link.to_string(), log.to_string());
-        let args = [
-            "node",
-            "--name",
-            &name,
-            "--domain",
-            &domain,
-            "--listen",
-            &listen,
-            "--peer",
-            &peer,
-            "--admin",
-            &admin,
-            "--advertise",
-            &link,
-            "--log",
-            &log,
-        ];
-        self.nodes[i].process = Process::start(&self.program, &args, &[]);
+        self.nodes[i].process = self.node_process(i, &domain, &at, more);
     }
 }
 
 /// Runs a command to its end; its exit code, output and errors.
 pub fn command(program: &str, args: &[&str], env: &[(&str, &str)]) -> (i32, String, String) {
-    let done = Command::new(program)
-        .args(args)
-        .envs(env.iter().copied())
-        .output();
+    let done = Command::new(program).args(args).envs(env.iter().copied()).output();
     let done = done.expect("the program can be started");
     let text = |raw: &[u8]| String::from_utf8_lossy(raw).into_owned();
-    (
-        done.status.code().unwrap_or(-1),
-        text(&done.stdout),
-        text(&done.stderr),
-    )
+    (done.status.code().unwrap_or(-1), text(&done.stdout), text(&done.stderr))
 }
 
 /// The loopback address of node `i`.
--- a/crates/kelpwind-test-support/src/history.rs
+++ b/crates/kelpwind-test-support/src/history.rs
@@ -4,6 +4,8 @@
 
 use kelpwind_platform::Execution;
 
+use crate::workload::Asked;
+
 /// One execution and the backend server that ran it.
 pub type Ran = (usize, Execution);
 
@@ -11,17 +13,10 @@
 pub fn ran_twice(all: &[Ran]) -> Vec<(String, Vec<usize>)> {
     let mut by_request: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
     for (server, execution) in all {
-        by_request
-            .entry(&execution.request)
-            .or_default()
-            .push(*server);
+        by_request.entry(&execution.request).or_default().push(*server);
     }
-    let twice = by_request
-        .into_iter()
-        .filter(|(_, servers)| servers.len() > 1);
-    twice
-        .map(|(request, servers)| (request.to_owned(), servers))
-        .collect()
+    let twice = by_request.into_iter().filter(|(_, servers)| servers.len() > 1);
+    twice.map(|(request, servers)| (request.to_owned(), servers)).collect()
 }
 
 /// Pairs of executions for one key on different servers that overlap in time by more than `slack`
@@ -35,14 +30,8 @@
     for mut runs in by_key.into_values() {
         runs.sort_by_key(|(_, e)| e.began);
         for (i, first) in runs.iter().enumerate() {
-            let end = if first.1.ended == 0 {
-                u64::MAX
-            } else {
-                first.1.ended
-            };
-            let later = runs[i + 1..]
-                .iter()
-                .take_while(|(_, e)| e.began + slack < end);
+            let end = if first.1.ended == 0 { u64::MAX } else { first.1.ended };
+            let later = runs[i + 1..].iter().take_while(|(_, e)| e.began + slack < end);
             let other = later.filter(|second| second.0 != first.0);
             found.extend(other.map(|second| ((*first).clone(), (*second).clone())));
         }
@@ -65,3 +54,30 @@
     }
     found
 }
+
+/// Answers that are not true, in words: "not run" of a request that ran, "done" of one that did not
+/// end, a request that may not be repeated and ran twice, an answer to somebody else's request.
+pub fn untrue(asked: &[Asked], ran: &[Ran]) -> Vec<String> {
+    let mut by_request: BTreeMap<&str, Vec<&Ran>> = BTreeMap::new();
+    for one in ran {
+        by_request.entry(&one.1.request).or_default().push(one);
+    }
+    let mut found = Vec::new();
+    for one in asked {
+        let runs = by_request.get(one.id.as_str()).map_or(&[][..], Vec::as_slice);
+        let completed = runs.iter().filter(|(_, e)| e.completed).count();
+        if one.outcome == "not-run" && !runs.is_empty() {
+            found.push(format!("{} was answered not-run [{}] but ran: {runs:?}", one.id, one.code));
+        }
+        if one.outcome == "done" && completed == 0 {
+            found.push(format!("{} was answered done but did not end: {runs:?}", one.id));
+        }
+        if one.write && runs.len() > 1 {
+            found.push(format!("{} may run once but ran {} times: {runs:?}", one.id, runs.len()));
+        }
+        if !one.own {
+            found.push(format!("{} got an answer to another request", one.id));
+        }
+    }
+    found
+}
--- a/crates/kelpwind-test-support/src/http.rs
+++ b/crates/kelpwind-test-support/src/http.rs
@@ -70,77 +70,33 @@
     }
     let body = Full::new(Bytes::from(ask.body.to_owned()));
     let request = request.body(body).map_err(io::Error::other)?;
-    let answer = sender
-        .send_request(request)
-        .await
-        .map_err(io::Error::other)?;
+    let answer = sender.send_request(request).await.map_err(io::Error::other)?;
     let header = |name: &str| {
         let value = answer.headers().get(name);
-        value
-            .and_then(|v| v.to_str().ok())
-            .unwrap_or_default()
-            .to_owned()
+        value.and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
     };
     let (outcome, code) = (header("kelpwind-outcome"), header("kelpwind-code"));
     let retry = header("kelpwind-retry-ms").parse().ok();
     let status = answer.status().as_u16();
-    let body = answer
-        .into_body()
-        .collect()
-        .await
-        .map_err(io::Error::other)?
-        .to_bytes();
+    let body = answer.into_body().collect().await.map_err(io::Error::other)?.to_bytes();
     driver.abort();
-    Ok(Answer {
-        status,
-        outcome,
-        code,
-        retry,
-        body,
-    })
+    Ok(Answer { status, outcome, code, retry, body })
 }
 
 /// A GET.
 pub async fn get(addr: SocketAddr, path: &str) -> io::Result<Answer> {
-    send(
-        addr,
-        &Ask {
-            method: "GET",
-            path,
-            headers: &[],
-            body: "",
-        },
-    )
-    .await
+    send(addr, &Ask { method: "GET", path, headers: &[], body: "" }).await
 }
 
 /// A POST with an idempotency key.
 pub async fn post(addr: SocketAddr, path: &str, key: &str, body: &str) -> io::Result<Answer> {
     let headers = [("idempotency-key", key)];
-    send(
-        addr,
-        &Ask {
-            method: "POST",
-            path,
-            headers: &headers,
-            body,
-        },
-    )
-    .await
+    send(addr, &Ask { method: "POST", path, headers: &headers, body }).await
 }
 
 /// A POST of JSON, as the stand-ins' control takes it.
 pub async fn control(addr: SocketAddr, path: &str, value: &Value) -> io::Result<Answer> {
     let body = value.to_string();
     let headers = [("content-type", "application/json")];
-    send(
-        addr,
-        &Ask {
-            method: "POST",
-            path,
-            headers: &headers,
-            body: &body,
-        },
-    )
-    .await
+    send(addr, &Ask { method: "POST", path, headers: &headers, body: &body }).await
 }
--- a/crates/kelpwind-test-support/src/lib.rs
+++ b/crates/kelpwind-test-support/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod history;
 pub mod http;
 pub mod process;
+pub mod workload;
--- a/crates/kelpwind-test-support/src/process.rs
+++ b/crates/kelpwind-test-support/src/process.rs
@@ -22,11 +22,7 @@
     /// When it cannot be started or ends without a line.
     pub fn start(program: &str, args: &[&str], env: &[(&str, &str)]) -> Process {
         let mut command = Command::new(program);
-        command
-            .args(args)
-            .envs(env.iter().copied())
-            .stdout(Stdio::piped())
-            .stdin(Stdio::null());
+        command.args(args).envs(env.iter().copied()).stdout(Stdio::piped()).stdin(Stdio::null());
         if std::env::var("KELPWIND_TEST_LOGS").is_err() {
             command.stderr(Stdio::null());
         }
@@ -36,10 +32,7 @@
         let read = BufReader::new(stdout).read_line(&mut ready);
         let started = read.is_ok_and(|n| n > 0);
         assert!(started, "the process ended before it was ready: {args:?}");
-        Process {
-            child,
-            ready: ready.trim().to_owned(),
-        }
+        Process { child, ready: ready.trim().to_owned() }
     }
 
     /// Its process number.
@@ -56,13 +49,8 @@
     /// Sends it a signal by name, such as `STOP`, `CONT` or `TERM`.
     pub fn signal(&self, name: &str) {
         let id = self.id().to_string();
-        let sent = Command::new("kill")
-            .args([&format!("-{name}"), &id])
-            .status();
-        assert!(
-            sent.is_ok_and(|s| s.success()),
-            "signal {name} can be sent to {id}"
-        );
+        let sent = Command::new("kill").args([&format!("-{name}"), &id]).status();
+        assert!(sent.is_ok_and(|s| s.success()), "signal {name} can be sent to {id}");
     }
 
     /// Waits for it to end by itself.
--- /dev/null
+++ b/crates/kelpwind-test-support/src/workload.rs
@@ -0,0 +1,122 @@
+//! A workload: requests to random keys at random entries at a steady rate, each answer recorded.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use tokio::task::{JoinHandle, JoinSet};
+
+use crate::http::{Ask, send};
+
+/// What to send.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Entries to send to.
+    pub entries: Vec<SocketAddr>,
+    /// Path before the key, such as `/historie`.
+    pub prefix: String,
+    /// Number of different keys.
+    pub keys: u64,
+    /// Time between two requests.
+    pub pace: Duration,
+    /// Part of the requests that write.
+    pub writes: f64,
+    /// Seed of the random numbers.
+    pub seed: u64,
+}
+
+/// A request and its answer.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// Identifier of the request.
+    pub id: String,
+    /// Key.
+    pub key: String,
+    /// Whether it wrote.
+    pub write: bool,
+    /// Outcome as the caller was told; `none` when the entry did not answer.
+    pub outcome: String,
+    /// Result code.
+    pub code: String,
+    /// Whether the answer's body was for this request.
+    pub own: bool,
+    /// When it was sent, since the workload began.
+    pub sent: Duration,
+    /// How long it took.
+    pub took: Duration,
+}
+
+/// A workload that runs.
+#[derive(Debug)]
+pub struct Workload {
+    stop: Arc<AtomicBool>,
+    task: JoinHandle<Vec<Asked>>,
+}
+
+impl Workload {
+    /// Starts a workload.
+    pub fn start(plan: Plan) -> Workload {
+        let stop = Arc::new(AtomicBool::new(false));
+        let task = tokio::spawn(run(plan, stop.clone()));
+        Workload { stop, task }
+    }
+
+    /// Ends it; all requests with their answers.
+    pub async fn stop(self) -> Vec<Asked> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.task.await.expect("the workload does not panic")
+    }
+}
+
+async fn run(plan: Plan, stop: Arc<AtomicBool>) -> Vec<Asked> {
+    println!("workload seed {}", plan.seed);
+    let mut random = fastrand::Rng::with_seed(plan.seed);
+    let began = Instant::now();
+    let mut timer = tokio::time::interval(plan.pace);
+    let mut sent = JoinSet::new();
+    let mut number = 0;
+    while !stop.load(Ordering::SeqCst) {
+        timer.tick().await;
+        number += 1;
+        let entry = plan.entries[random.usize(..plan.entries.len())];
+        let key = format!("ketel-{}", random.u64(..plan.keys));
+        let write = random.f64() < plan.writes;
+        let id = format!("{}-{number}", plan.seed);
+        let path = format!("{}/{key}", plan.prefix);
+        sent.spawn(ask(entry, path, id, key, write, began));
+    }
+    sent.join_all().await
+}
+
+async fn ask(
+    entry: SocketAddr,
+    path: String,
+    id: String,
+    key: String,
+    write: bool,
+    began: Instant,
+) -> Asked {
+    let sent = began.elapsed();
+    let headers = [("idempotency-key", id.as_str()), ("kelpwind-attempt", "1")];
+    let method = if write { "POST" } else { "GET" };
+    let answer = send(entry, &Ask { method, path: &path, headers: &headers, body: "x" }).await;
+    let took = began.elapsed() - sent;
+    let (outcome, code, own) = match &answer {
+        Ok(a) => {
+            let own = a.outcome != "done" || a.json()["request"] == id.as_str();
+            (a.outcome.clone(), a.code.clone(), own)
+        }
+        Err(_) => ("none".to_owned(), String::new(), true),
+    };
+    Asked { id, key, write, outcome, code, own, sent, took }
+}
+
+/// Number of requests by outcome and code, for messages.
+pub fn summary(all: &[Asked]) -> std::collections::BTreeMap<(String, String), usize> {
+    let mut counts = std::collections::BTreeMap::new();
+    for asked in all {
+        *counts.entry((asked.outcome.clone(), asked.code.clone())).or_default() += 1;
+    }
+    counts
+}
--- a/src/bin/kelpwind/cli.rs
+++ b/src/bin/kelpwind/cli.rs
@@ -34,6 +34,8 @@
             optional --body-limit BYTES: String
             /// Records after which a snapshot is due.
             optional --snapshot-every RECORDS: String
+            /// Seconds after which a snapshot is due if records have come.
+            optional --snapshot-age SECONDS: String
         }
 
         /// Runs both example deployments with stand-ins for the platform, in one process.
--- a/src/bin/kelpwind/commands/look.rs
+++ b/src/bin/kelpwind/commands/look.rs
@@ -26,9 +26,6 @@
 pub(super) async fn explain(flags: Explain) -> Result<()> {
     let nodes = nodes(flags.node)?;
     let format = flags.format.unwrap_or_default();
-    print!(
-        "{}",
-        ops::explain::explain(&nodes, &flags.service, &flags.key, format).await?
-    );
+    print!("{}", ops::explain::explain(&nodes, &flags.service, &flags.key, format).await?);
     Ok(())
 }
--- a/src/bin/kelpwind/commands/mod.rs
+++ b/src/bin/kelpwind/commands/mod.rs
@@ -21,10 +21,7 @@
     match flags.subcommand {
         KelpwindCmd::Node(flags) => node::run(flags).await,
         KelpwindCmd::Dev(flags) => {
-            ops::dev::dev(flags.run_for.map(Duration::from_secs), |line| {
-                println!("{line}")
-            })
-            .await
+            ops::dev::dev(flags.run_for.map(Duration::from_secs), |line| println!("{line}")).await
         }
         KelpwindCmd::Config(flags) => config::run(flags).await,
         KelpwindCmd::Drain(flags) => drain::drain(flags).await,
@@ -63,11 +60,8 @@
     let parts = raw.split(',').map(str::trim).filter(|p| !p.is_empty());
     let read = |part: &str| {
         part.parse().map_err(|e| {
-            Error::new(
-                Code::BadSetting,
-                format!("failed to read the address '{part}'"),
-            )
-            .caused_by(e)
+            Error::new(Code::BadSetting, format!("failed to read the address '{part}'"))
+                .caused_by(e)
         })
     };
     parts.map(read).collect()
--- a/src/bin/kelpwind/commands/node.rs
+++ b/src/bin/kelpwind/commands/node.rs
@@ -19,6 +19,7 @@
         seeds: or_env(flags.seeds, "SEEDS"),
         body_limit: or_env(flags.body_limit, "BODY_LIMIT"),
         snapshot_every: or_env(flags.snapshot_every, "SNAPSHOT_EVERY"),
+        snapshot_age: or_env(flags.snapshot_age, "SNAPSHOT_AGE"),
     };
     // One line on standard output tells whoever started the node where it listens.
     let ready = |addrs| println!("{}", serde_json::to_string(&addrs).unwrap_or_default());
--- a/src/bin/kelpwind/main.rs
+++ b/src/bin/kelpwind/main.rs
@@ -21,10 +21,7 @@
 ];
 
 fn main() -> ExitCode {
-    if std::env::args()
-        .nth(1)
-        .is_some_and(|a| a == "--version" || a == "-V")
-    {
+    if std::env::args().nth(1).is_some_and(|a| a == "--version" || a == "-V") {
         println!("kelpwind {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
@@ -39,10 +36,7 @@
             return ExitCode::from(USAGE);
         }
     };
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-    {
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
             eprintln!("error: failed to start: {e}");
@@ -73,11 +67,7 @@
 /// a name, so it is read as `--run-for`.
 fn arguments() -> Vec<OsString> {
     let rename = |arg: OsString| {
-        if arg == "--for" {
-            OsString::from("--run-for")
-        } else {
-            arg
-        }
+        if arg == "--for" { OsString::from("--run-for") } else { arg }
     };
     std::env::args_os().skip(1).map(rename).collect()
 }
--- a/src/kelpwind/core/call.rs
+++ b/src/kelpwind/core/call.rs
@@ -115,13 +115,7 @@
     pub fn refusal(code: Code) -> Answer {
         let kind = Some(HeaderValue::from_static("text/plain; charset=utf-8"));
         let body = Bytes::from(format!("{}: {code}\n", code.outcome()));
-        Answer {
-            code,
-            status: code.status(),
-            kind,
-            body,
-            retry: None,
-        }
+        Answer { code, status: code.status(), kind, body, retry: None }
     }
 
     /// The same answer with the time after which the caller may come back.
--- a/src/kelpwind/core/chart.rs
+++ b/src/kelpwind/core/chart.rs
@@ -69,15 +69,10 @@
         let chart: Chart =
             toml::from_str(text).map_err(|e| ChartError::Unreadable(e.to_string()))?;
         let ends = chart.edge.iter().flat_map(|e| [&e.from, &e.to]);
-        let unknown = ends
-            .chain([&chart.start])
-            .find(|s| !chart.states.contains_key(*s));
+        let unknown = ends.chain([&chart.start]).find(|s| !chart.states.contains_key(*s));
         if let Some(state) = unknown {
             let state = state.clone();
-            return Err(ChartError::UnknownState {
-                chart: chart.name,
-                state,
-            });
+            return Err(ChartError::UnknownState { chart: chart.name, state });
         }
         Ok(chart)
     }
--- a/src/kelpwind/core/codes.rs
+++ b/src/kelpwind/core/codes.rs
@@ -127,8 +127,6 @@
     type Error = String;
     fn try_from(number: u16) -> std::result::Result<Self, String> {
         let found = Code::ALL.iter().find(|c| c.number() == number);
-        found
-            .copied()
-            .ok_or_else(|| format!("{number} is not a result code"))
+        found.copied().ok_or_else(|| format!("{number} is not a result code"))
     }
 }
--- a/src/kelpwind/core/config/change.rs
+++ b/src/kelpwind/core/config/change.rs
@@ -63,20 +63,10 @@
     /// The objects touched, in words, one a line.
     pub fn describe(&self, old: &Config) -> Vec<String> {
         let mut lines = Vec::new();
-        describe(
-            Kind::FailureDomain,
-            &self.put.failure_domain,
-            &old.failure_domain,
-            &mut lines,
-        );
+        describe(Kind::FailureDomain, &self.put.failure_domain, &old.failure_domain, &mut lines);
         describe(Kind::Policy, &self.put.policy, &old.policy, &mut lines);
         describe(Kind::Service, &self.put.service, &old.service, &mut lines);
-        describe(
-            Kind::KeyRange,
-            &self.put.key_range,
-            &old.key_range,
-            &mut lines,
-        );
+        describe(Kind::KeyRange, &self.put.key_range, &old.key_range, &mut lines);
         lines.extend(self.drop.iter().map(|o| format!("drop {o}")));
         lines
     }
@@ -99,11 +89,7 @@
         new.service.extend(put.service);
         new.key_range.extend(put.key_range);
         let frozen = frozen(old, &new);
-        if frozen.is_empty() {
-            new.checked()
-        } else {
-            Err(Faults(frozen))
-        }
+        if frozen.is_empty() { new.checked() } else { Err(Faults(frozen)) }
     }
 
     /// Faults that only a flag of the operator lets pass: keys that lose their range, and services
@@ -128,12 +114,7 @@
 }
 
 fn danger(object: String, reason: String) -> Fault {
-    Fault {
-        code: Code::Dangerous,
-        object,
-        field: String::new(),
-        reason,
-    }
+    Fault { code: Code::Dangerous, object, field: String::new(), reason }
 }
 
 fn differ<N, T>(
@@ -147,10 +128,7 @@
     T: PartialEq + Clone,
 {
     let gone = old.keys().filter(|n| !new.contains_key(*n));
-    drop.extend(gone.map(|n| ObjectRef {
-        kind,
-        name: n.to_string(),
-    }));
+    drop.extend(gone.map(|n| ObjectRef { kind, name: n.to_string() }));
     let put = new.iter().filter(|(n, v)| old.get(*n) != Some(v));
     put.map(|(n, v)| (n.clone(), v.clone())).collect()
 }
@@ -178,12 +156,8 @@
     let Some(fields) = new.as_object() else {
         return Vec::new();
     };
-    let changed = fields
-        .iter()
-        .filter(|(k, v)| old.get(k.as_str()) != Some(v));
-    changed
-        .map(|(k, v)| (k.clone(), old[k.as_str()].to_string(), v.to_string()))
-        .collect()
+    let changed = fields.iter().filter(|(k, v)| old.get(k.as_str()) != Some(v));
+    changed.map(|(k, v)| (k.clone(), old[k.as_str()].to_string(), v.to_string())).collect()
 }
 
 /// Fields of a key range that cannot change while it exists: every key would be hashed anew and
--- a/src/kelpwind/core/config/mod.rs
+++ b/src/kelpwind/core/config/mod.rs
@@ -33,12 +33,7 @@
 
 impl Kind {
     /// All kinds, in the order in which they refer to one another.
-    pub const ALL: [Kind; 4] = [
-        Kind::FailureDomain,
-        Kind::Policy,
-        Kind::Service,
-        Kind::KeyRange,
-    ];
+    pub const ALL: [Kind; 4] = [Kind::FailureDomain, Kind::Policy, Kind::Service, Kind::KeyRange];
 
     /// The kind's name in files.
     pub fn as_str(self) -> &'static str {
@@ -166,9 +161,7 @@
 
     /// The key range of the service that covers `key`.
     pub fn range_of(&self, service: &ServiceName, key: &str) -> Option<(&RangeName, &KeyRange)> {
-        self.key_range
-            .iter()
-            .find(|(_, r)| r.service == *service && r.covers(key))
+        self.key_range.iter().find(|(_, r)| r.service == *service && r.covers(key))
     }
 
     /// Whether the failure domain is configured and not taken out.
--- a/src/kelpwind/core/config/read.rs
+++ b/src/kelpwind/core/config/read.rs
@@ -48,12 +48,7 @@
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let dot = if self.field.is_empty() { "" } else { "." };
-        let Fault {
-            code,
-            object,
-            field,
-            reason,
-        } = self;
+        let Fault { code, object, field, reason } = self;
         write!(f, "[{}] {object}{dot}{field}: {reason}", code.number())
     }
 }
@@ -88,9 +83,7 @@
                     true => Code::DuplicateName,
                     false => Code::Unreadable,
                 };
-                let line = e
-                    .span()
-                    .map_or(0, |s| text[..s.start].lines().count().max(1));
+                let line = e.span().map_or(0, |s| text[..s.start].lines().count().max(1));
                 let reason = format!("line {line}: {}", e.message());
                 faults.push(fault(code, "file", "", reason));
                 return Err(Faults(faults));
@@ -98,11 +91,7 @@
         };
         let config = read_objects(&table, &mut faults);
         check_references(&config, &mut faults);
-        if faults.is_empty() {
-            Ok(config)
-        } else {
-            Err(Faults(faults))
-        }
+        if faults.is_empty() { Ok(config) } else { Err(Faults(faults)) }
     }
 }
 
@@ -111,11 +100,7 @@
     pub fn checked(self) -> Result<Config> {
         let mut faults = Vec::new();
         check_references(&self, &mut faults);
-        if faults.is_empty() {
-            Ok(self)
-        } else {
-            Err(Faults(faults))
-        }
+        if faults.is_empty() { Ok(self) } else { Err(Faults(faults)) }
     }
 
     /// Objects that nothing refers to; no fault, but most likely an oversight.
@@ -137,21 +122,11 @@
 }
 
 fn unreferenced(kind: Kind, name: &impl fmt::Display) -> Fault {
-    fault(
-        Code::Unreferenced,
-        &object(kind, name),
-        "",
-        Code::Unreferenced.text().to_owned(),
-    )
+    fault(Code::Unreferenced, &object(kind, name), "", Code::Unreferenced.text().to_owned())
 }
 
 fn fault(code: Code, object: &str, field: &str, reason: String) -> Fault {
-    Fault {
-        code,
-        object: object.to_owned(),
-        field: field.to_owned(),
-        reason,
-    }
+    Fault { code, object: object.to_owned(), field: field.to_owned(), reason }
 }
 
 /// How an object is named in faults.
@@ -206,12 +181,7 @@
             faults.push(fault(Code::BadValue, &object, "", reason));
             continue;
         };
-        let mut fields = Fields {
-            object,
-            table,
-            asked: Vec::new(),
-            faults,
-        };
+        let mut fields = Fields { object, table, asked: Vec::new(), faults };
         let built = build(&mut fields);
         fields.report_unknown();
         if let (Ok(name), Some(built)) = (name, built) {
@@ -284,22 +254,15 @@
     }
 
     fn time(&mut self, field: &'static str, default: Duration, max: Duration) -> Option<Duration> {
-        let wanted = format!(
-            "a time such as \"250ms\" or \"2s\", at most {}s",
-            max.as_secs()
-        );
+        let wanted = format!("a time such as \"250ms\" or \"2s\", at most {}s", max.as_secs());
         self.take(field, Some(default), &wanted, |v| {
             serial::parse(v.as_str()?).filter(|d| !d.is_zero() && *d <= max)
         })
     }
 
     fn report_unknown(&mut self) {
-        let unknown: Vec<String> = self
-            .table
-            .keys()
-            .filter(|k| !self.asked.contains(&k.as_str()))
-            .cloned()
-            .collect();
+        let unknown: Vec<String> =
+            self.table.keys().filter(|k| !self.asked.contains(&k.as_str())).cloned().collect();
         for field in unknown {
             let hint = near::hint(&field, self.asked.iter().copied());
             self.note(Code::UnknownField, &field, format!("no such field{hint}"));
@@ -310,37 +273,25 @@
 fn domain(f: &mut Fields) -> Option<Domain> {
     let region = f.text("region", None);
     let out = f.flag("out");
-    Some(Domain {
-        region: region?,
-        out: out?,
-    })
+    Some(Domain { region: region?, out: out? })
 }
 
 fn policy(f: &mut Fields) -> Option<Policy> {
-    let repeat = f.take("repeat", None, "\"idempotent\" or \"once\"", |v| {
-        match v.as_str()? {
-            "idempotent" => Some(Repeat::Idempotent),
-            "once" => Some(Repeat::Once),
-            _ => None,
-        }
+    let repeat = f.take("repeat", None, "\"idempotent\" or \"once\"", |v| match v.as_str()? {
+        "idempotent" => Some(Repeat::Idempotent),
+        "once" => Some(Repeat::Once),
+        _ => None,
     });
     let deadline = f.time("deadline", Duration::from_secs(2), DEADLINE_MAX);
     let weight = f.number("weight", Some(1), 1, WEIGHT_MAX);
     let retries = f.number("retries", Some(2), 0, RETRIES_MAX);
-    Some(Policy {
-        repeat: repeat?,
-        deadline: deadline?,
-        weight: weight?,
-        retries: retries?,
-    })
+    Some(Policy { repeat: repeat?, deadline: deadline?, weight: weight?, retries: retries? })
 }
 
 fn service(f: &mut Fields) -> Option<Service> {
     let domains = f.take("domains", None, "a list of names of failure domains", |v| {
         let list = v.as_array()?;
-        list.iter()
-            .map(|n| n.as_str()?.parse().ok())
-            .collect::<Option<Vec<_>>>()
+        list.iter().map(|n| n.as_str()?.parse().ok()).collect::<Option<Vec<_>>>()
     });
     let read = f.name("read");
     let write = f.name("write");
@@ -364,19 +315,10 @@
     let slices = f.number("slices", Some(64), 1, SLICES_MAX);
     let (from, to) = (from?, to?);
     if !to.is_empty() && from >= to {
-        f.note(
-            Code::BadValue,
-            "to",
-            format!("'{to}' does not come after '{from}'"),
-        );
+        f.note(Code::BadValue, "to", format!("'{to}' does not come after '{from}'"));
         return None;
     }
-    Some(KeyRange {
-        service: service?,
-        from,
-        to,
-        slices: slices?,
-    })
+    Some(KeyRange { service: service?, from, to, slices: slices? })
 }
 
 fn check_references(config: &Config, faults: &mut Vec<Fault>) {
@@ -391,13 +333,7 @@
             refer(domain.as_str(), domains.clone(), &object, "domains", faults);
         }
         let policies = config.policy.keys().map(|n| n.as_str());
-        refer(
-            service.read.as_str(),
-            policies.clone(),
-            &object,
-            "read",
-            faults,
-        );
+        refer(service.read.as_str(), policies.clone(), &object, "read", faults);
         refer(service.write.as_str(), policies, &object, "write", faults);
     }
     for (name, range) in &config.key_range {
--- a/src/kelpwind/core/ids.rs
+++ b/src/kelpwind/core/ids.rs
@@ -39,18 +39,11 @@
 
 fn check_name(raw: &str) -> Result<Arc<str>> {
     let fits = (1..=NAME_MAX).contains(&raw.len());
-    let first = raw
-        .bytes()
-        .next()
-        .is_some_and(|b| b.is_ascii_alphanumeric());
+    let first = raw.bytes().next().is_some_and(|b| b.is_ascii_alphanumeric());
     let plain = raw
         .bytes()
         .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || matches!(b, b'-' | b'_' | b'.'));
-    if fits && first && plain {
-        Ok(Arc::from(raw))
-    } else {
-        Err(ParseError::Name(raw.to_owned()))
-    }
+    if fits && first && plain { Ok(Arc::from(raw)) } else { Err(ParseError::Name(raw.to_owned())) }
 }
 
 macro_rules! name_type {
@@ -192,9 +185,7 @@
 impl FromStr for Incarnation {
     type Err = ParseError;
     fn from_str(raw: &str) -> Result<Self> {
-        u64::from_str_radix(raw, 16)
-            .map(Incarnation)
-            .map_err(|_| ParseError::Number(raw.into()))
+        u64::from_str_radix(raw, 16).map(Incarnation).map_err(|_| ParseError::Number(raw.into()))
     }
 }
 
@@ -233,10 +224,7 @@
         let Some((node, inc)) = raw.split_once('/') else {
             return Err(ParseError::Name(raw.to_owned()));
         };
-        Ok(Holder {
-            node: node.parse()?,
-            inc: inc.parse()?,
-        })
+        Ok(Holder { node: node.parse()?, inc: inc.parse()? })
     }
 }
 
@@ -267,9 +255,7 @@
 impl FromStr for RecordId {
     type Err = ParseError;
     fn from_str(raw: &str) -> Result<Self> {
-        u128::from_str_radix(raw, 16)
-            .map(RecordId)
-            .map_err(|_| ParseError::Number(raw.into()))
+        u128::from_str_radix(raw, 16).map(RecordId).map_err(|_| ParseError::Number(raw.into()))
     }
 }
 
--- a/src/kelpwind/core/record.rs
+++ b/src/kelpwind/core/record.rs
@@ -90,7 +90,7 @@
         /// The key range.
         range: RangeName,
     },
-    /// A piece of a snapshot of the state; the fold passes over it.
+    /// A piece of a snapshot of the state; the fold notes only up to where snapshots go.
     Snapshot(Chunk),
 }
 
@@ -162,12 +162,7 @@
     /// A record of this version's format with a random identifier.
     pub fn new(author: impl ToString, body: Body) -> Record {
         let id = RecordId(fastrand::u128(..));
-        Record {
-            format: FORMAT,
-            id,
-            author: author.to_string(),
-            body,
-        }
+        Record { format: FORMAT, id, author: author.to_string(), body }
     }
 
     /// The record as the bytes that are appended.
--- a/src/kelpwind/core/state.rs
+++ b/src/kelpwind/core/state.rs
@@ -17,7 +17,9 @@
 use super::codes::Code;
 use super::config::change::Change;
 use super::config::{Config, KeyRange};
-use super::ids::{Holder, Offset, RangeName, Revision, ServiceName, SliceId, Token, Version};
+use super::ids::{
+    Holder, Incarnation, Offset, RangeName, Revision, ServiceName, SliceId, Token, Version,
+};
 use super::record::{Body, FORMAT, Member, Move, Peer, Record};
 
 /// Published revisions that the state remembers.
@@ -85,6 +87,8 @@
     pub ranges: BTreeMap<RangeName, RangeState>,
     /// The latest revisions, oldest first.
     pub history: VecDeque<Published>,
+    /// Offset from which the records count that are not in the newest snapshot in the log.
+    pub snapshot: Offset,
 }
 
 /// Where a key belongs.
@@ -120,15 +124,17 @@
             Body::Update(member) => self.update(member),
             Body::Leave { holder } => self.remove(&holder),
             Body::Witnesses { holder, base, set } => self.set_witnesses(offset, holder, base, set),
-            Body::Revoke {
-                holder,
-                base,
-                moves,
-            } => self.revoke(offset, holder, base, moves),
+            Body::Revoke { holder, base, moves } => self.revoke(offset, holder, base, moves),
             Body::Assign { moves } => self.grant(offset, &moves, None),
             Body::Handover { from, moves } => self.grant(offset, &moves, Some(&from)),
             Body::Release { from, range } => self.release(&from, &range),
-            Body::Snapshot(_) => Ok(()),
+            Body::Snapshot(chunk) => {
+                // Pieces are written in order, so the last one ends a whole snapshot.
+                if chunk.index + 1 == chunk.total {
+                    self.snapshot = self.snapshot.max(chunk.next);
+                }
+                Ok(())
+            }
         }
     }
 
@@ -152,11 +158,7 @@
         self.revision = Revision(offset.next().0);
         self.config = config;
         self.fit_ranges();
-        self.history.push_back(Published {
-            revision: self.revision,
-            author,
-            lines,
-        });
+        self.history.push_back(Published { revision: self.revision, author, lines });
         if self.history.len() > HISTORY_MAX {
             self.history.pop_front();
         }
@@ -170,10 +172,7 @@
             config.key_range.get(name).is_some_and(|r| *r == old.range)
         };
         let owned = |old: &RangeState| old.slots.iter().any(|s| s.holder.is_some());
-        let leaving = self
-            .ranges
-            .iter()
-            .filter(|(name, old)| !kept(name, old) && owned(old));
+        let leaving = self.ranges.iter().filter(|(name, old)| !kept(name, old) && owned(old));
         leaving.into_iter().any(|(_, old)| {
             let mut new = config.key_range.values();
             new.any(|r| r.service == old.range.service && r.overlaps(&old.range))
@@ -196,8 +195,7 @@
     }
 
     fn forget_retired(&mut self) {
-        self.ranges
-            .retain(|_, r| !r.retired || r.slots.iter().any(|s| s.holder.is_some()));
+        self.ranges.retain(|_, r| !r.retired || r.slots.iter().any(|s| s.holder.is_some()));
     }
 
     fn join(&mut self, offset: Offset, member: Member) -> Verdict {
@@ -206,22 +204,12 @@
         }
         let version = Version(offset.0);
         let holder = member.holder.clone();
-        self.members.insert(
-            holder,
-            MemberState {
-                member,
-                version,
-                joined: offset,
-            },
-        );
+        self.members.insert(holder, MemberState { member, version, joined: offset });
         Ok(())
     }
 
     fn update(&mut self, mut member: Member) -> Verdict {
-        let known = self
-            .members
-            .get_mut(&member.holder)
-            .ok_or(Code::NotMember)?;
+        let known = self.members.get_mut(&member.holder).ok_or(Code::NotMember)?;
         member.witnesses = std::mem::take(&mut known.member.witnesses);
         known.member = member;
         Ok(())
@@ -310,11 +298,7 @@
         let (name, range) = self.config.range_of(service, key)?;
         let slice = range.slice(key);
         let slot = self.slot(name, slice)?.clone();
-        Some(Place {
-            range: name.clone(),
-            slice,
-            slot,
-        })
+        Some(Place { range: name.clone(), slice, slot })
     }
 
     /// The slot of a slice.
@@ -325,19 +309,27 @@
     /// The slices of `holder`, with their tokens.
     pub fn owned_by(&self, holder: &Holder) -> impl Iterator<Item = (&RangeName, SliceId, Token)> {
         let all = self.ranges.iter().flat_map(|(name, r)| {
-            r.slots
-                .iter()
-                .enumerate()
-                .map(move |(i, s)| (name, SliceId(i as u32), s))
+            r.slots.iter().enumerate().map(move |(i, s)| (name, SliceId(i as u32), s))
         });
         all.filter(move |(_, _, s)| s.holder.as_ref() == Some(holder))
             .map(|(name, slice, s)| (name, slice, s.token))
     }
 
+    /// Members that no later incarnation of the same node has followed. A node that restarts joins
+    /// before its former incarnation is revoked, and that one is dead.
+    pub fn newest_members(&self) -> impl Iterator<Item = &Member> {
+        let newest = |known: &&MemberState| {
+            let node = &known.member.holder.node;
+            let first = Holder { node: node.clone(), inc: Incarnation(0) };
+            let same = self.members.range(first..).take_while(|(h, _)| h.node == *node);
+            same.into_iter().all(|(_, other)| other.joined <= known.joined)
+        };
+        self.members.values().filter(newest).map(|m| &m.member)
+    }
+
     /// Members whose backend server serves `service`.
     pub fn targets(&self, service: &ServiceName) -> impl Iterator<Item = &Member> {
-        let members = self.members.values().map(|m| &m.member);
-        members.filter(move |m| m.service.as_ref() == Some(service))
+        self.newest_members().filter(move |m| m.service.as_ref() == Some(service))
     }
 
     /// Whether a member may get new work: neither it nor its failure domain is being taken out.
--- a/src/kelpwind/gate/admission.rs
+++ b/src/kelpwind/gate/admission.rs
@@ -53,15 +53,8 @@
 impl Admission {
     /// Admission as `limiter` allows.
     pub fn new(limiter: Limiter) -> Admission {
-        let inner = Inner {
-            limiter,
-            running: 0,
-            arrivals: 0,
-            queue: BTreeMap::new(),
-        };
-        Admission {
-            inner: Arc::new(Mutex::new(inner)),
-        }
+        let inner = Inner { limiter, running: 0, arrivals: 0, queue: BTreeMap::new() };
+        Admission { inner: Arc::new(Mutex::new(inner)) }
     }
 
     /// Changes or asks the limiter.
@@ -88,11 +81,7 @@
                 inner.running += 1;
                 return Ok(self.permit());
             }
-            let refusal = if inner.limiter.is_cold(now) {
-                Code::Cold
-            } else {
-                Code::Busy
-            };
+            let refusal = if inner.limiter.is_cold(now) { Code::Cold } else { Code::Busy };
             if inner.queue.len() as u32 >= limit * QUEUE_PER_SLOT {
                 inner.evict_lighter(weight).ok_or(refusal)?;
             }
@@ -103,18 +92,12 @@
             inner.admit_waiting();
             (ticket, admitted)
         };
-        let waiting = Waiting {
-            admission: self,
-            ticket,
-            admitted: Some(admitted),
-        };
+        let waiting = Waiting { admission: self, ticket, admitted: Some(admitted) };
         waiting.wait(deadline).await
     }
 
     fn permit(&self) -> Permit {
-        Permit {
-            admission: self.clone(),
-        }
+        Permit { admission: self.clone() }
     }
 
     fn leave(&self) {
--- a/src/kelpwind/gate/backend.rs
+++ b/src/kelpwind/gate/backend.rs
@@ -7,48 +7,70 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use http::{HeaderMap, Request, header};
+use http::{HeaderMap, HeaderValue, Request, header};
 use kelpwind_platform::{
-    DEADLINE_HEADER, KEY_HEADER, REFUSED_HEADER, REQUEST_HEADER, TOKEN_HEADER,
+    DEADLINE_HEADER, GRANT_HEADER, GRANT_PATH, KEY_HEADER, REFUSED_HEADER, REQUEST_HEADER,
+    TOKEN_HEADER,
 };
 
 use crate::core::call::{Answer, Call};
 use crate::core::codes::Code;
 use crate::core::ids::Token;
+use crate::lease::clock::Moment;
 use crate::net::pool::{CallError, Pool};
 
 /// Time after which a caller may come back when the backend server shed its request.
 const SHED_RETRY: Duration = Duration::from_millis(200);
 
-type SendFn = Box<dyn Fn(Call, Token, Instant) -> BoxFuture<'static, Answer> + Send + Sync>;
+/// Longest time to tell a backend server of a renewed grant.
+const GRANT_TIME: Duration = Duration::from_millis(200);
+
+/// Under what a request is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Fencing token; 0 for services that are not divided by key.
+    pub token: Token,
+    /// When the lease ends, as it stands; none for services that are not divided by key.
+    pub ends: Option<Moment>,
+    /// When it is too late for an answer.
+    pub until: Instant,
+}
+
+type SendFn = Box<dyn Fn(Call, Grant) -> BoxFuture<'static, Answer> + Send + Sync>;
+type RenewFn = Box<dyn Fn(Moment) -> BoxFuture<'static, ()> + Send + Sync>;
 
 /// A backend server.
 pub struct Backend {
-    /// Sends a request under a fencing token, until the moment given, and says what became of it.
-    /// Dropping the future cancels the work.
+    /// Sends a request under a grant and says what became of it. Dropping the future cancels the
+    /// work.
     pub send: SendFn,
+    /// Tells a server that checks fences how long the lease now holds, so that it stops by itself
+    /// what outlasts the lease.
+    pub renew: RenewFn,
 }
 
 /// The backend server at `addr`, spoken to in HTTP.
 pub fn http(pool: Arc<Pool>, addr: SocketAddr) -> Backend {
+    let renewing = pool.clone();
     Backend {
-        send: Box::new(move |call, token, until| {
-            send(pool.clone(), addr, call, token, until).boxed()
-        }),
+        send: Box::new(move |call, grant| send(pool.clone(), addr, call, grant).boxed()),
+        renew: Box::new(move |ends| renew(renewing.clone(), addr, ends).boxed()),
     }
 }
 
-async fn send(
-    pool: Arc<Pool>,
-    addr: SocketAddr,
-    call: Call,
-    token: Token,
-    until: Instant,
-) -> Answer {
-    let Some(request) = request(call, token, until) else {
+async fn renew(pool: Arc<Pool>, addr: SocketAddr, ends: Moment) {
+    let body = Bytes::from(ends.as_micros().to_string());
+    if let Ok(request) = Request::post(GRANT_PATH).body(body) {
+        // A renewal that is lost is made up for by the next one.
+        let _ = pool.call(addr, request, Instant::now() + GRANT_TIME).await;
+    }
+}
+
+async fn send(pool: Arc<Pool>, addr: SocketAddr, call: Call, grant: Grant) -> Answer {
+    let Some(request) = request(call, grant) else {
         return Answer::refusal(Code::BadRequest);
     };
-    match pool.call(addr, request, until).await {
+    match pool.call(addr, request, grant.until).await {
         Ok(answer) if answer.headers().contains_key(REFUSED_HEADER) => {
             Answer::refusal(Code::Shed).retry_after(SHED_RETRY)
         }
@@ -56,35 +78,28 @@
             let kind = answer.headers().get(header::CONTENT_TYPE).cloned();
             let status = answer.status().as_u16();
             let body = answer.into_body();
-            Answer {
-                code: Code::Done,
-                status,
-                kind,
-                body,
-                retry: None,
-            }
+            Answer { code: Code::Done, status, kind, body, retry: None }
         }
         Err(e) => Answer::refusal(code(&e)),
     }
 }
 
-fn request(call: Call, token: Token, until: Instant) -> Option<Request<Bytes>> {
-    let left = until.saturating_duration_since(Instant::now());
+fn request(call: Call, grant: Grant) -> Option<Request<Bytes>> {
+    let left = grant.until.saturating_duration_since(Instant::now());
     let mut headers = HeaderMap::new();
     headers.insert(REQUEST_HEADER, call.id.as_str().parse().ok()?);
     headers.insert(DEADLINE_HEADER, left.as_millis().to_string().parse().ok()?);
     if let Some((key, _)) = &call.key {
         headers.insert(KEY_HEADER, key.parse().ok()?);
-        headers.insert(TOKEN_HEADER, token.to_string().parse().ok()?);
+        headers.insert(TOKEN_HEADER, HeaderValue::from(grant.token.0));
+    }
+    if let Some(ends) = grant.ends {
+        headers.insert(GRANT_HEADER, HeaderValue::from(ends.as_micros()));
     }
     if let Some(kind) = call.kind {
         headers.insert(header::CONTENT_TYPE, kind);
     }
-    let mut request = Request::builder()
-        .method(call.method)
-        .uri(call.path)
-        .body(call.body)
-        .ok()?;
+    let mut request = Request::builder().method(call.method).uri(call.path).body(call.body).ok()?;
     *request.headers_mut() = headers;
     Some(request)
 }
--- a/src/kelpwind/gate/inflight.rs
+++ b/src/kelpwind/gate/inflight.rs
@@ -24,10 +24,7 @@
 impl Default for InFlight {
     fn default() -> InFlight {
         let ended = Arc::new(watch::Sender::new(()));
-        InFlight {
-            inner: Arc::default(),
-            ended,
-        }
+        InFlight { inner: Arc::default(), ended }
     }
 }
 
@@ -60,10 +57,7 @@
             return None;
         }
         *inner.running.entry(slice.clone()).or_default() += 1;
-        Some(Entered {
-            all: self.clone(),
-            slice: slice.clone(),
-        })
+        Some(Entered { all: self.clone(), slice: slice.clone() })
     }
 
     /// Whether the slice is being handed over.
@@ -74,10 +68,7 @@
     /// Admits no more requests for the slices. Those that were moving already are not returned.
     pub fn stop(&self, slices: impl IntoIterator<Item = SliceRef>) -> Vec<SliceRef> {
         let mut inner = self.inner.lock();
-        slices
-            .into_iter()
-            .filter(|s| inner.moving.insert(s.clone()))
-            .collect()
+        slices.into_iter().filter(|s| inner.moving.insert(s.clone())).collect()
     }
 
     /// Ends the move of slices, once its fate is known.
--- a/src/kelpwind/gate/limiter.rs
+++ b/src/kelpwind/gate/limiter.rs
@@ -31,13 +31,7 @@
     /// A limiter for a server with `slots` slots.
     pub fn new(slots: Count, warmup: Duration) -> Limiter {
         let slots = f64::from(slots.0.max(1));
-        Limiter {
-            slots,
-            adaptive: slots,
-            warmup,
-            cold: None,
-            decreased: None,
-        }
+        Limiter { slots, adaptive: slots, warmup, cold: None, decreased: None }
     }
 
     /// Takes changed slots or warm-up time.
@@ -57,9 +51,7 @@
 
     /// The server shed a request.
     pub fn shed(&mut self, now: Moment) {
-        let recent = self
-            .decreased
-            .is_some_and(|at| now.since(at) < DECREASE_PAUSE);
+        let recent = self.decreased.is_some_and(|at| now.since(at) < DECREASE_PAUSE);
         if !recent {
             self.adaptive = (self.adaptive.min(self.slots) * DECREASE).max(1.0);
             self.decreased = Some(now);
--- a/src/kelpwind/gate/pass.rs
+++ b/src/kelpwind/gate/pass.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use super::admission::Admission;
-use super::backend::Backend;
+use super::backend::{Backend, Grant};
 use super::inflight::{Entered, InFlight};
 use super::limiter::Limiter;
 use crate::core::call::{Answer, Call, SliceRef};
@@ -104,7 +104,8 @@
             return Err(Code::DeadlinePast);
         }
         let until = until(&call, &leave, attached.said.fenced, now);
-        let sent = (attached.backend.send)(call, leave.token, until);
+        let grant = Grant { token: leave.token, ends: leave.ends, until };
+        let sent = (attached.backend.send)(call, grant);
         let answer = match leave.ends {
             Some(_) => self.while_leased(sent).await,
             None => sent.await,
@@ -139,27 +140,17 @@
         let me = state.members.get(&self.me).ok_or(Code::NoTarget)?;
         // The owner of a key goes on serving it until the key is handed over: nobody else may.
         let owned = call.key.is_some();
-        if !owned && !state.takes_work(&me.member) {
-            Err(Code::Draining)
-        } else {
-            Ok(())
-        }
+        if !owned && !state.takes_work(&me.member) { Err(Code::Draining) } else { Ok(()) }
     }
 
     fn check_owner(&self, call: &Call) -> Result<Leave> {
         let Some((_, slice)) = &call.key else {
-            return Ok(Leave {
-                token: Token(0),
-                ends: None,
-            });
+            return Ok(Leave { token: Token(0), ends: None });
         };
         let token = self.owned(slice)?;
         let ends = self.lease.lock().as_ref().and_then(Lease::ends);
         match ends.filter(|end| clock::now() < *end) {
-            Some(end) => Ok(Leave {
-                token,
-                ends: Some(end),
-            }),
+            Some(end) => Ok(Leave { token, ends: Some(end) }),
             None => Err(Code::LeaseLapsed),
         }
     }
@@ -181,6 +172,18 @@
         self.inflight.enter(slice).map(Some).ok_or(Code::Moving)
     }
 
+    /// Tells a backend server that checks fences how long the lease now holds.
+    pub async fn renew_grant(&self) {
+        let attached = self.attached.read().clone();
+        let Some(attached) = attached.filter(|a| a.said.fenced) else {
+            return;
+        };
+        let ends = self.lease.lock().as_ref().and_then(Lease::ends);
+        if let Some(ends) = ends {
+            (attached.backend.renew)(ends).await;
+        }
+    }
+
     /// Tells the limiter how it went.
     fn learn(&self, answer: &Answer) {
         self.admission.limiter(|l| match answer.code {
@@ -193,10 +196,9 @@
 
 /// The latest moment for an answer, as the backend server is told it.
 ///
-/// A server that checks fences refuses an outdated token by itself, so its work may outlast what is
-/// left of the lease now; the gate cancels it if the lease is not renewed. One that does not is
-/// bounded by the lease as it stands when the request is sent: should this process freeze, the
-/// server itself stops the work.
+/// A server that checks fences is told of each renewal and stops by itself when none comes, so its
+/// work may outlast what is left of the lease now. One that does not is bounded by the lease as it
+/// stands when the request is sent: should this process freeze, the deadline stops the work.
 fn until(call: &Call, leave: &Leave, fenced: bool, now: Instant) -> Instant {
     match leave.ends {
         Some(ends) if !fenced => call.deadline.min(now + ends.since(clock::now())),
--- a/src/kelpwind/lease/clock.rs
+++ b/src/kelpwind/lease/clock.rs
@@ -23,6 +23,11 @@
         Moment(micros)
     }
 
+    /// Microseconds since the machine was started.
+    pub fn as_micros(self) -> u64 {
+        self.0
+    }
+
     /// Time since `earlier`; zero if that is not earlier.
     pub fn since(self, earlier: Moment) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/src/kelpwind/lease/holder.rs
+++ b/src/kelpwind/lease/holder.rs
@@ -85,11 +85,7 @@
     pub fn renew(&mut self, now: Moment) -> Vec<(Peer, Message)> {
         self.seq = Seq(self.seq.0 + 1);
         self.sent.push_back((self.seq, now));
-        while self
-            .sent
-            .front()
-            .is_some_and(|(_, at)| now.since(*at) > LEASE)
-        {
+        while self.sent.front().is_some_and(|(_, at)| now.since(*at) > LEASE) {
             self.sent.pop_front();
         }
         let pending = self.pending.iter().flat_map(|p| &p.set);
@@ -97,14 +93,7 @@
         let renewal = |peer: &Peer| {
             let holder = Tag::from(self.me.inc);
             let witness = Tag::from(peer.holder.inc);
-            (
-                peer.clone(),
-                Message::Renew {
-                    holder,
-                    witness,
-                    seq: self.seq,
-                },
-            )
+            (peer.clone(), Message::Renew { holder, witness, seq: self.seq })
         };
         peers.into_iter().map(renewal).collect()
     }
@@ -141,9 +130,7 @@
 
     /// The latest moment such that a majority of `set` acknowledged renewals sent then or later.
     fn majority_sent(&self, set: &[Peer]) -> Option<Moment> {
-        let newest = set
-            .iter()
-            .filter_map(|p| self.acked.get(&Tag::from(p.holder.inc)));
+        let newest = set.iter().filter_map(|p| self.acked.get(&Tag::from(p.holder.inc)));
         let mut sent: Vec<Moment> = newest.copied().collect();
         sent.sort_unstable_by(|a, b| b.cmp(a));
         sent.get(majority(set.len()) - 1).copied()
--- a/src/kelpwind/lease/set.rs
+++ b/src/kelpwind/lease/set.rs
@@ -29,10 +29,8 @@
         .filter(|m| !barred.contains(&Tag::from(m.holder.inc)))
         .collect();
     let kept = |m: &Member| current.iter().any(|p| p.holder == m.holder);
-    let mut ranked: Vec<(bool, u64, &Member)> = all
-        .iter()
-        .map(|m| (!kept(m), rank(&me.holder, &m.holder), *m))
-        .collect();
+    let mut ranked: Vec<(bool, u64, &Member)> =
+        all.iter().map(|m| (!kept(m), rank(&me.holder, &m.holder), *m)).collect();
     ranked.sort_unstable_by_key(|(fresh, rank, _)| (*fresh, *rank));
 
     let mut taken: Vec<Peer> = Vec::new();
@@ -44,17 +42,11 @@
         };
         let (_, _, member) = ranked.remove(best);
         *per_domain.entry(&member.domain).or_default() += 1;
-        taken.push(Peer {
-            holder: member.holder.clone(),
-            addr: member.peer,
-        });
+        taken.push(Peer { holder: member.holder.clone(), addr: member.peer });
     }
     // An even set bears no more losses than the odd one below it; the holder makes it odd.
     if taken.len() < SET_SIZE && taken.len().is_multiple_of(2) {
-        taken.push(Peer {
-            holder: me.holder.clone(),
-            addr: me.peer,
-        });
+        taken.push(Peer { holder: me.holder.clone(), addr: me.peer });
     }
     taken.sort_unstable();
     taken
--- a/src/kelpwind/lease/takeover.rs
+++ b/src/kelpwind/lease/takeover.rs
@@ -30,14 +30,7 @@
 impl Takeover {
     /// An attempt that has asked nobody yet.
     pub fn new(target: Holder, version: Version, set: Vec<Peer>) -> Takeover {
-        Takeover {
-            target,
-            version,
-            set,
-            free: BTreeMap::new(),
-            asked: None,
-            wrote: None,
-        }
+        Takeover { target, version, set, free: BTreeMap::new(), asked: None, wrote: None }
     }
 
     /// Questions to send now: to all who have not promised, unless they were asked just before.
@@ -47,22 +40,11 @@
         }
         self.asked = Some(now);
         let holder = Tag::from(self.target.inc);
-        let open = self
-            .set
-            .iter()
-            .filter(|p| !self.free.contains_key(&Tag::from(p.holder.inc)));
+        let open = self.set.iter().filter(|p| !self.free.contains_key(&Tag::from(p.holder.inc)));
         let question = |peer: &Peer| {
             let witness = Tag::from(peer.holder.inc);
             let version = self.version;
-            (
-                peer.clone(),
-                Message::Ask {
-                    holder,
-                    version,
-                    witness,
-                    asker,
-                },
-            )
+            (peer.clone(), Message::Ask { holder, version, witness, asker })
         };
         open.map(question).collect()
     }
--- a/src/kelpwind/lease/witness.rs
+++ b/src/kelpwind/lease/witness.rs
@@ -54,26 +54,24 @@
         }
     }
 
+    /// Notes that a holder is alive, whichever incarnation of the witness it meant. A holder whose
+    /// witness has restarted must not count as silent.
+    pub fn heard(&mut self, holder: Tag, now: Moment) {
+        if let Some(heard) = self.watched.get_mut(&holder) {
+            *heard = now;
+        }
+    }
+
     /// Answers a renewal. `member` says whether the holder is a member, as the log has it.
     pub fn renewal(&mut self, holder: Tag, seq: Seq, member: bool, now: Moment) -> Option<Message> {
         if self.promised.contains(&holder) {
-            return Some(Message::Refuse {
-                holder,
-                witness: self.me,
-            });
+            return Some(Message::Refuse { holder, witness: self.me });
         }
         if !member {
             return None;
         }
         self.acked.insert(holder, now);
-        if let Some(heard) = self.watched.get_mut(&holder) {
-            *heard = now;
-        }
-        Some(Message::Ack {
-            holder,
-            witness: self.me,
-            seq,
-        })
+        Some(Message::Ack { holder, witness: self.me, seq })
     }
 
     /// How long a watched holder has been silent; `None` when it is not watched.
@@ -107,11 +105,6 @@
         };
         let left = bound.map_or(Duration::ZERO, |at| LEASE.saturating_sub(now.since(at)));
         let remaining = left.as_micros().div_ceil(1000) as u32;
-        Some(Message::Promise {
-            holder,
-            version,
-            witness: listed,
-            remaining,
-        })
+        Some(Message::Promise { holder, version, witness: listed, remaining })
     }
 }
--- a/src/kelpwind/log/follow.rs
+++ b/src/kelpwind/log/follow.rs
@@ -89,10 +89,7 @@
     let batch = (log.read)(next, wait).await?;
     if batch.end < next {
         // The log has fewer records than were read from it before: not the log we know.
-        return Err(Error::new(
-            Code::LogNonsense,
-            "failed to read the log: it ends too early",
-        ));
+        return Err(Error::new(Code::LogNonsense, "failed to read the log: it ends too early"));
     }
     if batch.start > next || !started {
         return bootstrap(log, ledger).await;
--- a/src/kelpwind/log/http.rs
+++ b/src/kelpwind/log/http.rs
@@ -39,21 +39,12 @@
     let request = request(Method::GET, path, Bytes::new())?;
     let batch: LogBatch = call(&pool, addr, request, wait + CALL_TIMEOUT, "read").await?;
     let records = batch.records.into_iter();
-    let records: Vec<_> = records
-        .map(|r| (Offset(r.offset), Bytes::from(r.data)))
-        .collect();
+    let records: Vec<_> = records.map(|r| (Offset(r.offset), Bytes::from(r.data))).collect();
     let rising = records.windows(2).all(|w| w[0].0 < w[1].0);
     if !rising || batch.start > batch.end {
-        return Err(Error::new(
-            Code::LogNonsense,
-            "failed to read the log: offsets out of order",
-        ));
+        return Err(Error::new(Code::LogNonsense, "failed to read the log: offsets out of order"));
     }
-    Ok(Batch {
-        start: Offset(batch.start),
-        end: Offset(batch.end),
-        records,
-    })
+    Ok(Batch { start: Offset(batch.start), end: Offset(batch.end), records })
 }
 
 fn request(method: Method, path: String, body: Bytes) -> Result<Request<Bytes>> {
--- a/src/kelpwind/log/ledger.rs
+++ b/src/kelpwind/log/ledger.rs
@@ -106,11 +106,7 @@
     fn remember(&self, offset: Offset, before: u64, raw: &Bytes) {
         let data = String::from_utf8_lossy(raw).into_owned();
         let mut tail = self.tail.lock();
-        tail.push_back(Passed {
-            offset,
-            before,
-            data,
-        });
+        tail.push_back(Passed { offset, before, data });
         if tail.len() > TAIL_MAX {
             tail.pop_front();
         }
--- a/src/kelpwind/log/snapshot.rs
+++ b/src/kelpwind/log/snapshot.rs
@@ -35,9 +35,7 @@
         data: data.to_owned(),
     };
     let chunks = pieces.into_iter().enumerate().map(chunk);
-    chunks
-        .map(|c| Record::new(author, Body::Snapshot(c)))
-        .collect()
+    chunks.map(|c| Record::new(author, Body::Snapshot(c))).collect()
 }
 
 fn pieces(text: &str) -> Vec<&str> {
@@ -62,11 +60,7 @@
 impl Joiner {
     /// Takes a record; those that hold no piece of a snapshot are passed over.
     pub fn take(&mut self, raw: &Bytes) {
-        let Ok(Record {
-            body: Body::Snapshot(chunk),
-            ..
-        }) = Record::try_from(raw.as_ref())
-        else {
+        let Ok(Record { body: Body::Snapshot(chunk), .. }) = Record::try_from(raw.as_ref()) else {
             return;
         };
         let (id, total) = (chunk.snapshot, chunk.total);
--- a/src/kelpwind/net/listen.rs
+++ b/src/kelpwind/net/listen.rs
@@ -13,7 +13,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::core::codes::Code;
 use crate::util::error::{Error, Result};
@@ -34,8 +35,9 @@
     })
 }
 
-/// Serves requests until `stop` turns true, then lets those in flight end.
-pub async fn serve<H, F, B>(listener: TcpListener, handle: H, mut stop: watch::Receiver<bool>)
+/// Serves requests until `stop` turns true, then lets those in flight end. When the future is
+/// dropped, all its connections are closed.
+pub async fn serve<H, F, B>(listener: Arc<TcpListener>, handle: H, mut stop: watch::Receiver<bool>)
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
@@ -45,15 +47,16 @@
 {
     let handle = Arc::new(handle);
     let graceful = GracefulShutdown::new();
-    let limit = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    let mut connections = JoinSet::new();
     loop {
+        while connections.try_join_next().is_some() {}
         let accepted = tokio::select! {
             accepted = accept(&listener) => accepted,
             _ = stop.wait_for(|s| *s) => break,
         };
-        let Ok(permit) = limit.clone().try_acquire_owned() else {
+        if connections.len() >= CONNECTIONS_MAX {
             continue;
-        };
+        }
         let handle = handle.clone();
         let service = service_fn(move |request| {
             let answer = handle(request);
@@ -64,10 +67,7 @@
             .header_read_timeout(HEADER_TIMEOUT)
             .serve_connection(TokioIo::new(accepted), service);
         let watched = graceful.watch(connection);
-        tokio::spawn(async move {
-            let _ = watched.await;
-            drop(permit);
-        });
+        connections.spawn(async move { drop(watched.await) });
     }
     drop(listener);
     let _ = tokio::time::timeout(STOP_TIMEOUT, graceful.shutdown()).await;
--- a/src/kelpwind/net/pool.rs
+++ b/src/kelpwind/net/pool.rs
@@ -64,10 +64,7 @@
 impl CallError {
     /// Whether certainly no byte of the request was sent.
     pub fn is_unsent(&self) -> bool {
-        matches!(
-            self,
-            CallError::Connect(_) | CallError::ConnectTimeout | CallError::Unsent
-        )
+        matches!(self, CallError::Connect(_) | CallError::ConnectTimeout | CallError::Unsent)
     }
 }
 
@@ -97,10 +94,7 @@
 impl Pool {
     /// A pool whose connections come from `local`, if given.
     pub fn new(local: Option<IpAddr>) -> Pool {
-        Pool {
-            local,
-            idle: Mutex::default(),
-        }
+        Pool { local, idle: Mutex::default() }
     }
 
     /// Sends a request and reads the whole answer before `deadline`.
@@ -177,20 +171,12 @@
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection {
-            sender,
-            driver,
-            used: Instant::now(),
-        })
+        Ok(Connection { sender, driver, used: Instant::now() })
     }
 }
 
 async fn connect(local: Option<IpAddr>, addr: SocketAddr) -> io::Result<TcpStream> {
-    let socket = if addr.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     if let Some(local) = local.filter(|l| l.is_ipv4() == addr.is_ipv4()) {
         socket.bind(SocketAddr::new(local, 0))?;
     }
@@ -211,10 +197,7 @@
     if !counted && !chunked {
         return Err(CallError::Truncated);
     }
-    let closes = parts
-        .headers
-        .get(header::CONNECTION)
-        .is_some_and(|v| v == "close");
+    let closes = parts.headers.get(header::CONNECTION).is_some_and(|v| v == "close");
     let collected = Limited::new(body, ANSWER_MAX).collect();
     let Ok(read) = timeout_at(deadline.into(), collected).await else {
         return Err(CallError::Expired);
--- a/src/kelpwind/node/admin.rs
+++ b/src/kelpwind/node/admin.rs
@@ -68,23 +68,16 @@
         (&Method::GET, "/dump") => json(&node.dump()),
         (&Method::GET, "/status") => json(&node.status()),
         (&Method::POST, "/announce") => announce(&node, request).await,
-        _ => plain(
-            404,
-            "no such page; there are /metrics, /dump, /status and /rpc\n".to_owned(),
-        ),
+        _ => plain(404, "no such page; there are /metrics, /dump, /status and /rpc\n".to_owned()),
     }
 }
 
 fn json<T: Serialize>(value: &T) -> Response<HttpBody> {
-    Response::new(HttpBody::from(
-        serde_json::to_string_pretty(value).unwrap_or_default(),
-    ))
+    Response::new(HttpBody::from(serde_json::to_string_pretty(value).unwrap_or_default()))
 }
 
 async fn announce(node: &Node, request: Request<Incoming>) -> Response<HttpBody> {
-    let read = Limited::new(request.into_body(), ANNOUNCEMENT_MAX)
-        .collect()
-        .await;
+    let read = Limited::new(request.into_body(), ANNOUNCEMENT_MAX).collect().await;
     let Ok(raw) = read else {
         return plain(400, "failed to read the announcement\n".to_owned());
     };
@@ -110,12 +103,8 @@
     module: &mut RpcModule<Arc<Node>>,
 ) -> std::result::Result<(), jsonrpsee::core::RegisterMethodError> {
     module.register_method("dump", |_, node, _| Ok::<_, ErrorObjectOwned>(node.dump()))?;
-    module.register_method("status", |_, node, _| {
-        Ok::<_, ErrorObjectOwned>(node.status())
-    })?;
-    module.register_method("config", |_, node, _| {
-        Ok::<_, ErrorObjectOwned>(node.shown())
-    })?;
+    module.register_method("status", |_, node, _| Ok::<_, ErrorObjectOwned>(node.status()))?;
+    module.register_method("config", |_, node, _| Ok::<_, ErrorObjectOwned>(node.shown()))?;
     module.register_method("history", |_, node, _| {
         Ok::<_, ErrorObjectOwned>(node.ledger.state().history.clone())
     })?;
@@ -142,10 +131,7 @@
     /// The configuration in force here.
     pub fn shown(&self) -> Shown {
         let state = self.ledger.state();
-        Shown {
-            revision: state.revision,
-            text: state.config.to_toml(),
-        }
+        Shown { revision: state.revision, text: state.config.to_toml() }
     }
 
     /// Checks a configuration whole, appends what differs from the one in force, and waits for what
@@ -174,10 +160,7 @@
             }
             let lines = change.describe(&state.config);
             if publish.dry || change.is_empty() {
-                return Ok(Accepted {
-                    revision: state.revision,
-                    lines,
-                });
+                return Ok(Accepted { revision: state.revision, lines });
             }
             change
         };
@@ -186,15 +169,9 @@
         let record = Record::new(&publish.author, Body::Config { base, change });
         let fate = self.append_record(&record, PUBLISH_TIME).await?;
         match fate.verdict {
-            Ok(()) => Ok(Accepted {
-                revision: Revision(fate.offset.next().0),
-                lines,
-            }),
+            Ok(()) => Ok(Accepted { revision: Revision(fate.offset.next().0), lines }),
             Err(Code::StaleBase) => Err(self.stale(&publish)),
-            Err(code) => Err(Error::new(
-                code,
-                "failed to publish: the log's readers refused it",
-            )),
+            Err(code) => Err(Error::new(code, "failed to publish: the log's readers refused it")),
         }
     }
 
@@ -207,20 +184,9 @@
         let error = Error::new(Code::StaleBase, context);
         let since = state.history.iter().filter(|p| p.revision > publish.base);
         let since: Vec<String> = since
-            .map(|p| {
-                format!(
-                    "revision {} by {}: {}",
-                    p.revision,
-                    p.author,
-                    p.lines.join(", ")
-                )
-            })
+            .map(|p| format!("revision {} by {}: {}", p.revision, p.author, p.lines.join(", ")))
             .collect();
-        if since.is_empty() {
-            error
-        } else {
-            error.caused_by(since.join("\n  "))
-        }
+        if since.is_empty() { error } else { error.caused_by(since.join("\n  ")) }
     }
 }
 
--- a/src/kelpwind/node/directory.rs
+++ b/src/kelpwind/node/directory.rs
@@ -61,10 +61,7 @@
     /// `holder`.
     pub fn role(&self, holder: Tag, listed: Tag, me: &Holder, addr: SocketAddr) -> Option<Role> {
         let watched = self.watched.get(&holder)?;
-        let peer = watched
-            .set
-            .iter()
-            .find(|p| Tag::from(p.holder.inc) == listed)?;
+        let peer = watched.set.iter().find(|p| Tag::from(p.holder.inc) == listed)?;
         role(peer, me, addr)
     }
 }
--- a/src/kelpwind/node/handover.rs
+++ b/src/kelpwind/node/handover.rs
@@ -29,10 +29,7 @@
             return Err(Error::new(Code::LogDown, context));
         }
         let mine = self.transfers_of_mine(transfers);
-        let stopped = self
-            .gate
-            .inflight
-            .stop(mine.iter().map(|t| t.slice.clone()));
+        let stopped = self.gate.inflight.stop(mine.iter().map(|t| t.slice.clone()));
         let moving = |t: &&Transfer| stopped.contains(&t.slice);
         let moves: Vec<Move> = mine.iter().filter(moving).map(to_move).collect();
         if moves.is_empty() {
@@ -64,11 +61,8 @@
     pub async fn hand_over_all(&self) {
         loop {
             let moves = planner::replace(&self.ledger.state(), &self.me);
-            let transfers: Vec<Transfer> = moves
-                .into_iter()
-                .take(BATCH_MAX)
-                .map(|m| self.to_transfer(m))
-                .collect();
+            let transfers: Vec<Transfer> =
+                moves.into_iter().take(BATCH_MAX).map(|m| self.to_transfer(m)).collect();
             if transfers.is_empty() || self.hand_over(transfers).await.is_err() {
                 return;
             }
@@ -76,16 +70,8 @@
     }
 
     fn to_transfer(&self, step: Move) -> Transfer {
-        let slice = SliceRef {
-            range: step.range,
-            slice: step.slice,
-        };
-        Transfer {
-            slice,
-            token: step.prev,
-            from: self.me.clone(),
-            to: step.to,
-        }
+        let slice = SliceRef { range: step.range, slice: step.slice };
+        Transfer { slice, token: step.prev, from: self.me.clone(), to: step.to }
     }
 
     /// Gives up the slices of key ranges that were dropped from the configuration.
@@ -94,11 +80,7 @@
             let state = self.ledger.state();
             let owned = state.owned_by(&self.me);
             let gone = owned.filter(|(r, _, _)| state.ranges.get(*r).is_some_and(|r| r.retired));
-            gone.map(|(r, slice, _)| SliceRef {
-                range: r.clone(),
-                slice,
-            })
-            .collect()
+            gone.map(|(r, slice, _)| SliceRef { range: r.clone(), slice }).collect()
         };
         let stopped = self.gate.inflight.stop(retired);
         let Some(first) = stopped.first() else { return };
@@ -106,11 +88,7 @@
         let (from, range) = (self.me.clone(), first.range.clone());
         let of_range = |s: &&SliceRef| s.range == range;
         let done: Vec<SliceRef> = stopped.iter().filter(of_range).cloned().collect();
-        self.append_surely(Body::Release {
-            from,
-            range: range.clone(),
-        })
-        .await;
+        self.append_surely(Body::Release { from, range: range.clone() }).await;
         self.gate.inflight.settle(&done);
         let others: Vec<SliceRef> = stopped.into_iter().filter(|s| s.range != range).collect();
         self.gate.inflight.settle(&others);
--- a/src/kelpwind/node/leases.rs
+++ b/src/kelpwind/node/leases.rs
@@ -30,6 +30,16 @@
     }
 }
 
+/// Tells the backend server of the lease for as long as the process runs.
+pub async fn renew_grant(node: Arc<Node>) {
+    let mut timer = tokio::time::interval(RENEW);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        node.gate.renew_grant().await;
+    }
+}
+
 /// Receives datagrams for as long as the process runs.
 pub async fn receive(node: Arc<Node>) {
     let mut buffer = [0; DATAGRAM_MAX];
@@ -86,10 +96,7 @@
 
     fn count_datagram(&self, direction: &str, size: usize) {
         self.metrics.datagrams.with_label_values(&[direction]).inc();
-        self.metrics
-            .datagram_bytes
-            .with_label_values(&[direction])
-            .inc_by(size as u64);
+        self.metrics.datagram_bytes.with_label_values(&[direction]).inc_by(size as u64);
     }
 
     async fn reply(&self, to: Tag, message: Message) {
@@ -108,22 +115,19 @@
         let now = clock::now();
         let mine = Tag::from(self.me.inc);
         match message {
-            Message::Renew {
-                holder,
-                witness,
-                seq,
-            } if witness == mine => {
+            Message::Renew { holder, witness, seq } => {
                 let member = self.directory.read().members.contains(&holder);
-                let answer = self.witness.lock().renewal(holder, seq, member, now);
+                let answer = {
+                    let mut memory = self.witness.lock();
+                    memory.heard(holder, now);
+                    let meant = witness == mine;
+                    meant.then(|| memory.renewal(holder, seq, member, now)).flatten()
+                };
                 if let Some(answer) = answer {
                     self.reply(holder, answer).await;
                 }
             }
-            Message::Ack {
-                holder,
-                witness,
-                seq,
-            } if holder == mine => {
+            Message::Ack { holder, witness, seq } if holder == mine => {
                 if let Some(lease) = self.lease.lock().as_mut() {
                     lease.acknowledged(witness, seq);
                 }
@@ -133,12 +137,7 @@
                     lease.refused_by(witness);
                 }
             }
-            Message::Ask {
-                holder,
-                version,
-                witness,
-                asker,
-            } => {
+            Message::Ask { holder, version, witness, asker } => {
                 let directory = self.directory.read().clone();
                 let role = directory.role(holder, witness, &self.me, self.addrs.advertise);
                 let Some(role) = role else { return };
@@ -147,12 +146,7 @@
                     self.reply(asker, promise).await;
                 }
             }
-            Message::Promise {
-                holder,
-                version,
-                witness,
-                remaining,
-            } => {
+            Message::Promise { holder, version, witness, remaining } => {
                 if let Some(takeover) = self.takeovers.lock().get_mut(&holder) {
                     let remaining = Duration::from_millis(remaining.into());
                     takeover.promised(version, witness, remaining, now);
@@ -169,10 +163,7 @@
         let witness = self.witness.lock();
         let mut takeovers = self.takeovers.lock();
         takeovers.retain(|tag, t| {
-            let same = directory
-                .watched
-                .get(tag)
-                .is_some_and(|w| w.version == t.version);
+            let same = directory.watched.get(tag).is_some_and(|w| w.version == t.version);
             same && witness.silence(*tag, now).is_some_and(|s| s >= SILENCE)
         });
         for tag in witness.watched() {
@@ -200,10 +191,7 @@
         let mine = Tag::from(self.me.inc);
         let questions: Vec<(Peer, Message)> = {
             let mut takeovers = self.takeovers.lock();
-            takeovers
-                .values_mut()
-                .flat_map(|t| t.questions(mine, now))
-                .collect()
+            takeovers.values_mut().flat_map(|t| t.questions(mine, now)).collect()
         };
         for (peer, message) in questions {
             self.send_to_peer(&peer, message).await;
@@ -214,11 +202,7 @@
     async fn revoke(&self, takeover: &Takeover) {
         let moves = planner::replace(&self.ledger.state(), &takeover.target);
         let holder = takeover.target.clone();
-        let body = Body::Revoke {
-            holder,
-            base: takeover.version,
-            moves,
-        };
+        let body = Body::Revoke { holder, base: takeover.version, moves };
         if let Ok(fate) = self.append(body, REVOKE_TIME).await
             && fate.verdict.is_ok()
         {
@@ -236,9 +220,7 @@
     let ready: Vec<Takeover> = {
         let mut takeovers = node.takeovers.lock();
         let ready = takeovers.values_mut().filter(|t| t.ready(now));
-        ready
-            .filter_map(|t| t.may_write(now).then(|| t.clone()))
-            .collect()
+        ready.filter_map(|t| t.may_write(now).then(|| t.clone())).collect()
     };
     for takeover in ready {
         let node = node.clone();
--- a/src/kelpwind/node/membership.rs
+++ b/src/kelpwind/node/membership.rs
@@ -70,9 +70,7 @@
         let state = self.ledger.state();
         let directory = Arc::new(Directory::of(&state, &self.me, self.addrs.advertise));
         let watching: BTreeSet<Tag> = directory.watched.keys().copied().collect();
-        self.witness
-            .lock()
-            .follow(&directory.members, &watching, clock::now());
+        self.witness.lock().follow(&directory.members, &watching, clock::now());
         *self.directory.write() = directory;
         self.follow_lease(&state);
         self.show(&state);
@@ -112,9 +110,7 @@
         };
         let slots = attached.said.slots.min(attached.said.conns);
         let slots = Count(slots.min(spec.slots.0).min(spec.conns.0));
-        self.gate
-            .admission
-            .limiter(|l| l.configure(slots, spec.warmup));
+        self.gate.admission.limiter(|l| l.configure(slots, spec.warmup));
     }
 
     /// What this node says of itself now.
@@ -142,8 +138,7 @@
         let none = BTreeSet::new();
         member.witnesses = {
             let state = self.ledger.state();
-            let members = state.members.values().map(|m| &m.member);
-            set::choose(&member, members, &[], &none)
+            set::choose(&member, state.newest_members(), &[], &none)
         };
         if let Ok(fate) = self.append(Body::Join(member), JOIN_TIME).await
             && fate.verdict.is_ok()
@@ -176,9 +171,7 @@
     pub fn announced(&self, said: Announcement) -> Result<()> {
         let context = "failed to take the announcement";
         let bad = |code: Code| Error::new(code, context);
-        said.service
-            .parse::<ServiceName>()
-            .map_err(|e| bad(Code::BadName).caused_by(e))?;
+        said.service.parse::<ServiceName>().map_err(|e| bad(Code::BadName).caused_by(e))?;
         let addr = said.addr.parse().map_err(|_| {
             bad(Code::BadValue).caused_by(format!("'{}' is not an address", said.addr))
         })?;
@@ -199,16 +192,9 @@
 
     /// Forgets a backend server that has stopped announcing itself.
     pub fn detach_if_silent(&self) {
-        let silent = self
-            .gate
-            .heard
-            .lock()
-            .is_some_and(|at| at.elapsed() > ANNOUNCED_MAX);
+        let silent = self.gate.heard.lock().is_some_and(|at| at.elapsed() > ANNOUNCED_MAX);
         if silent && self.gate.attached.write().take().is_some() {
-            spdlog::warn!(
-                "node {}: the backend server no longer announces itself",
-                self.me
-            );
+            spdlog::warn!("node {}: the backend server no longer announces itself", self.me);
         }
     }
 
@@ -218,9 +204,7 @@
         self.fire("stop");
         let joined = self.ledger.state().members.contains_key(&self.me);
         if joined && self.log_is_up() {
-            let _ = self
-                .append(Body::Update(self.member()), STOP_STEP_TIME)
-                .await;
+            let _ = self.append(Body::Update(self.member()), STOP_STEP_TIME).await;
             let handed = tokio::time::timeout(STOP_STEP_TIME, self.hand_over_all()).await;
             if handed.is_err() {
                 spdlog::warn!("node {}: stops with slices it could not hand over", self.me);
@@ -273,16 +257,13 @@
         if lease.pending().is_some() || lease.version() != known.version {
             return None;
         }
-        let members = state.members.values().map(|m| &m.member);
+        let members = state.newest_members();
         let wanted = set::choose(&known.member, members, lease.set(), lease.refused());
         if !set::worth_changing(lease.set(), &wanted) {
             return None;
         }
-        let body = Body::Witnesses {
-            holder: self.me.clone(),
-            base: known.version,
-            set: wanted.clone(),
-        };
+        let body =
+            Body::Witnesses { holder: self.me.clone(), base: known.version, set: wanted.clone() };
         let record = Record::new(&self.me, body);
         lease.begin_change(record.id, wanted);
         Some(record)
--- a/src/kelpwind/node/metrics.rs
+++ b/src/kelpwind/node/metrics.rs
@@ -8,9 +8,8 @@
 use crate::core::codes::Code;
 
 /// Upper bounds of the latency histogram's buckets, in seconds.
-const LATENCY_BUCKETS: &[f64] = &[
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
-];
+const LATENCY_BUCKETS: &[f64] =
+    &[0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
 
 /// Metrics of one node.
 pub struct Metrics {
@@ -86,23 +85,13 @@
                 "Bytes of datagrams by direction, without UDP and IP headers.",
                 &["direction"],
             ),
-            appends: counters(
-                "kelpwind_appends_total",
-                "Records appended, by kind.",
-                &["kind"],
-            ),
+            appends: counters("kelpwind_appends_total", "Records appended, by kind.", &["kind"]),
             takeovers: counter("kelpwind_takeovers_total", "Takeovers started."),
             handed: counter("kelpwind_slices_handed_over_total", "Slices handed over."),
             slices: gauge("kelpwind_slices_owned", "Slices that this node owns."),
             offset: gauge("kelpwind_log_offset", "Offset of the next record to apply."),
-            revision: gauge(
-                "kelpwind_config_revision",
-                "Current revision of the configuration.",
-            ),
-            lease: gauge(
-                "kelpwind_lease_left_milliseconds",
-                "Time left of the lease.",
-            ),
+            revision: gauge("kelpwind_config_revision", "Current revision of the configuration."),
+            lease: gauge("kelpwind_lease_left_milliseconds", "Time left of the lease."),
             members: gauge("kelpwind_members", "Members as the log has them."),
             registry,
         }
@@ -114,18 +103,14 @@
     T: prometheus::core::Collector + Clone + 'static,
 {
     let made = made.expect("metric names and labels are constants that prometheus accepts");
-    registry
-        .register(Box::new(made.clone()))
-        .expect("every metric is registered once");
+    registry.register(Box::new(made.clone())).expect("every metric is registered once");
     made
 }
 
 impl Metrics {
     /// Counts one by a result code.
     pub fn count(&self, counters: &IntCounterVec, code: Code) {
-        counters
-            .with_label_values(&[&code.number().to_string()])
-            .inc();
+        counters.with_label_values(&[&code.number().to_string()]).inc();
     }
 
     /// All metrics in the text format of Prometheus.
--- a/src/kelpwind/node/mod.rs
+++ b/src/kelpwind/node/mod.rs
@@ -92,7 +92,7 @@
     /// Connections to other nodes.
     pub pool: Arc<Pool>,
     /// Socket for datagrams.
-    pub udp: UdpSocket,
+    pub udp: Arc<UdpSocket>,
     /// Its metrics.
     pub metrics: Arc<Metrics>,
     /// Where it is in its life.
@@ -123,16 +123,12 @@
 
     /// Appends a record and waits until the fold has met it, or `limit` is over.
     pub async fn append(&self, body: Body, limit: Duration) -> Result<Fate> {
-        self.append_record(&Record::new(&self.me, body), limit)
-            .await
+        self.append_record(&Record::new(&self.me, body), limit).await
     }
 
     /// Appends a record that was formed before.
     pub async fn append_record(&self, record: &Record, limit: Duration) -> Result<Fate> {
-        self.metrics
-            .appends
-            .with_label_values(&[kind(&record.body)])
-            .inc();
+        self.metrics.appends.with_label_values(&[kind(&record.body)]).inc();
         self.ledger.append(&self.log, record, limit).await
     }
 
--- a/src/kelpwind/node/peers.rs
+++ b/src/kelpwind/node/peers.rs
@@ -47,19 +47,12 @@
         let (stop, handle) = jsonrpsee::server::stop_channel();
         // The handle would stop the service when dropped; the service lives as long as the process.
         std::mem::forget(handle);
-        Rpc {
-            builder: Server::builder().to_service_builder(),
-            methods,
-            stop,
-        }
+        Rpc { builder: Server::builder().to_service_builder(), methods, stop }
     }
 
     /// Answers one call.
     pub async fn call(&self, request: Request<Incoming>) -> Response<HttpBody> {
-        let mut service = self
-            .builder
-            .clone()
-            .build(self.methods.clone(), self.stop.clone());
+        let mut service = self.builder.clone().build(self.methods.clone(), self.stop.clone());
         match service.call(request).await {
             Ok(response) => response,
             Err(e) => plain(500, e.to_string()),
@@ -124,10 +117,7 @@
 
 fn client(addr: SocketAddr, limit: Duration) -> Option<HttpClient> {
     let url = format!("http://{addr}{RPC_PATH}");
-    HttpClientBuilder::default()
-        .request_timeout(limit)
-        .build(url)
-        .ok()
+    HttpClientBuilder::default().request_timeout(limit).build(url).ok()
 }
 
 /// Asks an owner to hand slices over. If it does not, the next round of planning asks again.
@@ -135,9 +125,7 @@
     let Some(client) = client(addr, CALL_TIME) else {
         return;
     };
-    let _ = client
-        .request::<usize, _>("hand_over", rpc_params![transfers])
-        .await;
+    let _ = client.request::<usize, _>("hand_over", rpc_params![transfers]).await;
 }
 
 /// Asks a node for the records from `next` on, or for its whole state.
--- a/src/kelpwind/node/planning.rs
+++ b/src/kelpwind/node/planning.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::time::timeout;
 
@@ -23,6 +23,8 @@
 const ASSIGN_TIME: Duration = Duration::from_secs(2);
 /// Slices handed over in one round, for one key range.
 const MOVES_PER_ROUND: usize = 8;
+/// Records that make an old snapshot worth replacing; its own pieces are among them.
+const RECORDS_MIN: u64 = 64;
 /// Longest time to wait for the fate of a piece of a snapshot.
 const SNAPSHOT_TIME: Duration = Duration::from_secs(5);
 
@@ -40,18 +42,24 @@
     }
 }
 
-/// Writes snapshots for as long as the process runs.
+/// Writes snapshots for as long as the process runs: when enough records have come since the newest
+/// one, or it has become old and any record has come.
 pub async fn keep_snapshots(node: Arc<Node>) {
-    let mut written = { node.ledger.state().next };
+    let mut newest = (Offset(0), Instant::now());
     loop {
         tokio::time::sleep(PLAN_INTERVAL).await;
-        let next = { node.ledger.state().next };
-        let due = next.0.saturating_sub(written.0) >= node.settings.snapshot_every;
-        if due && node.log_is_up() {
-            if node.is_snapshot_writer() {
-                node.write_snapshot().await;
-            }
-            written = node.ledger.state().next;
+        let (next, snapshot) = {
+            let state = node.ledger.state();
+            (state.next, state.snapshot)
+        };
+        if snapshot != newest.0 {
+            newest = (snapshot, Instant::now());
+        }
+        let fresh = next.0.saturating_sub(snapshot.0);
+        let aged = newest.1.elapsed() >= node.settings.snapshot_age && fresh > RECORDS_MIN;
+        let due = fresh >= node.settings.snapshot_every || aged;
+        if due && node.log_is_up() && node.is_snapshot_writer() {
+            node.write_snapshot().await;
         }
     }
 }
@@ -61,14 +69,9 @@
         let (moves, transfers) = {
             let state = self.ledger.state();
             let mine: Vec<&RangeName> = planned_by(&state, &self.me).collect();
-            let moves: Vec<_> = mine
-                .iter()
-                .flat_map(|r| planner::assign(&state, r))
-                .collect();
-            let transfers: Vec<Transfer> = mine
-                .iter()
-                .flat_map(|r| planner::rebalance(&state, r, MOVES_PER_ROUND))
-                .collect();
+            let moves: Vec<_> = mine.iter().flat_map(|r| planner::assign(&state, r)).collect();
+            let transfers: Vec<Transfer> =
+                mine.iter().flat_map(|r| planner::rebalance(&state, r, MOVES_PER_ROUND)).collect();
             (moves, transfers)
         };
         if !moves.is_empty() {
@@ -77,14 +80,9 @@
         }
         let mut by_owner: BTreeMap<Holder, Vec<Transfer>> = BTreeMap::new();
         for transfer in transfers {
-            by_owner
-                .entry(transfer.from.clone())
-                .or_default()
-                .push(transfer);
+            by_owner.entry(transfer.from.clone()).or_default().push(transfer);
         }
-        let asked = by_owner
-            .into_iter()
-            .map(|(owner, list)| self.ask_to_hand_over(owner, list));
+        let asked = by_owner.into_iter().map(|(owner, list)| self.ask_to_hand_over(owner, list));
         futures_util::future::join_all(asked).await;
     }
 
@@ -93,12 +91,7 @@
             let _ = self.hand_over(transfers).await;
             return;
         }
-        let addr = self
-            .ledger
-            .state()
-            .members
-            .get(&owner)
-            .map(|m| m.member.peer);
+        let addr = self.ledger.state().members.get(&owner).map(|m| m.member.peer);
         if let Some(addr) = addr {
             peers::ask_hand_over(addr, transfers).await;
         }
@@ -106,7 +99,8 @@
 
     fn is_snapshot_writer(&self) -> bool {
         let state = self.ledger.state();
-        state.members.keys().min_by_key(|h| h.inc) == Some(&self.me)
+        let holders = state.newest_members().map(|m| &m.holder);
+        holders.min_by_key(|h| h.inc) == Some(&self.me)
     }
 
     async fn write_snapshot(&self) {
@@ -120,10 +114,7 @@
                 return;
             }
         }
-        spdlog::info!(
-            "node {}: wrote a snapshot up to {next} in {pieces} pieces",
-            self.me
-        );
+        spdlog::info!("node {}: wrote a snapshot up to {next} in {pieces} pieces", self.me);
     }
 }
 
--- a/src/kelpwind/node/settings.rs
+++ b/src/kelpwind/node/settings.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
+use std::time::Duration;
 
 use crate::core::codes::Code;
 use crate::core::ids::{DomainName, NodeId};
@@ -12,6 +13,8 @@
 pub const BODY_LIMIT: usize = 1 << 20;
 /// Records after which a snapshot is due by default.
 pub const SNAPSHOT_EVERY: u64 = 5_000;
+/// Time after which a snapshot is due by default.
+pub const SNAPSHOT_AGE: Duration = Duration::from_secs(3600);
 
 /// Settings as they were given; `None` where a flag and its variable are both missing.
 #[derive(Clone, Debug, Default)]
@@ -36,6 +39,8 @@
     pub body_limit: Option<String>,
     /// `--snapshot-every`: records after which a snapshot is due.
     pub snapshot_every: Option<String>,
+    /// `--snapshot-age`: seconds after which a snapshot is due if any record has come.
+    pub snapshot_age: Option<String>,
 }
 
 /// Checked settings.
@@ -61,6 +66,8 @@
     pub body_limit: usize,
     /// Records after which a snapshot is due.
     pub snapshot_every: u64,
+    /// Time after which a snapshot is due if any record has come.
+    pub snapshot_age: Duration,
 }
 
 /// All faults of the settings.
@@ -89,9 +96,7 @@
 
     fn try_from(raw: RawSettings) -> Result<Settings> {
         let mut faults = Vec::new();
-        let mut check = Check {
-            faults: &mut faults,
-        };
+        let mut check = Check { faults: &mut faults };
         let name = check.required("name", raw.name);
         let domain = check.required("domain", raw.domain);
         let listen = check.required("listen", raw.listen);
@@ -100,12 +105,12 @@
         let advertise = check.optional("advertise", raw.advertise);
         let log = check.required("log", raw.log);
         let seeds = check.list("seeds", raw.seeds);
-        let body_limit = check
-            .optional("body-limit", raw.body_limit)
-            .unwrap_or(BODY_LIMIT);
-        let snapshot_every = check
-            .optional("snapshot-every", raw.snapshot_every)
-            .unwrap_or(SNAPSHOT_EVERY);
+        let body_limit = check.optional("body-limit", raw.body_limit).unwrap_or(BODY_LIMIT);
+        let snapshot_every =
+            check.optional("snapshot-every", raw.snapshot_every).unwrap_or(SNAPSHOT_EVERY);
+        let snapshot_age = check
+            .optional("snapshot-age", raw.snapshot_age)
+            .map_or(SNAPSHOT_AGE, Duration::from_secs);
         let built = (|| {
             Some(Settings {
                 name: name?,
@@ -118,6 +123,7 @@
                 seeds,
                 body_limit,
                 snapshot_every,
+                snapshot_age,
             })
         })();
         match built {
@@ -139,8 +145,7 @@
     ) -> Option<T> {
         if raw.is_none() {
             let variable = flag.to_uppercase().replace('-', "_");
-            self.faults
-                .push(format!("--{flag} or KELPWIND_{variable} is missing"));
+            self.faults.push(format!("--{flag} or KELPWIND_{variable} is missing"));
         }
         self.optional(flag, raw)
     }
@@ -163,8 +168,6 @@
     fn list<T: FromStr<Err: fmt::Display>>(&mut self, flag: &str, raw: Option<String>) -> Vec<T> {
         let raw = raw.unwrap_or_default();
         let parts = raw.split(',').filter(|p| !p.trim().is_empty());
-        parts
-            .filter_map(|p| self.optional(flag, Some(p.to_owned())))
-            .collect()
+        parts.filter_map(|p| self.optional(flag, Some(p.to_owned()))).collect()
     }
 }
--- a/src/kelpwind/node/start.rs
+++ b/src/kelpwind/node/start.rs
@@ -34,12 +34,13 @@
 /// Tries to find a port that is free for both TCP and UDP.
 const PORT_TRIES: u32 = 20;
 
-/// The listeners of a node, open.
+/// The listeners of a node, open. They outlast its incarnations.
+#[derive(Clone)]
 pub struct Listeners {
-    listen: TcpListener,
-    peer: TcpListener,
-    udp: UdpSocket,
-    admin: TcpListener,
+    listen: Arc<TcpListener>,
+    peer: Arc<TcpListener>,
+    udp: Arc<UdpSocket>,
+    admin: Arc<TcpListener>,
 }
 
 /// Opens the listeners.
@@ -49,10 +50,10 @@
 pub async fn open(settings: &Settings) -> Result<Listeners> {
     let (peer, udp) = open_peer(settings.peer).await?;
     Ok(Listeners {
-        listen: listen::listen(settings.listen).await?,
-        peer,
-        udp,
-        admin: listen::listen(settings.admin).await?,
+        listen: Arc::new(listen::listen(settings.listen).await?),
+        peer: Arc::new(peer),
+        udp: Arc::new(udp),
+        admin: Arc::new(listen::listen(settings.admin).await?),
     })
 }
 
@@ -67,10 +68,7 @@
             Err(e) => last = Some(e),
         }
     }
-    let error = Error::new(
-        Code::PortInUse,
-        format!("failed to listen on {addr} for datagrams"),
-    );
+    let error = Error::new(Code::PortInUse, format!("failed to listen on {addr} for datagrams"));
     Err(match last {
         Some(e) => error.caused_by(e),
         None => error,
@@ -100,24 +98,15 @@
 /// # Errors
 /// [`Code::PortInUse`] when an address cannot be listened on.
 pub async fn run(
-    mut settings: Settings,
+    settings: Settings,
     mut stop: watch::Receiver<bool>,
     ready: impl FnOnce(Addrs),
 ) -> Result<()> {
-    let mut ready = Some(ready);
-    loop {
-        let listeners = open(&settings).await?;
-        let addrs = listeners.addrs(&settings)?;
-        if let Some(ready) = ready.take() {
-            ready(addrs);
-        }
-        settings.listen = addrs.listen;
-        settings.peer = addrs.peer;
-        settings.admin = addrs.admin;
-        if run_once(&settings, addrs, listeners, &mut stop).await? {
-            return Ok(());
-        }
-    }
+    let listeners = open(&settings).await?;
+    let addrs = listeners.addrs(&settings)?;
+    ready(addrs);
+    while !run_once(&settings, addrs, listeners.clone(), &mut stop).await? {}
+    Ok(())
 }
 
 /// Runs one incarnation; true when it was stopped as planned, false when it was revoked.
@@ -129,13 +118,8 @@
 ) -> Result<bool> {
     let (health, node) = build(settings.clone(), addrs, listeners.udp)?;
     let mut tasks = JoinSet::new();
-    let closed = spawn_servers(
-        &node,
-        &mut tasks,
-        listeners.listen,
-        listeners.peer,
-        listeners.admin,
-    )?;
+    let closed =
+        spawn_servers(&node, &mut tasks, listeners.listen, listeners.peer, listeners.admin)?;
     spawn_loops(&node, &mut tasks, health);
     tokio::select! {
         () = told_to_stop(stop) => {}
@@ -177,12 +161,9 @@
 fn build(
     settings: Settings,
     addrs: Addrs,
-    udp: UdpSocket,
+    udp: Arc<UdpSocket>,
 ) -> Result<(watch::Sender<Health>, Arc<Node>)> {
-    let me = Holder {
-        node: settings.name.clone(),
-        inc: Incarnation(fastrand::u64(..)),
-    };
+    let me = Holder { node: settings.name.clone(), inc: Incarnation(fastrand::u64(..)) };
     let born = clock::now();
     let ledger = Arc::new(Ledger::default());
     let lease = Arc::new(Mutex::new(None));
@@ -191,12 +172,7 @@
     let gate = Arc::new(Gate::new(me.clone(), ledger.clone(), lease.clone()));
     let counters = metrics.clone();
     let retried = Box::new(move |code| counters.count(&counters.retries, code));
-    let entry = Arc::new(Entry::new(
-        settings.domain.clone(),
-        gate.clone(),
-        pool.clone(),
-        retried,
-    ));
+    let entry = Arc::new(Entry::new(settings.domain.clone(), gate.clone(), pool.clone(), retried));
     let (sender, health) = watch::channel(Health::Starting);
     let chart = life().map_err(|e| Error::new(Code::Internal, "failed to start").caused_by(e))?;
     let node = Node {
@@ -225,9 +201,9 @@
 fn spawn_servers(
     node: &Arc<Node>,
     tasks: &mut JoinSet<()>,
-    listen: TcpListener,
-    peer: TcpListener,
-    operators: TcpListener,
+    listen: Arc<TcpListener>,
+    peer: Arc<TcpListener>,
+    operators: Arc<TcpListener>,
 ) -> Result<watch::Sender<bool>> {
     let (closed, stop) = watch::channel(false);
     let caller = node.clone();
@@ -249,16 +225,12 @@
 fn spawn_loops(node: &Arc<Node>, tasks: &mut JoinSet<()>, health: watch::Sender<Health>) {
     let helper = node.clone();
     let help = move |next| ask_someone(helper.clone(), next);
-    tasks.spawn(follow::follow(
-        node.log.clone(),
-        node.ledger.clone(),
-        health,
-        help,
-    ));
+    tasks.spawn(follow::follow(node.log.clone(), node.ledger.clone(), health, help));
     tasks.spawn(membership::track(node.clone()));
     tasks.spawn(membership::care(node.clone()));
     tasks.spawn(leases::receive(node.clone()));
     tasks.spawn(leases::renew(node.clone()));
+    tasks.spawn(leases::renew_grant(node.clone()));
     tasks.spawn(leases::watch(node.clone()));
     tasks.spawn(planning::plan(node.clone()));
     tasks.spawn(planning::keep_snapshots(node.clone()));
@@ -268,10 +240,7 @@
 async fn ask_someone(node: Arc<Node>, next: Offset) -> Help {
     let mut known: Vec<SocketAddr> = {
         let state = node.ledger.state();
-        let others = state
-            .members
-            .values()
-            .filter(|m| m.member.holder != node.me);
+        let others = state.members.values().filter(|m| m.member.holder != node.me);
         others.map(|m| m.member.peer).collect()
     };
     known.extend(&node.settings.seeds);
@@ -287,10 +256,7 @@
     let began = Instant::now();
     let (service, answer) = answer(&node, request).await;
     let code = answer.code.number().to_string();
-    node.metrics
-        .requests
-        .with_label_values(&[service.as_str(), code.as_str()])
-        .inc();
+    node.metrics.requests.with_label_values(&[service.as_str(), code.as_str()]).inc();
     node.metrics.latency.observe(began.elapsed().as_secs_f64());
     peers::reply(answer)
 }
@@ -300,10 +266,7 @@
     let asked = read.and_then(|raw| raw.ask(&node.ledger.state()));
     match asked {
         // Only configured services become labels: a caller cannot make the metrics grow.
-        Ok(asked) => (
-            asked.call.service.to_string(),
-            node.entry.route(asked).await,
-        ),
+        Ok(asked) => (asked.call.service.to_string(), node.entry.route(asked).await),
         Err(code) => (String::new(), Answer::refusal(code)),
     }
 }
--- a/src/kelpwind/node/view.rs
+++ b/src/kelpwind/node/view.rs
@@ -150,10 +150,7 @@
         let state = self.ledger.state();
         let mut slices: BTreeMap<RangeName, Vec<(SliceId, Token)>> = BTreeMap::new();
         for (range, slice, token) in state.owned_by(&self.me) {
-            slices
-                .entry(range.clone())
-                .or_default()
-                .push((slice, token));
+            slices.entry(range.clone()).or_default().push((slice, token));
         }
         Dump {
             holder: self.me.clone(),
@@ -167,12 +164,7 @@
             lease: self.lease_view(),
             slices,
             witnessed: self.witnessed(),
-            takeovers: self
-                .takeovers
-                .lock()
-                .values()
-                .map(|t| t.target.clone())
-                .collect(),
+            takeovers: self.takeovers.lock().values().map(|t| t.target.clone()).collect(),
             backend: self.backend_view(),
             members: state.members.len(),
         }
@@ -220,11 +212,7 @@
     pub fn status(&self) -> Status {
         let state = self.ledger.state();
         let mut owned: BTreeMap<&Holder, usize> = BTreeMap::new();
-        for holder in state
-            .ranges
-            .values()
-            .flat_map(|r| &r.slots)
-            .filter_map(|s| s.holder.as_ref())
+        for holder in state.ranges.values().flat_map(|r| &r.slots).filter_map(|s| s.holder.as_ref())
         {
             *owned.entry(holder).or_default() += 1;
         }
@@ -242,12 +230,7 @@
             log: self.health.borrow().to_string(),
             revision: state.revision,
             offset: state.next,
-            domains: state
-                .config
-                .failure_domain
-                .iter()
-                .map(|(n, d)| (n.clone(), !d.out))
-                .collect(),
+            domains: state.config.failure_domain.iter().map(|(n, d)| (n.clone(), !d.out)).collect(),
             members: state.members.values().map(row).collect(),
             services: state
                 .config
@@ -274,31 +257,16 @@
         let fit = state.targets(service).filter(|m| state.takes_work(m));
         let targets: Vec<Holder> = fit.map(|m| m.holder.clone()).collect();
         let lines = explain_lines(&state, service, key, place.as_ref(), &targets);
-        Ok(Explained {
-            service: service.clone(),
-            key: key.to_owned(),
-            place,
-            targets,
-            lines,
-        })
+        Ok(Explained { service: service.clone(), key: key.to_owned(), place, targets, lines })
     }
 }
 
 fn service(state: &State, name: &ServiceName) -> ServiceRow {
     let targets = state.targets(name).filter(|m| state.takes_work(m)).count();
-    let slots = || {
-        state
-            .ranges
-            .values()
-            .filter(|r| r.range.service == *name)
-            .flat_map(|r| &r.slots)
-    };
+    let slots =
+        || state.ranges.values().filter(|r| r.range.service == *name).flat_map(|r| &r.slots);
     let free = slots().filter(|s| s.holder.is_none()).count();
-    ServiceRow {
-        targets,
-        slices: slots().count(),
-        free,
-    }
+    ServiceRow { targets, slices: slots().count(), free }
 }
 
 fn explain_lines(
@@ -318,17 +286,12 @@
     let Some(place) = place else {
         return vec![format!("no key range of {service} covers '{key}'")];
     };
-    let mut lines = vec![format!(
-        "'{key}' is in slice {} of key range {}",
-        place.slice, place.range
-    )];
+    let mut lines =
+        vec![format!("'{key}' is in slice {} of key range {}", place.slice, place.range)];
     match &place.slot.holder {
         None => lines.push("the slice has no owner at the moment".to_owned()),
         Some(holder) => {
-            lines.push(format!(
-                "its owner is {holder}, under token {}",
-                place.slot.token
-            ));
+            lines.push(format!("its owner is {holder}, under token {}", place.slot.token));
             if let Some(known) = state.members.get(holder) {
                 let at = &known.member;
                 lines.push(format!(
@@ -337,10 +300,7 @@
                 ));
                 let witnesses = at.witnesses.iter().map(|p| p.holder.node.as_str());
                 let witnesses: Vec<&str> = witnesses.collect();
-                lines.push(format!(
-                    "its lease is witnessed by {}",
-                    witnesses.join(", ")
-                ));
+                lines.push(format!("its lease is witnessed by {}", witnesses.join(", ")));
             }
         }
     }
--- a/src/kelpwind/ops/check.rs
+++ b/src/kelpwind/ops/check.rs
@@ -13,10 +13,7 @@
 pub fn check(path: &Path) -> Result<String> {
     let text = read_file(path)?;
     let config = Config::try_from(text.as_str()).map_err(|faults| {
-        let code = faults
-            .0
-            .first()
-            .map_or(crate::core::codes::Code::BadValue, |f| f.code);
+        let code = faults.0.first().map_or(crate::core::codes::Code::BadValue, |f| f.code);
         Error::new(code, format!("failed to check {}", path.display())).caused_by(faults)
     })?;
     let mut said = format!(
--- a/src/kelpwind/ops/client.rs
+++ b/src/kelpwind/ops/client.rs
@@ -24,10 +24,8 @@
     T: DeserializeOwned,
     P: ToRpcParams + Clone + Send,
 {
-    let mut last = Error::new(
-        Code::BadSetting,
-        "failed to call: --node or KELPWIND_NODE is missing",
-    );
+    let mut last =
+        Error::new(Code::BadSetting, "failed to call: --node or KELPWIND_NODE is missing");
     for addr in nodes {
         match call_one(*addr, method, params.clone()).await {
             Err(e) if e.code == Code::NodeUnreachable => last = e,
@@ -44,16 +42,12 @@
 {
     let context = format!("failed to call '{method}' at {addr}");
     let url = format!("http://{addr}{RPC_PATH}");
-    let client = HttpClientBuilder::default()
-        .request_timeout(CALL_TIME)
-        .build(url);
+    let client = HttpClientBuilder::default().request_timeout(CALL_TIME).build(url);
     let client = client.map_err(|e| Error::new(Code::BadSetting, context.clone()).caused_by(e))?;
     match client.request::<T, _>(method, params).await {
         Ok(value) => Ok(value),
         Err(RpcError::Call(e)) => {
-            let code = u16::try_from(e.code())
-                .ok()
-                .and_then(|n| Code::try_from(n).ok());
+            let code = u16::try_from(e.code()).ok().and_then(|n| Code::try_from(n).ok());
             let text = e.message().trim_start_matches("error: ").to_owned();
             Err(Error::new(code.unwrap_or(Code::BadReply), context).caused_by(text))
         }
--- a/src/kelpwind/ops/dev.rs
+++ b/src/kelpwind/ops/dev.rs
@@ -18,7 +18,7 @@
 use crate::core::codes::Code;
 use crate::core::ids::Revision;
 use crate::net::pool::Pool;
-use crate::node::settings::{BODY_LIMIT, SNAPSHOT_EVERY, Settings};
+use crate::node::settings::{BODY_LIMIT, SNAPSHOT_AGE, SNAPSHOT_EVERY, Settings};
 use crate::node::view::Status;
 use crate::node::{Addrs, start};
 use crate::util::error::{Error, Result};
@@ -46,26 +46,12 @@
 
 const fn keteltoezicht(service: &'static str, targets: usize) -> Deployed {
     let work = Duration::from_millis(4);
-    Deployed {
-        service,
-        targets,
-        domains: NL_WEST,
-        slots: 12,
-        conns: 130,
-        work,
-    }
+    Deployed { service, targets, domains: NL_WEST, slots: 12, conns: 130, work }
 }
 
 const fn ponte(service: &'static str, targets: usize) -> Deployed {
     let work = Duration::from_millis(3);
-    Deployed {
-        service,
-        targets,
-        domains: BRASIL_SUL,
-        slots: 6,
-        conns: 60,
-        work,
-    }
+    Deployed { service, targets, domains: BRASIL_SUL, slots: 6, conns: 60, work }
 }
 
 const DEPLOYED: [Deployed; 8] = [
@@ -100,10 +86,7 @@
             nodes.push(start_target(deployed, i, log_addr, &stopped, &mut tasks).await?);
         }
     }
-    say(format!(
-        "{} nodes with a backend server each, log service at {log_addr}",
-        nodes.len()
-    ));
+    say(format!("{} nodes with a backend server each, log service at {log_addr}", nodes.len()));
     let admins: Vec<SocketAddr> = nodes.iter().map(|n| n.admin).collect();
     publish_example(&admins, &say).await?;
     wait_until_served(&admins).await?;
@@ -129,12 +112,8 @@
 ) -> Result<Addrs> {
     let bad = |e| Error::new(Code::Internal, "failed to name a node").caused_by(e);
     let settings = Settings {
-        name: format!("{}-{}", deployed.service, i + 1)
-            .parse()
-            .map_err(bad)?,
-        domain: deployed.domains[i % deployed.domains.len()]
-            .parse()
-            .map_err(bad)?,
+        name: format!("{}-{}", deployed.service, i + 1).parse().map_err(bad)?,
+        domain: deployed.domains[i % deployed.domains.len()].parse().map_err(bad)?,
         listen: local(0),
         peer: local(0),
         admin: local(0),
@@ -143,6 +122,7 @@
         seeds: Vec::new(),
         body_limit: BODY_LIMIT,
         snapshot_every: SNAPSHOT_EVERY,
+        snapshot_age: SNAPSHOT_AGE,
     };
     let (ready, told) = oneshot::channel();
     let stop = stop.clone();
@@ -185,9 +165,7 @@
         match publish::publish_text(EXAMPLE.to_owned(), &options).await {
             Ok(said) => {
                 let count = said.lines().count() - 1;
-                say(format!(
-                    "published the example configuration: {count} objects"
-                ));
+                say(format!("published the example configuration: {count} objects"));
                 return Ok(());
             }
             Err(e) if Instant::now() > until => return Err(e),
@@ -206,10 +184,7 @@
         }
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
-    Err(Error::new(
-        Code::NoOwner,
-        "failed to start: the example is not served in time",
-    ))
+    Err(Error::new(Code::NoOwner, "failed to start: the example is not served in time"))
 }
 
 async fn show_requests(entry: SocketAddr, say: &impl Fn(String)) -> Result<()> {
@@ -222,16 +197,11 @@
         let answer = answer.map_err(lost)?;
         let header = |name: &str| {
             let value = answer.headers().get(name);
-            value
-                .and_then(|v| v.to_str().ok())
-                .unwrap_or("-")
-                .to_owned()
+            value.and_then(|v| v.to_str().ok()).unwrap_or("-").to_owned()
         };
         let (outcome, code) = (header(OUTCOME_HEADER), header(CODE_HEADER));
         let body = String::from_utf8_lossy(answer.body()).into_owned();
-        say(format!(
-            "GET http://{entry}{path}\n  {outcome} [{code}] {body}"
-        ));
+        say(format!("GET http://{entry}{path}\n  {outcome} [{code}] {body}"));
     }
     Ok(())
 }
--- a/src/kelpwind/ops/drain.rs
+++ b/src/kelpwind/ops/drain.rs
@@ -30,10 +30,7 @@
     loop {
         let shown: Shown = call(nodes, "config", rpc_params![]).await?;
         let text = with_domain(&shown.text, domain, out)?;
-        let options = Options {
-            base: shown.revision,
-            ..options.clone()
-        };
+        let options = Options { base: shown.revision, ..options.clone() };
         tries += 1;
         match publish::publish_text(text, &options).await {
             Err(e) if e.code == Code::StaleBase && tries < TRIES => {}
@@ -48,10 +45,7 @@
     let mut config = read.map_err(|f| Error::new(Code::BadReply, context).caused_by(f))?;
     let Some(known) = config.failure_domain.get_mut(domain) else {
         let names = config.failure_domain.keys().map(|n| n.as_str());
-        let context = format!(
-            "no failure domain is named '{domain}'{}",
-            near::hint(domain, names)
-        );
+        let context = format!("no failure domain is named '{domain}'{}", near::hint(domain, names));
         return Err(Error::new(Code::UnknownName, context));
     };
     known.out = out;
--- a/src/kelpwind/ops/dump.rs
+++ b/src/kelpwind/ops/dump.rs
@@ -44,16 +44,9 @@
     match &dump.lease {
         None => lines.push("  no lease".to_owned()),
         Some(lease) => {
-            let names: Vec<&str> = lease
-                .witnesses
-                .iter()
-                .map(|p| p.holder.node.as_str())
-                .collect();
+            let names: Vec<&str> = lease.witnesses.iter().map(|p| p.holder.node.as_str()).collect();
             let names = names.join(", ");
-            lines.push(format!(
-                "  lease: {} ms left, witnessed by {names}",
-                lease.left
-            ));
+            lines.push(format!("  lease: {} ms left, witnessed by {names}", lease.left));
             if lease.pending.is_some() {
                 lines.push("  lease: a change of its witnesses has no known fate yet".to_owned());
             }
--- a/src/kelpwind/ops/mod.rs
+++ b/src/kelpwind/ops/mod.rs
@@ -33,11 +33,7 @@
 
 impl fmt::Display for Format {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(if *self == Format::Json {
-            "json"
-        } else {
-            "text"
-        })
+        f.write_str(if *self == Format::Json { "json" } else { "text" })
     }
 }
 
@@ -67,10 +63,6 @@
 /// Reads a file of configuration.
 pub(crate) fn read_file(path: &std::path::Path) -> Result<String> {
     std::fs::read_to_string(path).map_err(|e| {
-        Error::new(
-            Code::Unreadable,
-            format!("failed to read {}", path.display()),
-        )
-        .caused_by(e)
+        Error::new(Code::Unreadable, format!("failed to read {}", path.display())).caused_by(e)
     })
 }
--- a/src/kelpwind/ops/publish.rs
+++ b/src/kelpwind/ops/publish.rs
@@ -58,10 +58,7 @@
         said.push_str(&format!("{line}\n"));
     }
     if options.dry {
-        said.push_str(&format!(
-            "nothing published; the revision is {}\n",
-            accepted.revision
-        ));
+        said.push_str(&format!("nothing published; the revision is {}\n", accepted.revision));
         return Ok(said);
     }
     if let Some(wait) = options.wait {
--- a/src/kelpwind/ops/show.rs
+++ b/src/kelpwind/ops/show.rs
@@ -18,17 +18,13 @@
 /// The configuration in force.
 pub async fn show(nodes: &[SocketAddr], format: Format) -> Result<String> {
     let shown: Shown = call(nodes, "config", rpc_params![]).await?;
-    Ok(print(format, &shown, |s| {
-        format!("# revision {}\n{}", s.revision, s.text)
-    }))
+    Ok(print(format, &shown, |s| format!("# revision {}\n{}", s.revision, s.text)))
 }
 
 /// The latest revisions, oldest first.
 pub async fn history(nodes: &[SocketAddr], format: Format) -> Result<String> {
     let history: VecDeque<Published> = call(nodes, "history", rpc_params![]).await?;
-    Ok(print(format, &history, |h| {
-        h.iter().map(revision).collect()
-    }))
+    Ok(print(format, &history, |h| h.iter().map(revision).collect()))
 }
 
 fn revision(published: &Published) -> String {
@@ -43,11 +39,7 @@
 pub fn diff(old: &Path, new: &Path) -> Result<String> {
     let (old, new) = (read(old)?, read(new)?);
     let change = Change::between(&old, &new);
-    let mut said: String = change
-        .describe(&old)
-        .iter()
-        .map(|l| format!("{l}\n"))
-        .collect();
+    let mut said: String = change.describe(&old).iter().map(|l| format!("{l}\n")).collect();
     for fault in change.dangers(&old, &new) {
         said.push_str(&format!("danger: {fault}\n"));
     }
--- a/src/kelpwind/ops/stand_in.rs
+++ b/src/kelpwind/ops/stand_in.rs
@@ -48,13 +48,5 @@
     warm: Duration,
     node: Option<SocketAddr>,
 ) -> StandIn {
-    StandIn::Backend(Options {
-        service,
-        slots,
-        conns,
-        work,
-        fenced,
-        warm,
-        node,
-    })
+    StandIn::Backend(Options { service, slots, conns, work, fenced, warm, node })
 }
--- a/src/kelpwind/ops/status.rs
+++ b/src/kelpwind/ops/status.rs
@@ -17,17 +17,9 @@
 }
 
 fn text(status: &Status) -> String {
-    let out = status
-        .domains
-        .iter()
-        .filter(|(_, is_in)| !**is_in)
-        .map(|(n, _)| n.to_string());
+    let out = status.domains.iter().filter(|(_, is_in)| !**is_in).map(|(n, _)| n.to_string());
     let out: Vec<String> = out.collect();
-    let out = if out.is_empty() {
-        "none".to_owned()
-    } else {
-        out.join(", ")
-    };
+    let out = if out.is_empty() { "none".to_owned() } else { out.join(", ") };
     format!(
         "revision {}, log {}, offset {}, failure domains out: {out} (as {} has it)\n\n{}\n{}",
         status.revision,
@@ -46,32 +38,18 @@
 fn services(status: &Status) -> Vec<Vec<String>> {
     let mut rows = vec![row(&["SERVICE", "TARGETS", "SLICES", "WITHOUT OWNER"])];
     for (name, s) in &status.services {
-        let cells = [
-            name.to_string(),
-            s.targets.to_string(),
-            s.slices.to_string(),
-            s.free.to_string(),
-        ];
+        let cells =
+            [name.to_string(), s.targets.to_string(), s.slices.to_string(), s.free.to_string()];
         rows.push(cells.to_vec());
     }
     rows
 }
 
 fn members(status: &Status) -> Vec<Vec<String>> {
-    let mut rows = vec![row(&[
-        "NODE",
-        "DOMAIN",
-        "SERVICE",
-        "SLOTS",
-        "SLICES",
-        "WORK",
-        "OPERATORS",
-    ])];
+    let mut rows =
+        vec![row(&["NODE", "DOMAIN", "SERVICE", "SLOTS", "SLICES", "WORK", "OPERATORS"])];
     for m in &status.members {
-        let service = m
-            .service
-            .as_ref()
-            .map_or("-".to_owned(), ToString::to_string);
+        let service = m.service.as_ref().map_or("-".to_owned(), ToString::to_string);
         let work = if m.takes_work { "takes" } else { "refuses" };
         rows.push(vec![
             m.holder.node.to_string(),
--- a/src/kelpwind/place/mod.rs
+++ b/src/kelpwind/place/mod.rs
@@ -16,6 +16,6 @@
 pub fn planner_of<'a>(state: &'a State, service: &ServiceName) -> Option<&'a Holder> {
     let seed = xxhash_rust::xxh3::xxh3_64(service.as_str().as_bytes());
     let rank = |h: &&Holder| xxh3_64_with_seed(&h.inc.0.to_le_bytes(), seed);
-    let members = state.members.iter().filter(|(_, m)| !m.member.draining);
-    members.map(|(h, _)| h).min_by_key(rank)
+    let members = state.newest_members().filter(|m| !m.draining);
+    members.map(|m| &m.holder).min_by_key(rank)
 }
--- a/src/kelpwind/place/planner.rs
+++ b/src/kelpwind/place/planner.rs
@@ -31,9 +31,7 @@
 impl<'a> Loads<'a> {
     fn of(state: &'a State, range: &RangeName) -> Option<Loads<'a>> {
         let known = state.ranges.get(range)?;
-        let fit = state
-            .targets(&known.range.service)
-            .filter(|m| state.takes_work(m));
+        let fit = state.targets(&known.range.service).filter(|m| state.takes_work(m));
         let targets: Vec<&Member> = fit.collect();
         let mut counts = BTreeMap::new();
         for holder in known.slots.iter().filter_map(|s| s.holder.as_ref()) {
@@ -77,9 +75,7 @@
 pub fn replace(state: &State, lost: &Holder) -> Vec<Move> {
     let owned = |holder: &Option<Holder>| holder.as_ref() == Some(lost);
     let ranges = state.ranges.keys();
-    ranges
-        .flat_map(|range| place(state, range, owned, Some(lost)))
-        .collect()
+    ranges.flat_map(|range| place(state, range, owned, Some(lost))).collect()
 }
 
 fn place(
@@ -143,10 +139,7 @@
         loads.take(&to.holder);
         loads.give(holder);
         transfers.push(Transfer {
-            slice: SliceRef {
-                range: range.clone(),
-                slice: SliceId(i as u32),
-            },
+            slice: SliceRef { range: range.clone(), slice: SliceId(i as u32) },
             token: slot.token,
             from: holder.clone(),
             to: to.holder.clone(),
--- a/src/kelpwind/route/budget.rs
+++ b/src/kelpwind/route/budget.rs
@@ -18,9 +18,7 @@
 
 impl Default for Budget {
     fn default() -> Budget {
-        Budget {
-            saved: Mutex::new(SAVED_MAX),
-        }
+        Budget { saved: Mutex::new(SAVED_MAX) }
     }
 }
 
--- a/src/kelpwind/route/entry.rs
+++ b/src/kelpwind/route/entry.rs
@@ -132,11 +132,7 @@
     }
 
     fn budget(&self, service: &ServiceName) -> Arc<Budget> {
-        self.budgets
-            .lock()
-            .entry(service.clone())
-            .or_default()
-            .clone()
+        self.budgets.lock().entry(service.clone()).or_default().clone()
     }
 
     async fn target(
@@ -168,10 +164,7 @@
         let state = self.ledger.state();
         let holder = state.slot(&slice.range, slice.slice)?.holder.as_ref()?;
         let member = state.members.get(holder)?.member.clone();
-        Some(Target {
-            member,
-            seen: state.next,
-        })
+        Some(Target { member, seen: state.next })
     }
 
     fn pick(&self, service: &ServiceName, tried: &[Holder]) -> Option<Target> {
@@ -183,19 +176,11 @@
             let known = measured.get(&m.holder).copied().unwrap_or_default();
             let suspect = known.failed.is_some_and(|at| at.elapsed() < SUSPECT_TIME);
             let near = m.domain == self.domain;
-            Candidate {
-                running: known.running,
-                latency: known.latency,
-                near,
-                suspect,
-            }
+            Candidate { running: known.running, latency: known.latency, near, suspect }
         };
         let candidates: Vec<Candidate> = members.iter().map(candidate).collect();
         let chosen = picker::choose(&candidates, |n| fastrand::usize(..n))?;
-        Some(Target {
-            member: members[chosen].clone(),
-            seen: state.next,
-        })
+        Some(Target { member: members[chosen].clone(), seen: state.next })
     }
 
     async fn send(&self, to: &Member, call: &Call) -> Answer {
@@ -230,21 +215,14 @@
     /// Forgets what was measured of targets that are members no more.
     pub fn prune(&self) {
         let state = self.ledger.state();
-        self.measured
-            .lock()
-            .retain(|h, m| m.running > 0 || state.members.contains_key(h));
-        self.budgets
-            .lock()
-            .retain(|s, _| state.config.service.contains_key(s));
+        self.measured.lock().retain(|h, m| m.running > 0 || state.members.contains_key(h));
+        self.budgets.lock().retain(|s, _| state.config.service.contains_key(s));
     }
 }
 
 /// Whether the answer says that the key is owned elsewhere or about to be.
 fn is_moved(code: Code) -> bool {
-    matches!(
-        code,
-        Code::NotOwner | Code::Moving | Code::LeaseLapsed | Code::StaleRoute
-    )
+    matches!(code, Code::NotOwner | Code::Moving | Code::LeaseLapsed | Code::StaleRoute)
 }
 
 fn may_retry(asked: &Asked, answer: &Answer, used: u32) -> bool {
@@ -268,12 +246,7 @@
 
 impl<'a> Running<'a> {
     fn begin(entry: &'a Entry, target: &'a Holder) -> Running<'a> {
-        entry
-            .measured
-            .lock()
-            .entry(target.clone())
-            .or_default()
-            .running += 1;
+        entry.measured.lock().entry(target.clone()).or_default().running += 1;
         Running { entry, target }
     }
 }
--- a/src/kelpwind/route/request.rs
+++ b/src/kelpwind/route/request.rs
@@ -59,18 +59,8 @@
             Ok(Err(_)) => return Err(Code::BadRequest),
             Ok(Ok(body)) => body.to_bytes(),
         };
-        let path = parts
-            .uri
-            .path_and_query()
-            .ok_or(Code::BadRequest)?
-            .to_string();
-        Ok(Raw {
-            method: parts.method,
-            path,
-            headers: parts.headers,
-            body,
-            came,
-        })
+        let path = parts.uri.path_and_query().ok_or(Code::BadRequest)?.to_string();
+        Ok(Raw { method: parts.method, path, headers: parts.headers, body, came })
     }
 
     /// Finds service, key and policy by the configuration.
@@ -79,28 +69,16 @@
             return Err(Code::NoConfig);
         }
         let (service, key) = self.names()?;
-        let spec = state
-            .config
-            .service
-            .get(&service)
-            .ok_or(Code::UnknownService)?;
+        let spec = state.config.service.get(&service).ok_or(Code::UnknownService)?;
         let reads = matches!(self.method, Method::GET | Method::HEAD);
         let policy = if reads { &spec.read } else { &spec.write };
-        let policy = state
-            .config
-            .policy
-            .get(policy)
-            .ok_or(Code::Internal)?
-            .clone();
+        let policy = state.config.policy.get(policy).ok_or(Code::Internal)?.clone();
         let key = match state.config.is_keyed(&service) {
             true => Some(place(state, &service, key)?),
             false => None,
         };
-        let deadline = self.came
-            + self
-                .time_left()?
-                .unwrap_or(policy.deadline)
-                .min(policy.deadline);
+        let deadline =
+            self.came + self.time_left()?.unwrap_or(policy.deadline).min(policy.deadline);
         let id = self.id()?;
         let call = Call {
             id,
@@ -114,11 +92,7 @@
             deadline,
         };
         let idempotent = policy.repeat == Repeat::Idempotent;
-        Ok(Asked {
-            call,
-            policy,
-            idempotent,
-        })
+        Ok(Asked { call, policy, idempotent })
     }
 
     fn names(&self) -> Result<(ServiceName, Option<&str>)> {
@@ -162,11 +136,5 @@
 fn place(state: &State, service: &ServiceName, key: Option<&str>) -> Result<(String, SliceRef)> {
     let key = key.ok_or(Code::KeyMissing)?;
     let place = state.place(service, key).ok_or(Code::NoRange)?;
-    Ok((
-        key.to_owned(),
-        SliceRef {
-            range: place.range,
-            slice: place.slice,
-        },
-    ))
+    Ok((key.to_owned(), SliceRef { range: place.range, slice: place.slice }))
 }
--- a/src/kelpwind/route/wire.rs
+++ b/src/kelpwind/route/wire.rs
@@ -62,48 +62,25 @@
 pub async fn read(request: Request<Incoming>) -> Result<Call> {
     let (parts, body) = request.into_parts();
     let path = parts.uri.path_and_query().ok_or(Code::BadRequest)?.as_str();
-    let path = path
-        .strip_prefix(GATE_PATH)
-        .ok_or(Code::BadRequest)?
-        .to_owned();
+    let path = path.strip_prefix(GATE_PATH).ok_or(Code::BadRequest)?.to_owned();
     let headers = &parts.headers;
     let left = Duration::from_millis(parse(headers, DEADLINE_HEADER)?);
     let deadline = Instant::now() + left;
-    let id = text(headers, REQUEST_HEADER)?
-        .parse()
-        .map_err(|_| Code::BadRequest)?;
-    let service = text(headers, SERVICE_HEADER)?
-        .parse()
-        .map_err(|_| Code::BadRequest)?;
+    let id = text(headers, REQUEST_HEADER)?.parse().map_err(|_| Code::BadRequest)?;
+    let service = text(headers, SERVICE_HEADER)?.parse().map_err(|_| Code::BadRequest)?;
     let weight = parse(headers, WEIGHT_HEADER)?;
     let key = match headers.contains_key(KEY_HEADER) {
         true => Some(key(headers)?),
         false => None,
     };
     let kind = headers.get(header::CONTENT_TYPE).cloned();
-    let body = body
-        .collect()
-        .await
-        .map_err(|_| Code::BadRequest)?
-        .to_bytes();
-    Ok(Call {
-        id,
-        service,
-        key,
-        method: parts.method,
-        path,
-        kind,
-        body,
-        weight,
-        deadline,
-    })
+    let body = body.collect().await.map_err(|_| Code::BadRequest)?.to_bytes();
+    Ok(Call { id, service, key, method: parts.method, path, kind, body, weight, deadline })
 }
 
 fn key(headers: &HeaderMap) -> Result<(String, SliceRef)> {
     let key = text(headers, KEY_HEADER)?.to_owned();
-    let range = text(headers, RANGE_HEADER)?
-        .parse()
-        .map_err(|_| Code::BadRequest)?;
+    let range = text(headers, RANGE_HEADER)?.parse().map_err(|_| Code::BadRequest)?;
     let slice = parse(headers, SLICE_HEADER)?;
     Ok((key, SliceRef { range, slice }))
 }
--- a/src/kelpwind/util/error.rs
+++ b/src/kelpwind/util/error.rs
@@ -20,11 +20,7 @@
 impl Error {
     /// An error with its code and what was being done, as in "failed to read FILE".
     pub fn new(code: Code, context: impl Into<String>) -> Error {
-        Error {
-            code,
-            context: context.into(),
-            cause: None,
-        }
+        Error { code, context: context.into(), cause: None }
     }
 
     /// The same error with the cause it came from.
@@ -42,9 +38,7 @@
 
 impl StdError for Error {
     fn source(&self) -> Option<&(dyn StdError + 'static)> {
-        self.cause
-            .as_ref()
-            .map(|c| c.as_ref() as &(dyn StdError + 'static))
+        self.cause.as_ref().map(|c| c.as_ref() as &(dyn StdError + 'static))
     }
 }
 
--- a/src/kelpwind/util/logging.rs
+++ b/src/kelpwind/util/logging.rs
@@ -14,14 +14,8 @@
 /// [`Code::BadSetting`] for a level that does not exist.
 pub fn start(level: &str) -> Result<()> {
     let level: Level = level.parse().map_err(|e: spdlog::Error| bad(level, e))?;
-    let sink = StdStreamSink::builder()
-        .stderr()
-        .build_arc()
-        .map_err(|e| bad("", e))?;
-    let logger = Logger::builder()
-        .sink(sink)
-        .build()
-        .map_err(|e| bad("", e))?;
+    let sink = StdStreamSink::builder().stderr().build_arc().map_err(|e| bad("", e))?;
+    let logger = Logger::builder().sink(sink).build().map_err(|e| bad("", e))?;
     logger.set_level_filter(LevelFilter::MoreSevereEqual(level));
     logger.set_flush_level_filter(LevelFilter::All);
     spdlog::set_default_logger(Arc::new(logger));
--- a/src/kelpwind/util/near.rs
+++ b/src/kelpwind/util/near.rs
@@ -5,9 +5,7 @@
 
 /// The known name nearest to `given`, if any is near enough to be meant.
 pub fn nearest<'a>(given: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
-    let scored = known
-        .into_iter()
-        .map(|k| (strsim::damerau_levenshtein(given, k), k));
+    let scored = known.into_iter().map(|k| (strsim::damerau_levenshtein(given, k), k));
     let near = scored.filter(|(d, k)| *d <= DISTANCE_MAX && *d < k.len().max(2));
     near.min().map(|(_, k)| k)
 }
--- a/src/kelpwind/util/table.rs
+++ b/src/kelpwind/util/table.rs
@@ -3,19 +3,11 @@
 /// Rows as text, columns as wide as their widest cell, two spaces apart.
 pub fn table(rows: &[Vec<String>]) -> String {
     let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
-    let width = |c: usize| {
-        rows.iter()
-            .filter_map(|r| r.get(c))
-            .map(|t| t.chars().count())
-            .max()
-    };
+    let width = |c: usize| rows.iter().filter_map(|r| r.get(c)).map(|t| t.chars().count()).max();
     let widths: Vec<usize> = (0..columns).map(|c| width(c).unwrap_or(0)).collect();
     let mut text = String::new();
     for row in rows {
-        let cells = row
-            .iter()
-            .zip(&widths)
-            .map(|(cell, width)| format!("{cell:<width$}"));
+        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
         let line = cells.collect::<Vec<_>>().join("  ");
         text.push_str(line.trim_end());
         text.push('\n');
--- /dev/null
+++ b/tests/testsuite/ownership.rs
@@ -0,0 +1,212 @@
+//! A key has at most one owner at any time, through kills, freezes, cuts and outages of the log.
+//!
+//! Each test runs a workload over all keys while it does harm, then checks what the backend servers
+//! ran: no key ran on two servers at once, and no answer was untrue.
+
+use std::time::Duration;
+
+use kelpwind_test_support::cluster::{Cluster, Target};
+use kelpwind_test_support::history::{falling_tokens, overlaps, untrue};
+use kelpwind_test_support::http::get;
+use kelpwind_test_support::workload::{Asked, Plan, Workload, summary};
+use rstest::rstest;
+use serde_json::json;
+
+use crate::support::{data, settled};
+
+const FIVE: [Target<'static>; 5] = [
+    Target { service: "historie", domain: "rdam-a", backend: &["--fenced", "--work-ms", "20"] },
+    Target { service: "historie", domain: "dordt-b", backend: &["--fenced", "--work-ms", "20"] },
+    Target { service: "historie", domain: "delft-c", backend: &["--fenced", "--work-ms", "20"] },
+    Target { service: "historie", domain: "rdam-a", backend: &["--fenced", "--work-ms", "20"] },
+    Target { service: "historie", domain: "dordt-b", backend: &["--fenced", "--work-ms", "20"] },
+];
+
+fn plan(cluster: &Cluster, entries: &[usize], seed: u64) -> Plan {
+    Plan {
+        entries: entries.iter().map(|i| cluster.nodes[*i].listen).collect(),
+        prefix: "/historie".to_owned(),
+        keys: 24,
+        pace: Duration::from_millis(5),
+        writes: 0.3,
+        seed,
+    }
+}
+
+async fn pause(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Checks the histories of a run; the last answers must be `done` again.
+async fn check(cluster: &Cluster, asked: &[Asked]) {
+    let ran = cluster.all_executions().await;
+    println!("{:?}, {} executions", summary(asked), ran.len());
+    assert_eq!(overlaps(&ran, 0), [], "a key ran on two servers at once");
+    assert_eq!(falling_tokens(&ran), [], "a key went back to an earlier grant");
+    assert_eq!(untrue(asked, &ran), [""; 0]);
+    let done = asked.iter().filter(|a| a.outcome == "done").count();
+    assert!(done * 2 > asked.len(), "more than half of the requests were done");
+}
+
+/// All keys are served again, as seen from node `i`.
+async fn served_again(cluster: &Cluster, i: usize) {
+    for key in 0..24 {
+        let path = format!("/historie/ketel-{key}");
+        let what = format!("{path} is served again");
+        let done = async || {
+            let answer = get(cluster.nodes[i].listen, &path).await;
+            answer.is_ok_and(|a| a.outcome == "done")
+        };
+        cluster.until(&what, done).await;
+    }
+}
+
+#[tokio::test]
+async fn a_killed_owner_is_replaced() {
+    let mut cluster = settled(&FIVE).await;
+    let load = Workload::start(plan(&cluster, &[0, 1, 2, 3], 11));
+    pause(500).await;
+    cluster.nodes[4].process.kill();
+    served_again(&cluster, 0).await;
+    check(&cluster, &load.stop().await).await;
+    assert!(cluster.owner(0, "historie", "ketel-1").await.is_some_and(|o| o != 4));
+}
+
+#[tokio::test]
+async fn a_frozen_owner_returns_to_nothing() {
+    let cluster = settled(&FIVE).await;
+    let load = Workload::start(plan(&cluster, &[0, 1, 2, 3], 12));
+    pause(500).await;
+    cluster.nodes[4].process.signal("STOP");
+    pause(3000).await;
+    cluster.nodes[4].process.signal("CONT");
+    served_again(&cluster, 0).await;
+    cluster.settled(0, 5).await;
+    check(&cluster, &load.stop().await).await;
+}
+
+#[tokio::test]
+async fn an_owner_that_is_cut_off_stops_serving() {
+    let cluster = settled(&FIVE).await;
+    let load = Workload::start(plan(&cluster, &[0, 1, 2, 3, 4], 13));
+    pause(500).await;
+    cluster.isolate(4, true).await;
+    pause(3000).await;
+    cluster.isolate(4, false).await;
+    served_again(&cluster, 4).await;
+    check(&cluster, &load.stop().await).await;
+}
+
+/// A cut in one direction only: the owner's renewals are lost, or the acknowledgements.
+#[rstest]
+#[case::renewals_lost(14)]
+#[case::acknowledgements_lost(15)]
+#[tokio::test]
+async fn an_owner_that_is_cut_one_way_stops_serving(#[case] seed: u64) {
+    let cluster = settled(&FIVE).await;
+    let load = Workload::start(plan(&cluster, &[0, 1, 2, 3], seed));
+    pause(500).await;
+    for cut in [true, false] {
+        let to_owner = json!({"cut_forward": cut});
+        let from_owner = json!({"cut_forward": cut, "only": ["127.0.1.5"]});
+        if seed == 14 {
+            for other in 0..4 {
+                cluster.fault(&format!("peer-{other}"), from_owner.clone()).await;
+            }
+        } else {
+            cluster.fault("peer-4", to_owner).await;
+        }
+        pause(2500).await;
+    }
+    served_again(&cluster, 0).await;
+    check(&cluster, &load.stop().await).await;
+}
+
+/// The owner is frozen while the log is down: nobody can take over, and it goes on afterwards.
+#[tokio::test]
+async fn owners_go_on_while_the_log_is_down() {
+    let cluster = settled(&FIVE).await;
+    let load = Workload::start(plan(&cluster, &[0, 1, 2, 3, 4], 16));
+    pause(300).await;
+    cluster.log_faults(json!({"down": true})).await;
+    pause(4000).await;
+    let asked = load.stop().await;
+    let not_done: Vec<&Asked> = asked.iter().filter(|a| a.outcome != "done").collect();
+    assert!(not_done.is_empty(), "an outage of the log stopped an owner: {not_done:?}");
+    check(&cluster, &asked).await;
+}
+
+#[tokio::test]
+async fn an_owner_lost_while_the_log_is_down_is_replaced_once_it_is_back() {
+    let mut cluster = settled(&FIVE).await;
+    let load = Workload::start(plan(&cluster, &[0, 1, 2, 3], 17));
+    pause(300).await;
+    cluster.log_faults(json!({"down": true})).await;
+    pause(300).await;
+    cluster.nodes[4].process.kill();
+    pause(3000).await;
+    cluster.log_faults(json!({})).await;
+    served_again(&cluster, 0).await;
+    check(&cluster, &load.stop().await).await;
+}
+
+/// A witness restarts, then the owner dies: the restarted witness keeps the promise of the one it
+/// followed, and does not acknowledge in its name.
+#[tokio::test]
+async fn a_restarted_witness_does_not_keep_a_lost_owner_alive() {
+    let mut cluster = settled(&FIVE).await;
+    let load = Workload::start(plan(&cluster, &[0, 1], 18));
+    pause(300).await;
+    for witness in [2, 3] {
+        cluster.nodes[witness].process.kill();
+        cluster.restart(witness).await;
+    }
+    cluster.nodes[4].process.kill();
+    served_again(&cluster, 0).await;
+    check(&cluster, &load.stop().await).await;
+}
+
+#[tokio::test]
+async fn all_nodes_restart_at_once() {
+    let mut cluster = settled(&FIVE).await;
+    let revision = cluster.status(0).await["revision"].clone();
+    for i in 0..5 {
+        cluster.nodes[i].process.kill();
+    }
+    for i in 0..5 {
+        cluster.restart(i).await;
+    }
+    served_again(&cluster, 0).await;
+    assert_eq!(cluster.status(0).await["revision"], revision);
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_no_request() {
+    let mut cluster = settled(&FIVE).await;
+    let load = Workload::start(plan(&cluster, &[0, 1, 2, 3], 19));
+    pause(500).await;
+    cluster.nodes[4].process.signal("TERM");
+    assert!(cluster.nodes[4].process.wait().success());
+    pause(500).await;
+    let asked = load.stop().await;
+    let not_done: Vec<&Asked> = asked.iter().filter(|a| a.outcome != "done").collect();
+    assert!(not_done.is_empty(), "a planned stop cut requests: {not_done:?}");
+    check(&cluster, &asked).await;
+}
+
+/// Replies of the log are lost after the write took effect, while nodes join, a configuration is
+/// published and an owner dies.
+#[tokio::test]
+async fn lost_replies_of_the_log_do_no_harm() {
+    let mut cluster = Cluster::start(crate::support::PROGRAM, &FIVE).await;
+    cluster.log_faults(json!({"lose_replies": 0.5})).await;
+    cluster.publish(0, &data("keteltoezicht.toml"), 0).await;
+    cluster.settled(0, 5).await;
+    let load = Workload::start(plan(&cluster, &[0, 1, 2, 3], 20));
+    pause(300).await;
+    cluster.nodes[4].process.kill();
+    served_again(&cluster, 0).await;
+    check(&cluster, &load.stop().await).await;
+    let (_, history, _) = cluster.command(0, &["config", "history"]);
+    assert_eq!(history.matches("revision").count(), 1, "published once: {history}");
+}
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -17,14 +17,10 @@
     cluster.publish(0, &data("two-services.toml"), 0).await;
     cluster.settled(0, 3).await;
     for node in &cluster.nodes {
-        let read = get(node.listen, "/historie/ketel-7/laatste?n=1")
-            .await
-            .unwrap();
+        let read = get(node.listen, "/historie/ketel-7/laatste?n=1").await.unwrap();
         assert_eq!((read.status, read.outcome.as_str()), (200, "done"));
         assert_eq!(read.json()["key"], "ketel-7");
-        let written = post(node.listen, "/certificaat/afgeven", "c-1", "ketel 7")
-            .await
-            .unwrap();
+        let written = post(node.listen, "/certificaat/afgeven", "c-1", "ketel 7").await.unwrap();
         assert_eq!((written.status, written.code.as_str()), (200, "0"));
         assert_eq!(written.json()["body"], "ketel 7");
     }
@@ -36,8 +32,5 @@
         }
     }
     assert_eq!(owners.len(), 1, "one owner served the key");
-    assert_eq!(
-        cluster.owner(0, "historie", "ketel-7").await,
-        Some(owners[0])
-    );
+    assert_eq!(cluster.owner(0, "historie", "ketel-7").await, Some(owners[0]));
 }
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -9,9 +9,7 @@
 
 /// A file of `tests/data`.
 pub(crate) fn data(name: &str) -> PathBuf {
-    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
-        .join("tests/data")
-        .join(name)
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/data").join(name)
 }
 
 /// Three targets of the keyed service `historie` in three failure domains.
