--- /dev/null
+++ b/tests/testsuite/command_line.rs
@@ -0,0 +1,101 @@
+//! The command line: exit codes, messages with their causes, and the documented table of codes.
+
+use kelpwind::core::codes::Code;
+use kelpwind_test_support::cluster::command;
+use rstest::rstest;
+
+use crate::support::{PROGRAM, THREE, data, settled};
+
+fn run(args: &[&str]) -> (i32, String, String) {
+    command(PROGRAM, args, &[("KELPWIND_NODE", "127.0.0.1:1")])
+}
+
+#[test]
+fn a_misspelt_command_gets_the_nearest_one_suggested() {
+    let (code, _, errors) = run(&["statsu"]);
+    assert_eq!(code, 2);
+    assert!(errors.contains("did you mean 'status'?"), "{errors}");
+}
+
+#[test]
+fn every_fault_of_the_settings_is_named_at_once() {
+    let (code, _, errors) = run(&["node", "--name", "N1", "--listen", "nowhere"]);
+    assert_eq!(code, 1);
+    for part in ["[600]", "--name 'N1'", "--listen 'nowhere'", "KELPWIND_PEER is missing"] {
+        assert!(errors.contains(part), "{part} is named: {errors}");
+    }
+}
+
+#[test]
+fn a_port_in_use_is_said_with_its_address() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = taken.local_addr().unwrap().to_string();
+    let args = [
+        "node",
+        "--name",
+        "n",
+        "--domain",
+        "d",
+        "--listen",
+        &addr,
+        "--peer",
+        "127.0.0.1:0",
+        "--admin",
+        "127.0.0.1:0",
+        "--log",
+        "127.0.0.1:1",
+    ];
+    let (code, _, errors) = run(&args);
+    assert_eq!(code, 1);
+    assert!(errors.contains(&format!("failed to listen on {addr} [601]")), "{errors}");
+    assert!(errors.contains("Caused by:\n  Address already in use"), "{errors}");
+}
+
+#[rstest]
+#[case::missing_file(&["config", "check", "no-such-file.toml"], "[410]")]
+#[case::no_node(&["status"], "[602]")]
+#[case::bad_address(&["status", "--node", "somewhere"], "[600]")]
+fn what_cannot_be_done_says_why(#[case] args: &[&str], #[case] code: &str) {
+    let (exit, _, errors) = run(args);
+    assert_eq!(exit, 1);
+    assert!(errors.contains(code) && errors.contains("Caused by:"), "{errors}");
+}
+
+#[test]
+fn a_valid_file_is_summed_up() {
+    let path = data("keteltoezicht.toml");
+    let (code, out, _) = run(&["config", "check", path.to_str().unwrap()]);
+    assert_eq!(code, 0);
+    assert!(out.ends_with("is valid: 3 failure domains, 2 policies, 1 services, 1 key ranges\n"));
+}
+
+#[test]
+fn the_documented_codes_are_the_codes() {
+    let page = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/docs/CODES.md"));
+    let page = page.unwrap();
+    let rows: Vec<&str> = page.lines().filter(|l| l.starts_with("| ")).skip(1).collect();
+    let row =
+        |c: &Code| format!("| {} | {} | {} | {} |", c.number(), c.outcome(), c.status(), c.text());
+    let expected: Vec<String> = Code::ALL.iter().map(row).collect();
+    assert_eq!(rows, expected);
+}
+
+#[tokio::test]
+async fn operators_see_the_whole_a_process_and_a_key() {
+    let cluster = settled(&THREE).await;
+    let (code, status, _) = cluster.command(0, &["status"]);
+    assert_eq!(code, 0);
+    assert!(status.contains("historie  3        12      0"), "{status}");
+    let (_, dump, _) = cluster.command(1, &["dump"]);
+    assert!(dump.contains("is serving") && dump.contains("backend server of historie"), "{dump}");
+    let (_, all, _) = cluster.command(1, &["dump", "--all"]);
+    assert_eq!(all.matches("is serving").count(), 3, "{all}");
+    let (_, way, _) = cluster.command(2, &["explain", "historie", "ketel-1"]);
+    assert!(way.contains("its owner is n") && way.contains("witnessed by"), "{way}");
+    let (code, _, errors) = cluster.command(2, &["explain", "histori", "ketel-1"]);
+    assert_eq!(code, 1);
+    assert!(errors.contains("did you mean 'historie'?"), "{errors}");
+    let (code, _, errors) = cluster.command(0, &["drain", "delft-d"]);
+    assert_eq!(code, 1);
+    assert!(errors.contains("[404]") && errors.contains("'delft-c'"), "{errors}");
+}
--- /dev/null
+++ b/tests/testsuite/fold.rs
@@ -0,0 +1,266 @@
+//! The fold of the log: any order of records, repeats and nonsense leads every reader to one state,
+//! and tokens only rise.
+
+use bytes::Bytes;
+use kelpwind::core::codes::Code;
+use kelpwind::core::config::Config;
+use kelpwind::core::config::change::Change;
+use kelpwind::core::ids::{Count, Holder, Incarnation, Offset, Revision, SliceId, Token, Version};
+use kelpwind::core::record::{Body, Member, Move, Peer, Record};
+use kelpwind::core::state::State;
+use kelpwind::log::snapshot::{Joiner, split};
+use proptest::prelude::*;
+
+const SLICES: u32 = 4;
+
+fn holder(n: u64) -> Holder {
+    Holder { node: format!("n{}", n % 4).parse().unwrap(), inc: Incarnation(n) }
+}
+
+fn member(n: u64) -> Member {
+    Member {
+        holder: holder(n),
+        peer: ([127, 0, 0, 1], 1).into(),
+        admin: ([127, 0, 0, 1], 2).into(),
+        domain: "rdam-a".parse().unwrap(),
+        service: Some("historie".parse().unwrap()),
+        slots: Count(12),
+        conns: Count(130),
+        fenced: true,
+        draining: false,
+        witnesses: vec![Peer { holder: holder(n), addr: ([127, 0, 0, 1], 1).into() }],
+    }
+}
+
+fn config() -> Config {
+    let text = std::fs::read_to_string(crate::support::data("keteltoezicht.toml")).unwrap();
+    let text = text.replace("slices = 12", &format!("slices = {SLICES}"));
+    Config::try_from(text.as_str()).unwrap()
+}
+
+fn config_record(base: u64) -> Record {
+    let change = Change::between(&Config::default(), &config());
+    Record::new("test", Body::Config { base: Revision(base), change })
+}
+
+fn a_move() -> impl Strategy<Value = Move> {
+    (0..SLICES + 1, 0u64..30, 0u64..8).prop_map(|(slice, prev, to)| Move {
+        range: "ketels".parse().unwrap(),
+        slice: SliceId(slice),
+        prev: Token(prev),
+        to: holder(to),
+    })
+}
+
+fn body() -> impl Strategy<Value = Body> {
+    let moves = || prop::collection::vec(a_move(), 1..6);
+    let who = || (0u64..8).prop_map(holder);
+    prop_oneof![
+        3 => (0u64..8).prop_map(|n| Body::Join(member(n))),
+        1 => (0u64..8).prop_map(|n| Body::Update(member(n))),
+        1 => who().prop_map(|holder| Body::Leave { holder }),
+        2 => (who(), 0u64..30).prop_map(|(holder, v)| {
+            let set = vec![Peer { holder: holder.clone(), addr: ([127, 0, 0, 1], 1).into() }];
+            Body::Witnesses { holder, base: Version(v), set }
+        }),
+        2 => (who(), 0u64..30, moves())
+            .prop_map(|(holder, v, moves)| Body::Revoke { holder, base: Version(v), moves }),
+        4 => moves().prop_map(|moves| Body::Assign { moves }),
+        4 => (who(), moves()).prop_map(|(from, moves)| Body::Handover { from, moves }),
+        1 => who().prop_map(|from| Body::Release { from, range: "ketels".parse().unwrap() }),
+    ]
+}
+
+/// Records with repeats: each is followed by a copy of an earlier one, now and then.
+fn records() -> impl Strategy<Value = Vec<Bytes>> {
+    let drawn = prop::collection::vec((body(), any::<prop::sample::Index>(), any::<bool>()), 1..60);
+    drawn.prop_map(|drawn| {
+        let mut all = vec![config_record(0).encode()];
+        for (body, index, repeat) in drawn {
+            all.push(Record::new("test", body).encode());
+            if repeat {
+                all.push(index.get(&all).clone());
+            }
+        }
+        all
+    })
+}
+
+fn fold(state: &mut State, records: &[Bytes], from: u64) {
+    for (i, raw) in records.iter().enumerate() {
+        let _ = state.apply(Offset(from + i as u64), raw);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: prop::test_runner::RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn tokens_rise_and_owners_are_members(records in records()) {
+        let mut state = State::default();
+        let mut tokens = [0; SLICES as usize];
+        for (i, raw) in records.iter().enumerate() {
+            let before = state.clone();
+            let verdict = state.apply(Offset(i as u64), raw);
+            for (slice, last) in tokens.iter_mut().enumerate() {
+                let slot = state.slot(&"ketels".parse().unwrap(), SliceId(slice as u32)).unwrap();
+                prop_assert!(slot.token.0 >= *last);
+                prop_assert!(slot.token.0 <= i as u64);
+                *last = slot.token.0;
+                let known = slot.holder.as_ref().is_none_or(|h| state.members.contains_key(h));
+                prop_assert!(known, "{slot:?} is no member");
+            }
+            if verdict.is_err() {
+                let same = State { next: state.next, digest: state.digest, ..before };
+                prop_assert_eq!(&same, &state, "a refused record changed the state");
+            }
+        }
+    }
+
+    #[test]
+    fn a_repeat_right_after_the_record_changes_nothing(records in records()) {
+        let mut state = State::default();
+        for (i, raw) in records.iter().enumerate() {
+            let _ = state.apply(Offset(2 * i as u64), raw);
+            let before = state.clone();
+            let _ = state.apply(Offset(2 * i as u64 + 1), raw);
+            let same = State { next: state.next, digest: state.digest, ..before };
+            prop_assert_eq!(&same, &state);
+        }
+    }
+
+    #[test]
+    fn a_snapshot_and_the_records_after_it_lead_to_the_same_state(
+        records in records(),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let cut = cut.index(records.len());
+        let mut whole = State::default();
+        fold(&mut whole, &records, 0);
+        let mut early = State::default();
+        fold(&mut early, &records[..cut], 0);
+        let mut joiner = Joiner::default();
+        split(&early, "test").iter().for_each(|r| joiner.take(&r.encode()));
+        let mut late = joiner.newest().unwrap();
+        fold(&mut late, &records[cut..], cut as u64);
+        prop_assert_eq!(late, whole);
+    }
+
+    #[test]
+    fn nonsense_is_refused_and_harmless(raw in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut state = State::default();
+        prop_assert_eq!(state.apply(Offset(0), &raw), Err(Code::BadRecord));
+        prop_assert_eq!(state.next, Offset(1));
+    }
+}
+
+fn three_members() -> State {
+    let mut state = State::default();
+    let mut records = vec![config_record(0)];
+    records.extend((0..3).map(|n| Record::new("test", Body::Join(member(n)))));
+    let raw: Vec<Bytes> = records.iter().map(Record::encode).collect();
+    fold(&mut state, &raw, 0);
+    state
+}
+
+fn step(slice: u32, prev: u64, to: u64) -> Move {
+    let range = "ketels".parse().unwrap();
+    Move { range, slice: SliceId(slice), prev: Token(prev), to: holder(to) }
+}
+
+fn apply(state: &mut State, body: Body) -> std::result::Result<(), Code> {
+    state.apply(state.next, &Record::new("test", body).encode())
+}
+
+#[test]
+fn of_two_assignments_of_a_free_slice_the_first_wins() {
+    let mut state = three_members();
+    assert_eq!(apply(&mut state, Body::Assign { moves: vec![step(0, 0, 1)] }), Ok(()));
+    let second = apply(&mut state, Body::Assign { moves: vec![step(0, 0, 2)] });
+    assert_eq!(second, Err(Code::StaleToken));
+}
+
+#[test]
+fn only_the_owner_hands_over_and_only_under_its_token() {
+    let mut state = three_members();
+    apply(&mut state, Body::Assign { moves: vec![step(0, 0, 1)] }).unwrap();
+    let handover =
+        |from, prev| Body::Handover { from: holder(from), moves: vec![step(0, prev, 2)] };
+    assert_eq!(apply(&mut state, handover(0, 4)), Err(Code::StaleToken));
+    assert_eq!(apply(&mut state, handover(1, 3)), Err(Code::StaleToken));
+    assert_eq!(apply(&mut state, handover(1, 4)), Ok(()));
+}
+
+#[test]
+fn a_takeover_from_an_outdated_witness_set_is_refused() {
+    let mut state = three_members();
+    let set = member(1).witnesses;
+    let change = Body::Witnesses { holder: holder(1), base: Version(2), set };
+    assert_eq!(apply(&mut state, change), Ok(()));
+    let revoke = |v| Body::Revoke { holder: holder(1), base: Version(v), moves: Vec::new() };
+    assert_eq!(apply(&mut state, revoke(2)), Err(Code::StaleVersion));
+    assert_eq!(apply(&mut state, revoke(4)), Ok(()));
+}
+
+/// A range that is dropped while its slices have owners must not come back under another name
+/// before they have let go: a key would have two owners.
+#[test]
+fn keys_of_a_dropped_range_wait_for_their_owners() {
+    let mut state = three_members();
+    apply(&mut state, Body::Assign { moves: vec![step(0, 0, 1)] }).unwrap();
+    let mut renamed = config();
+    let range = renamed.key_range.remove("ketels").unwrap();
+    renamed.key_range.insert("vaten".parse().unwrap(), range);
+    let record = |state: &State, to: &Config| {
+        let change = Change::between(&state.config, to);
+        Body::Config { base: state.revision, change }
+    };
+    let body = record(&state, &renamed);
+    assert_eq!(apply(&mut state, body), Err(Code::Frozen));
+    let mut dropped = renamed.clone();
+    dropped.key_range.clear();
+    let body = record(&state, &dropped);
+    apply(&mut state, body).unwrap();
+    let body = record(&state, &renamed);
+    assert_eq!(apply(&mut state, body), Err(Code::Frozen));
+    let range = "ketels".parse().unwrap();
+    apply(&mut state, Body::Release { from: holder(1), range }).unwrap();
+    let body = record(&state, &renamed);
+    assert_eq!(apply(&mut state, body), Ok(()));
+}
+
+#[test]
+fn a_torn_or_altered_snapshot_is_passed_over() {
+    let mut state = three_members();
+    state.history.clear();
+    for _ in 0..6000 {
+        state.history.push_back(kelpwind::core::state::Published {
+            revision: Revision(1),
+            author: "someone".to_owned(),
+            lines: vec!["add service 'historie'".to_owned()],
+        });
+    }
+    let records = split(&state, "test");
+    assert!(records.len() > 2, "the snapshot has several pieces");
+    let mut torn = Joiner::default();
+    records[1..].iter().for_each(|r| torn.take(&r.encode()));
+    assert_eq!(torn.newest(), None);
+    let mut altered = Joiner::default();
+    for record in &records {
+        let text = String::from_utf8(record.encode().to_vec()).unwrap();
+        altered.take(&Bytes::from(text.replace("someone", "anyone")));
+    }
+    assert_eq!(altered.newest(), None);
+    let mut mixed = Joiner::default();
+    let other = split(&state, "another writer");
+    for (a, b) in records.iter().zip(&other) {
+        mixed.take(&a.encode());
+        mixed.take(&b.encode());
+    }
+    assert_eq!(mixed.newest(), Some(state));
+}
