Requests that may not be repeated run at most once; bad input

Cause: a caller that repeats a certificate's issue could run it twice. Ruled out: a memory at the entry (repeats come by other entries), a record a request (appends are precious). Change: an idempotency key always meets the owner of one slice, its key's or, for services not divided by key, that of a slice of idempotency keys; the owner's gate runs it once, repeats get the first answer; a planned handover takes the memory along; after a loss only declared first tries run, others are answered unknown [304]. Tests of bad input on every listener.

--- a/crates/kelpwind-test-support/src/workload.rs
+++ b/crates/kelpwind-test-support/src/workload.rs
@@ -9,6 +9,9 @@
 
 use crate::http::{Ask, send};
 
+/// Most tries of one request by its caller.
+const TRIES: usize = 3;
+
 /// What to send.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -79,18 +82,21 @@
     while !stop.load(Ordering::SeqCst) {
         timer.tick().await;
         number += 1;
-        let entry = plan.entries[random.usize(..plan.entries.len())];
+        let mut entries = plan.entries.clone();
+        random.shuffle(&mut entries);
+        entries.truncate(TRIES);
         let key = format!("ketel-{}", random.u64(..plan.keys));
         let write = random.f64() < plan.writes;
         let id = format!("{}-{number}", plan.seed);
         let path = format!("{}/{key}", plan.prefix);
-        sent.spawn(ask(entry, path, id, key, write, began));
+        sent.spawn(ask(entries, path, id, key, write, began));
     }
     sent.join_all().await
 }
 
+/// Sends a request; one whose outcome is unknown is sent again to another entry, as a caller would.
 async fn ask(
-    entry: SocketAddr,
+    entries: Vec<SocketAddr>,
     path: String,
     id: String,
     key: String,
@@ -98,18 +104,39 @@
     began: Instant,
 ) -> Asked {
     let sent = began.elapsed();
-    let headers = [("idempotency-key", id.as_str()), ("kelpwind-attempt", "1")];
-    let method = if write { "POST" } else { "GET" };
-    let answer = send(entry, &Ask { method, path: &path, headers: &headers, body: "x" }).await;
-    let took = began.elapsed() - sent;
-    let (outcome, code, own) = match &answer {
-        Ok(a) => {
-            let own = a.outcome != "done" || a.json()["request"] == id.as_str();
-            (a.outcome.clone(), a.code.clone(), own)
-        }
-        Err(_) => ("none".to_owned(), String::new(), true),
+    let mut last = Asked {
+        id,
+        key,
+        write,
+        outcome: "none".to_owned(),
+        code: String::new(),
+        own: true,
+        sent,
+        took: Duration::ZERO,
     };
-    Asked { id, key, write, outcome, code, own, sent, took }
+    let mut doubtful = false;
+    for (i, entry) in entries.iter().enumerate() {
+        let attempt = (i + 1).to_string();
+        let headers =
+            [("idempotency-key", last.id.as_str()), ("kelpwind-attempt", attempt.as_str())];
+        let method = if write { "POST" } else { "GET" };
+        let answer = send(*entry, &Ask { method, path: &path, headers: &headers, body: "x" }).await;
+        if let Ok(answer) = answer {
+            last.own &= answer.outcome != "done" || answer.json()["request"] == last.id.as_str();
+            last.outcome = answer.outcome;
+            last.code = answer.code;
+        }
+        if !matches!(last.outcome.as_str(), "none" | "unknown") {
+            break;
+        }
+        doubtful = true;
+    }
+    // A repeat that did not run says nothing of the first try.
+    if doubtful && last.outcome == "not-run" {
+        last.outcome = "unknown".to_owned();
+    }
+    last.took = began.elapsed() - sent;
+    last
 }
 
 /// Number of requests by outcome and code, for messages.
--- a/src/kelpwind/core/call.rs
+++ b/src/kelpwind/core/call.rs
@@ -91,10 +91,32 @@
     pub body: Bytes,
     /// Weight from its policy.
     pub weight: u32,
+    /// Set for a request that may run once only and that its caller may send again.
+    pub once: Option<Attempt>,
     /// When it is too late for an answer.
     pub deadline: Instant,
 }
 
+/// Whether a request that its caller may send again has been sent before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Attempt {
+    /// first
+    First,
+    /// later
+    Later,
+}
+
+impl FromStr for Attempt {
+    type Err = ParseError;
+    fn from_str(raw: &str) -> Result<Self, ParseError> {
+        match raw {
+            "first" => Ok(Attempt::First),
+            "later" => Ok(Attempt::Later),
+            _ => Err(ParseError::Name(raw.to_owned())),
+        }
+    }
+}
+
 /// An answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
--- a/src/kelpwind/core/config/mod.rs
+++ b/src/kelpwind/core/config/mod.rs
@@ -17,6 +17,11 @@
 use super::ids::{Count, DomainName, PolicyName, RangeName, ServiceName, SliceId};
 use crate::util::serial;
 
+/// What names of ranges of idempotency keys begin with; no configured range may.
+pub const ONCE_PREFIX: &str = "once.";
+/// Slices of a range of idempotency keys.
+const ONCE_SLICES: u32 = 32;
+
 /// Kinds of configured objects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -118,6 +123,10 @@
     pub to: String,
     /// Number of slices the keys are hashed to.
     pub slices: u32,
+    /// Whether its keys are idempotency keys of a service that is not divided by key. Such ranges
+    /// are not configured but follow from services; see [`Config::all_ranges`].
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub once: bool,
 }
 
 impl KeyRange {
@@ -164,6 +173,31 @@
         self.key_range.iter().find(|(_, r)| r.service == *service && r.covers(key))
     }
 
+    /// Name of the range of idempotency keys of a service.
+    pub fn once_name(service: &ServiceName) -> Option<RangeName> {
+        format!("{ONCE_PREFIX}{service}").parse().ok()
+    }
+
+    /// The configured key ranges, and a range of idempotency keys for each service that is not
+    /// divided by key but has requests that may not be repeated: the owner of a slice of it is the
+    /// one that remembers them.
+    pub fn all_ranges(&self) -> BTreeMap<RangeName, KeyRange> {
+        let mut all = self.key_range.clone();
+        for (name, service) in &self.service {
+            let policies = [&service.read, &service.write];
+            let mut policies = policies.iter().filter_map(|p| self.policy.get(*p));
+            let once = policies.any(|p| p.repeat == Repeat::Once);
+            let Some(range) = Config::once_name(name).filter(|_| once && !self.is_keyed(name))
+            else {
+                continue;
+            };
+            let (from, to) = (String::new(), String::new());
+            let service = name.clone();
+            all.insert(range, KeyRange { service, from, to, slices: ONCE_SLICES, once: true });
+        }
+        all
+    }
+
     /// Whether the failure domain is configured and not taken out.
     pub fn is_in(&self, domain: &DomainName) -> bool {
         self.failure_domain.get(domain).is_some_and(|d| !d.out)
--- a/src/kelpwind/core/config/read.rs
+++ b/src/kelpwind/core/config/read.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use toml::{Table, Value};
 
-use super::{Config, Domain, KeyRange, Kind, Policy, Repeat, Service};
+use super::{Config, Domain, KeyRange, Kind, ONCE_PREFIX, Policy, Repeat, Service};
 use crate::core::codes::Code;
 use crate::core::ids::{Count, ParseError};
 use crate::util::{near, serial};
@@ -318,7 +318,7 @@
         f.note(Code::BadValue, "to", format!("'{to}' does not come after '{from}'"));
         return None;
     }
-    Some(KeyRange { service: service?, from, to, slices: slices? })
+    Some(KeyRange { service: service?, from, to, slices: slices?, once: false })
 }
 
 fn check_references(config: &Config, faults: &mut Vec<Fault>) {
@@ -338,6 +338,10 @@
     }
     for (name, range) in &config.key_range {
         let object = object(Kind::KeyRange, name);
+        if name.as_str().starts_with(ONCE_PREFIX) {
+            let reason = format!("names that begin with '{ONCE_PREFIX}' are kept for other ranges");
+            faults.push(fault(Code::BadName, &object, "", reason));
+        }
         let services = config.service.keys().map(|n| n.as_str());
         refer(range.service.as_str(), services, &object, "service", faults);
         check_overlap(config, &object, name.as_str(), range, faults);
--- a/src/kelpwind/core/state.rs
+++ b/src/kelpwind/core/state.rs
@@ -35,6 +35,8 @@
     pub holder: Option<Holder>,
     /// Token of the last grant.
     pub token: Token,
+    /// Token of the grant before; 0 when there was none.
+    pub prev: Token,
 }
 
 /// The slices of a key range.
@@ -168,23 +170,24 @@
     /// Whether a range of `config` covers keys of a range that is being dropped but still has
     /// owners. Such keys would have two owners until the old ones have read the change.
     pub fn meets_retired(&self, config: &Config) -> bool {
-        let kept = |name: &RangeName, old: &RangeState| {
-            config.key_range.get(name).is_some_and(|r| *r == old.range)
-        };
+        let ranges = config.all_ranges();
+        let kept =
+            |name: &RangeName, old: &RangeState| ranges.get(name).is_some_and(|r| *r == old.range);
         let owned = |old: &RangeState| old.slots.iter().any(|s| s.holder.is_some());
         let leaving = self.ranges.iter().filter(|(name, old)| !kept(name, old) && owned(old));
         leaving.into_iter().any(|(_, old)| {
-            let mut new = config.key_range.values();
+            let mut new = ranges.values().filter(|r| r.once == old.range.once);
             new.any(|r| r.service == old.range.service && r.overlaps(&old.range))
         })
     }
 
     fn fit_ranges(&mut self) {
+        let ranges = self.config.all_ranges();
         for (name, old) in &mut self.ranges {
-            old.retired = !self.config.key_range.contains_key(name);
+            old.retired = !ranges.contains_key(name);
         }
         self.forget_retired();
-        for (name, range) in &self.config.key_range {
+        for (name, range) in &ranges {
             let fresh = || RangeState {
                 range: range.clone(),
                 slots: vec![Slot::default(); range.slices as usize],
@@ -276,6 +279,7 @@
                 continue;
             }
             slot.holder = Some(step.to.clone());
+            slot.prev = slot.token;
             slot.token = Token(offset.0);
             verdict = Ok(());
         }
@@ -296,6 +300,16 @@
     /// Where a key of a service belongs.
     pub fn place(&self, service: &ServiceName, key: &str) -> Option<Place> {
         let (name, range) = self.config.range_of(service, key)?;
+        self.place_in(name, range, key)
+    }
+
+    /// Where an idempotency key of a service that is not divided by key belongs.
+    pub fn place_once(&self, service: &ServiceName, id: &str) -> Option<Place> {
+        let name = Config::once_name(service)?;
+        self.place_in(&name, &self.ranges.get(&name)?.range, id)
+    }
+
+    fn place_in(&self, name: &RangeName, range: &KeyRange, key: &str) -> Option<Place> {
         let slice = range.slice(key);
         let slot = self.slot(name, slice)?.clone();
         Some(Place { range: name.clone(), slice, slot })
--- a/src/kelpwind/gate/mod.rs
+++ b/src/kelpwind/gate/mod.rs
@@ -10,4 +10,5 @@
 pub mod backend;
 pub mod inflight;
 pub mod limiter;
+pub mod memory;
 pub mod pass;
--- a/src/kelpwind/gate/pass.rs
+++ b/src/kelpwind/gate/pass.rs
@@ -6,13 +6,14 @@
 use futures_util::future::BoxFuture;
 use kelpwind_platform::Announcement;
 use parking_lot::{Mutex, RwLock};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 use super::admission::Admission;
 use super::backend::{Backend, Grant};
 use super::inflight::{Entered, InFlight};
 use super::limiter::Limiter;
-use crate::core::call::{Answer, Call, SliceRef};
+use super::memory::{Memory, Turn};
+use crate::core::call::{Answer, Attempt, Call, SliceRef};
 use crate::core::codes::Code;
 use crate::core::ids::{Count, Holder, Token};
 use crate::lease::clock::{self, Moment};
@@ -52,6 +53,8 @@
     pub admission: Admission,
     /// Requests in flight by slice.
     pub inflight: InFlight,
+    /// What became of requests that may not be repeated.
+    pub memory: Memory,
     /// Set once this node stops: it refuses all new work.
     pub stopping: std::sync::atomic::AtomicBool,
 }
@@ -76,15 +79,45 @@
             heard: Mutex::default(),
             admission: Admission::new(Limiter::new(Count(1), Duration::from_secs(1))),
             inflight: InFlight::default(),
+            memory: Memory::default(),
             stopping: false.into(),
         }
     }
 
     /// Takes a request to its end.
     pub async fn pass(&self, call: Call) -> Answer {
-        match self.admit_and_send(call).await {
-            Ok(answer) => answer,
-            Err(code) => refuse(code),
+        match call.once {
+            Some(attempt) => self.pass_once(call, attempt).await,
+            None => self.admit_and_send(call).await.unwrap_or_else(refuse),
+        }
+    }
+
+    /// Takes a request that may run once to its end: a repeat waits for the first one's answer.
+    async fn pass_once(&self, call: Call, attempt: Attempt) -> Answer {
+        let Some((_, slice)) = call.key.clone() else { return refuse(Code::BadRequest) };
+        loop {
+            // Only the owner may answer from its memory: nobody else knows of later runs.
+            if let Err(code) = self.check_owner(&call) {
+                return refuse(code);
+            }
+            let Some(slot) = self.ledger.state().slot(&slice.range, slice.slice).cloned() else {
+                return refuse(Code::NoRange);
+            };
+            let first = attempt == Attempt::First;
+            match self.memory.begin(&slice, &slot, &call.id, first) {
+                Turn::Answer(answer) => return answer,
+                Turn::Run(ending) => {
+                    let answer = self.admit_and_send(call).await.unwrap_or_else(refuse);
+                    ending.note(&answer);
+                    return answer;
+                }
+                Turn::Wait(mut end) => {
+                    let ended = timeout_at(call.deadline.into(), end.changed()).await;
+                    if ended.is_err() {
+                        return Answer::refusal(Code::Expired);
+                    }
+                }
+            }
         }
     }
 
--- a/src/kelpwind/node/handover.rs
+++ b/src/kelpwind/node/handover.rs
@@ -4,12 +4,15 @@
 //! only then the record is written that names the new owner. Until the record's fate is known this
 //! node does not serve the slices again, whatever the reply of the log was.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::Node;
+use super::{Node, peers};
 use crate::core::call::SliceRef;
 use crate::core::codes::Code;
+use crate::core::ids::Holder;
 use crate::core::record::{Body, Move};
+use crate::core::state::Slot;
 use crate::place::planner::{self, Transfer};
 use crate::util::error::{Error, Result};
 
@@ -40,6 +43,7 @@
             self.gate.inflight.settle(&stopped);
             return Ok(0);
         }
+        self.send_memory(&moves).await;
         let count = moves.len();
         let from = self.me.clone();
         self.append_surely(Body::Handover { from, moves }).await;
@@ -48,6 +52,29 @@
         Ok(count)
     }
 
+    /// Sends what is remembered of requests that may not be repeated to the next owners. If that
+    /// fails, they know that their memory is not whole.
+    async fn send_memory(&self, moves: &[Move]) {
+        let mut by_owner: BTreeMap<&Holder, Vec<(SliceRef, Slot)>> = BTreeMap::new();
+        for step in moves {
+            let slice = SliceRef { range: step.range.clone(), slice: step.slice };
+            let slot = self.ledger.state().slot(&slice.range, slice.slice).cloned();
+            if let Some(slot) = slot {
+                by_owner.entry(&step.to).or_default().push((slice, slot));
+            }
+        }
+        let sent = by_owner.into_iter().map(|(owner, slices)| {
+            let memory = self.gate.memory.hand_over(&slices);
+            let addr = self.ledger.state().members.get(owner).map(|m| m.member.peer);
+            async move {
+                if let Some(addr) = addr {
+                    peers::send_memory(addr, memory).await;
+                }
+            }
+        });
+        futures_util::future::join_all(sent).await;
+    }
+
     fn transfers_of_mine(&self, transfers: Vec<Transfer>) -> Vec<Transfer> {
         let state = self.ledger.state();
         let mine = |t: &Transfer| {
--- a/src/kelpwind/node/membership.rs
+++ b/src/kelpwind/node/membership.rs
@@ -62,6 +62,7 @@
             change_witnesses(&node);
         }
         node.entry.prune();
+        node.prune_memory();
     }
 }
 
@@ -77,6 +78,14 @@
         self.fit_limiter(&state);
     }
 
+    fn prune_memory(&self) {
+        let state = self.ledger.state();
+        self.gate.memory.prune(|slice| {
+            let slot = state.slot(&slice.range, slice.slice);
+            slot.is_some_and(|s| s.holder.as_ref() == Some(&self.me))
+        });
+    }
+
     fn follow_lease(&self, state: &State) {
         let mut lease = self.lease.lock();
         let Some(known) = state.members.get(&self.me) else {
--- a/src/kelpwind/node/peers.rs
+++ b/src/kelpwind/node/peers.rs
@@ -16,10 +16,11 @@
 use tower::Service;
 
 use super::Node;
-use crate::core::call::Answer;
+use crate::core::call::{Answer, SliceRef};
 use crate::core::codes::Code;
 use crate::core::ids::Offset;
 use crate::core::state::State;
+use crate::gate::memory::Sent;
 use crate::log::follow::Help;
 use crate::log::ledger::Passed;
 use crate::place::planner::Transfer;
@@ -105,6 +106,13 @@
         let transfers: Vec<Transfer> = params.one()?;
         node.hand_over(transfers).await.map_err(|e| rpc_error(&e))
     })?;
+    module.register_method("take_memory", |params, node, _| {
+        let memory: Vec<(SliceRef, Sent)> = params.one()?;
+        for (slice, sent) in memory {
+            node.gate.memory.take(slice, sent);
+        }
+        Ok::<_, ErrorObjectOwned>(())
+    })?;
     module.register_method("suffix", |params, node, _| {
         let from: Offset = params.one()?;
         Ok::<_, ErrorObjectOwned>(node.ledger.suffix(from))
@@ -128,6 +136,12 @@
     let _ = client.request::<usize, _>("hand_over", rpc_params![transfers]).await;
 }
 
+/// Sends an owner the memory of slices that it is about to get.
+pub async fn send_memory(addr: SocketAddr, memory: Vec<(SliceRef, Sent)>) {
+    let Some(client) = client(addr, HELP_TIME) else { return };
+    let _ = client.request::<(), _>("take_memory", rpc_params![memory]).await;
+}
+
 /// Asks a node for the records from `next` on, or for its whole state.
 pub async fn ask_for_records(addr: SocketAddr, next: Offset) -> Help {
     let Some(client) = client(addr, HELP_TIME) else {
--- a/src/kelpwind/route/entry.rs
+++ b/src/kelpwind/route/entry.rs
@@ -11,7 +11,7 @@
 use super::picker::{self, Candidate};
 use super::request::Asked;
 use super::wire;
-use crate::core::call::{Answer, Call};
+use crate::core::call::{Answer, Attempt, Call};
 use crate::core::codes::{Code, Outcome};
 use crate::core::ids::{DomainName, Holder, Offset, ServiceName};
 use crate::core::record::Member;
@@ -86,9 +86,9 @@
     }
 
     /// Takes a request to its final answer.
-    pub async fn route(&self, asked: Asked) -> Answer {
+    pub async fn route(&self, mut asked: Asked) -> Answer {
         let mut doubtful = None;
-        let last = self.try_targets(&asked, &mut doubtful).await;
+        let last = self.try_targets(&mut asked, &mut doubtful).await;
         // A later refusal does not undo an earlier try whose outcome is unknown.
         match doubtful {
             Some(earlier) if last.code.outcome() == Outcome::NotRun => earlier,
@@ -96,7 +96,7 @@
         }
     }
 
-    async fn try_targets(&self, asked: &Asked, doubtful: &mut Option<Answer>) -> Answer {
+    async fn try_targets(&self, asked: &mut Asked, doubtful: &mut Option<Answer>) -> Answer {
         let budget = self.budget(&asked.call.service);
         budget.earn();
         let mut tried: Vec<Holder> = Vec::new();
@@ -124,6 +124,7 @@
             (self.retried)(answer.code);
             if answer.code.outcome() == Outcome::Unknown {
                 *doubtful = Some(answer);
+                asked.call.once = asked.call.once.map(|_| Attempt::Later);
             }
             if asked.call.key.is_some() {
                 self.wait_for_news(target.seen).await;
@@ -234,7 +235,11 @@
     match answer.code.outcome() {
         Outcome::Done => false,
         Outcome::NotRun => answer.status >= 500,
-        Outcome::Unknown => asked.idempotent && answer.code != Code::Expired,
+        // The owner remembers a request that names itself, and runs it once however often it comes.
+        Outcome::Unknown => {
+            let known = asked.idempotent || asked.call.once.is_some();
+            known && !matches!(answer.code, Code::Expired | Code::Repeated)
+        }
     }
 }
 
--- a/src/kelpwind/route/request.rs
+++ b/src/kelpwind/route/request.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use kelpwind_platform::DEADLINE_HEADER;
 
-use crate::core::call::{Call, RequestId, SliceRef, TEXT_MAX};
+use crate::core::call::{Attempt, Call, RequestId, SliceRef, TEXT_MAX};
 use crate::core::codes::Code;
 use crate::core::config::{Policy, Repeat};
 use crate::core::ids::ServiceName;
@@ -17,6 +17,9 @@
 
 /// Header that names a request which its caller may send again.
 pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Header that counts the tries of such a request. The first try says `1`; then it can be run even
+/// where the memory of earlier tries was lost.
+pub const ATTEMPT_HEADER: &str = "kelpwind-attempt";
 /// Longest time in which a caller must have sent the whole body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -73,9 +76,14 @@
         let reads = matches!(self.method, Method::GET | Method::HEAD);
         let policy = if reads { &spec.read } else { &spec.write };
         let policy = state.config.policy.get(policy).ok_or(Code::Internal)?.clone();
-        let key = match state.config.is_keyed(&service) {
-            true => Some(place(state, &service, key)?),
-            false => None,
+        let keyed = state.config.is_keyed(&service);
+        let idempotent = policy.repeat == Repeat::Idempotent;
+        let named = self.text(IDEMPOTENCY_HEADER)?;
+        let once = if idempotent || named.is_none() { None } else { Some(self.attempt()?) };
+        let key = match (keyed, named) {
+            (true, _) => Some(place(state, &service, key)?),
+            (false, Some(named)) if once.is_some() => Some(place_once(state, &service, named)?),
+            (false, _) => None,
         };
         let deadline =
             self.came + self.time_left()?.unwrap_or(policy.deadline).min(policy.deadline);
@@ -89,9 +97,9 @@
             kind: self.headers.get(header::CONTENT_TYPE).cloned(),
             body: self.body,
             weight: policy.weight,
+            once,
             deadline,
         };
-        let idempotent = policy.repeat == Repeat::Idempotent;
         Ok(Asked { call, policy, idempotent })
     }
 
@@ -125,6 +133,13 @@
         }
     }
 
+    fn attempt(&self) -> Result<Attempt> {
+        match self.text(ATTEMPT_HEADER)? {
+            Some("1") => Ok(Attempt::First),
+            _ => Ok(Attempt::Later),
+        }
+    }
+
     fn id(&self) -> Result<RequestId> {
         match self.text(IDEMPOTENCY_HEADER)? {
             Some(text) => text.parse().map_err(|_| Code::BadRequest),
@@ -138,3 +153,8 @@
     let place = state.place(service, key).ok_or(Code::NoRange)?;
     Ok((key.to_owned(), SliceRef { range: place.range, slice: place.slice }))
 }
+
+fn place_once(state: &State, service: &ServiceName, id: &str) -> Result<(String, SliceRef)> {
+    let place = state.place_once(service, id).ok_or(Code::NoRange)?;
+    Ok((id.to_owned(), SliceRef { range: place.range, slice: place.slice }))
+}
--- a/src/kelpwind/route/wire.rs
+++ b/src/kelpwind/route/wire.rs
@@ -21,6 +21,7 @@
 const RANGE_HEADER: &str = "kelpwind-range";
 const SLICE_HEADER: &str = "kelpwind-slice";
 const WEIGHT_HEADER: &str = "kelpwind-weight";
+const ONCE_HEADER: &str = "kelpwind-once";
 
 /// Result of reading a request from another node.
 pub type Result<T> = std::result::Result<T, Code>;
@@ -48,6 +49,9 @@
         headers.insert(RANGE_HEADER, slice.range.as_str().parse().ok()?);
         headers.insert(SLICE_HEADER, HeaderValue::from(slice.slice.0));
     }
+    if let Some(attempt) = &call.once {
+        headers.insert(ONCE_HEADER, attempt.to_string().parse().ok()?);
+    }
     if let Some(kind) = &call.kind {
         headers.insert(header::CONTENT_TYPE, kind.clone());
     }
@@ -73,9 +77,13 @@
         true => Some(key(headers)?),
         false => None,
     };
+    let once = match headers.contains_key(ONCE_HEADER) {
+        true => Some(parse(headers, ONCE_HEADER)?),
+        false => None,
+    };
     let kind = headers.get(header::CONTENT_TYPE).cloned();
     let body = body.collect().await.map_err(|_| Code::BadRequest)?.to_bytes();
-    Ok(Call { id, service, key, method: parts.method, path, kind, body, weight, deadline })
+    Ok(Call { id, service, key, method: parts.method, path, kind, body, weight, once, deadline })
 }
 
 fn key(headers: &HeaderMap) -> Result<(String, SliceRef)> {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,11 +1,14 @@
 //! Integration tests, one file a promise or feature. Those that say so run the program's own
 //! processes.
 
+mod bad_input;
 mod command_line;
 mod config;
 mod fold;
 mod lasting;
 mod lease_model;
+mod nonsense;
+mod once;
 mod ownership;
 mod path;
 mod support;
--- /dev/null
+++ b/tests/testsuite/nonsense.rs
@@ -0,0 +1,40 @@
+//! Whatever comes from the network is read or refused, never more.
+
+use kelpwind::core::record::Record;
+use kelpwind::lease::message::{Message, Seq, Tag};
+use kelpwind::net::datagram::{DatagramError, decode, encode};
+use proptest::prelude::*;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2000,
+        rng_seed: prop::test_runner::RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_datagram_is_read_or_refused(raw in prop::collection::vec(any::<u8>(), 0..64)) {
+        let _ = decode(&raw);
+        let with_format: Vec<u8> = std::iter::once(1).chain(raw).collect();
+        if let Ok(message) = decode(&with_format) {
+            prop_assert_eq!(decode(&encode(&message)), Ok(message));
+        }
+    }
+
+    #[test]
+    fn any_record_is_read_or_refused(text in "[\\{\\}\\[\\]\":,a-z0-9]{0,80}") {
+        let _ = Record::try_from(text.as_bytes());
+    }
+}
+
+#[test]
+fn datagrams_are_small_and_carry_their_format() {
+    let message =
+        Message::Renew { holder: Tag(u64::MAX), witness: Tag(u64::MAX), seq: Seq(1 << 40) };
+    let raw = encode(&message);
+    assert!(raw.len() <= 32, "{} bytes", raw.len());
+    assert_eq!(decode(&raw), Ok(message));
+    assert_eq!(decode(&[]), Err(DatagramError::Empty));
+    assert_eq!(decode(&[9, 0]), Err(DatagramError::Format(9)));
+}
--- /dev/null
+++ b/tests/testsuite/once.rs
@@ -0,0 +1,100 @@
+//! A request that may not be repeated runs at most once, and its repeats learn what became of it.
+
+use kelpwind_test_support::cluster::{Cluster, Target};
+use kelpwind_test_support::history::ran_twice;
+use kelpwind_test_support::http::{Answer, Ask, send};
+use rstest::rstest;
+
+use crate::support::{PROGRAM, data};
+
+const TARGETS: [Target<'static>; 5] = [
+    Target::new("historie", "rdam-a"),
+    Target::new("historie", "dordt-b"),
+    Target { service: "certificaat", domain: "rdam-a", backend: &["--work-ms", "100"] },
+    Target { service: "certificaat", domain: "dordt-b", backend: &["--work-ms", "100"] },
+    Target { service: "certificaat", domain: "delft-c", backend: &["--work-ms", "100"] },
+];
+
+async fn start() -> Cluster {
+    let cluster = Cluster::start(PROGRAM, &TARGETS).await;
+    cluster.publish(0, &data("two-services.toml"), 0).await;
+    cluster.settled(0, 5).await;
+    cluster
+}
+
+async fn issue(cluster: &Cluster, entry: usize, id: &str, attempt: Option<&str>) -> Answer {
+    let mut headers = vec![("idempotency-key", id)];
+    headers.extend(attempt.map(|a| ("kelpwind-attempt", a)));
+    let ask = Ask { method: "POST", path: "/certificaat/ketel-7", headers: &headers, body: "x" };
+    send(cluster.nodes[entry].listen, &ask).await.unwrap()
+}
+
+async fn runs(cluster: &Cluster, id: &str) -> Vec<usize> {
+    let all = cluster.all_executions().await;
+    all.iter().filter(|(_, e)| e.request == id).map(|(server, _)| *server).collect()
+}
+
+#[tokio::test]
+async fn repeats_at_any_node_get_the_first_answer() {
+    let cluster = start().await;
+    let (first, second, third) = tokio::join!(
+        issue(&cluster, 0, "c-1", None),
+        issue(&cluster, 1, "c-1", None),
+        issue(&cluster, 2, "c-1", None),
+    );
+    let late = issue(&cluster, 3, "c-1", None).await;
+    for answer in [&first, &second, &third, &late] {
+        assert_eq!((answer.outcome.as_str(), &answer.body), ("done", &first.body));
+    }
+    assert_eq!(runs(&cluster, "c-1").await.len(), 1);
+}
+
+#[tokio::test]
+async fn a_planned_stop_hands_over_what_is_remembered() {
+    let mut cluster = start().await;
+    let ids: Vec<String> = (0..30).map(|i| format!("c-{i}")).collect();
+    let mut bodies = Vec::new();
+    for id in &ids {
+        bodies.push(issue(&cluster, 0, id, None).await.body);
+    }
+    let owned = runs(&cluster, "c-3").await[0];
+    cluster.nodes[owned].process.signal("TERM");
+    cluster.nodes[owned].process.wait();
+    for (id, body) in ids.iter().zip(&bodies) {
+        let answer = issue(&cluster, 1, id, None).await;
+        assert_eq!((answer.outcome.as_str(), &answer.body), ("done", body), "{id}");
+    }
+    assert_eq!(ran_twice(&cluster.all_executions().await), []);
+}
+
+/// After the loss of the owner nobody knows what ran: what may be a repeat is "unknown", what says
+/// that it is the first try is run.
+#[rstest]
+#[case::may_be_a_repeat(None, "304")]
+#[case::says_it_is_a_repeat(Some("2"), "304")]
+#[case::says_it_is_the_first(Some("1"), "0")]
+#[tokio::test]
+async fn after_the_loss_of_an_owner_only_first_tries_run(
+    #[case] attempt: Option<&str>,
+    #[case] code: &str,
+) {
+    let mut cluster = start().await;
+    issue(&cluster, 0, "c-9", None).await;
+    let owner = runs(&cluster, "c-9").await[0];
+    cluster.nodes[owner].process.kill();
+    let answer = async || issue(&cluster, 0, "c-9b", Some("1")).await;
+    cluster.until("the keys are served", async || answer().await.outcome == "done").await;
+    cluster
+        .until("the owner is replaced", async || {
+            issue(&cluster, 0, "c-9", Some("2")).await.code == "304"
+        })
+        .await;
+    let ran = runs(&cluster, "c-9").await.len();
+    assert_eq!(ran, 1, "the repeat was not run");
+    let fresh = match attempt {
+        Some("1") => "c-9c",
+        _ => "c-9",
+    };
+    let answer = issue(&cluster, 1, fresh, attempt).await;
+    assert_eq!(answer.code, code, "{answer:?}");
+}
