A handover needs the log for its record only; lagging nodes learn from renewals

Cause: a slice that was being handed over when the log died had no owner until the log was back: the old owner stopped before it wrote the record and could not learn its fate. Found by a test that flaked one time in two. Second fault: a node whose log connection went silent noticed after 2 s only, so keys stayed in a failure domain that was out. Third: a draining backend server's gate refused its keys before they had moved (dozens of requests cut in half a second). Ruled out: resuming after a time without an answer (the record may yet hold); shorter read timeouts for all (2,700 nodes would poll the log more often). Change: the record names the next owner while the former one goes on; the next one asks it to let go, which stops, drains and sends its memory of requests along. Renewals and acknowledgements carry the sender's log offset; a node that is behind for 150 ms asks that sender. Owners serve their keys until they move. Conclusion: ownership moves by log, service by one exchange between two nodes.

--- a/src/kelpwind/core/record.rs
+++ b/src/kelpwind/core/record.rs
@@ -75,7 +75,8 @@
         /// The moves.
         moves: Vec<Move>,
     },
-    /// An owner hands slices over, after it has stopped serving them; only the owner writes it.
+    /// An owner hands slices over; only the owner writes it, and only once it serves them itself. It
+    /// goes on serving them until the next owner asks it to let go.
     Handover {
         /// The owner.
         from: Holder,
--- a/src/kelpwind/core/state.rs
+++ b/src/kelpwind/core/state.rs
@@ -37,6 +37,49 @@
     pub token: Token,
     /// Token of the grant before; 0 when there was none.
     pub prev: Token,
+    /// The owner that handed the slice over, until it is no member any more. It serves the slice
+    /// until the next owner asks it to let go; nobody else may serve it before that.
+    pub from: Option<Former>,
+}
+
+/// An owner that has handed a slice over and may still serve it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Former {
+    /// The former owner.
+    pub holder: Holder,
+    /// The token it held the slice under.
+    pub token: Token,
+    /// Token of the grant before that; 0 when there was none.
+    pub prev: Token,
+}
+
+impl Former {
+    /// The slot as it was while the former owner had it.
+    pub fn slot(&self) -> Slot {
+        let Former { holder, token, prev } = self.clone();
+        Slot { holder: Some(holder), token, prev, from: None }
+    }
+}
+
+impl Slot {
+    /// Whether anyone owns the slice or may still serve it.
+    fn is_held(&self) -> bool {
+        self.holder.is_some() || self.from.is_some()
+    }
+
+    fn is_from(&self, holder: &Holder) -> bool {
+        self.from.as_ref().is_some_and(|f| f.holder == *holder)
+    }
+
+    /// The holder gives the slice up, as owner and as former owner.
+    fn let_go(&mut self, holder: &Holder) {
+        if self.holder.as_ref() == Some(holder) {
+            self.holder = None;
+        }
+        if self.is_from(holder) {
+            self.from = None;
+        }
+    }
 }
 
 /// The slices of a key range.
@@ -173,7 +216,7 @@
         let ranges = config.all_ranges();
         let kept =
             |name: &RangeName, old: &RangeState| ranges.get(name).is_some_and(|r| *r == old.range);
-        let owned = |old: &RangeState| old.slots.iter().any(|s| s.holder.is_some());
+        let owned = |old: &RangeState| old.slots.iter().any(Slot::is_held);
         let leaving = self.ranges.iter().filter(|(name, old)| !kept(name, old) && owned(old));
         leaving.into_iter().any(|(_, old)| {
             let mut new = ranges.values().filter(|r| r.once == old.range.once);
@@ -198,7 +241,7 @@
     }
 
     fn forget_retired(&mut self) {
-        self.ranges.retain(|_, r| !r.retired || r.slots.iter().any(|s| s.holder.is_some()));
+        self.ranges.retain(|_, r| !r.retired || r.slots.iter().any(Slot::is_held));
     }
 
     fn join(&mut self, offset: Offset, member: Member) -> Verdict {
@@ -221,9 +264,7 @@
     fn remove(&mut self, holder: &Holder) -> Verdict {
         self.members.remove(holder).ok_or(Code::NotMember)?;
         for slot in self.ranges.values_mut().flat_map(|r| &mut r.slots) {
-            if slot.holder.as_ref() == Some(holder) {
-                slot.holder = None;
-            }
+            slot.let_go(holder);
         }
         self.forget_retired();
         Ok(())
@@ -278,6 +319,11 @@
             if slot.holder.as_ref() != from || slot.token != step.prev {
                 continue;
             }
+            if let Some(from) = from {
+                // Only an owner that has the slice writes this, so no earlier one has it.
+                let (token, prev) = (slot.token, slot.prev);
+                slot.from = Some(Former { holder: from.clone(), token, prev });
+            }
             slot.holder = Some(step.to.clone());
             slot.prev = slot.token;
             slot.token = Token(offset.0);
@@ -289,9 +335,7 @@
     fn release(&mut self, from: &Holder, range: &RangeName) -> Verdict {
         let known = self.ranges.get_mut(range).ok_or(Code::StaleToken)?;
         for slot in &mut known.slots {
-            if slot.holder.as_ref() == Some(from) {
-                slot.holder = None;
-            }
+            slot.let_go(from);
         }
         self.forget_retired();
         Ok(())
--- a/src/kelpwind/gate/inflight.rs
+++ b/src/kelpwind/gate/inflight.rs
@@ -1,17 +1,21 @@
-//! Requests in flight by slice, so that a handover can wait for them to end.
+//! Requests in flight by slice, and the slices that this node has let go.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
 use crate::core::call::SliceRef;
+use crate::core::ids::Token;
 
 #[derive(Debug, Default)]
 struct Inner {
     running: BTreeMap<SliceRef, u32>,
-    moving: BTreeSet<SliceRef>,
+    /// Slices let go, with the newest token under which they were held.
+    gone: BTreeMap<SliceRef, Token>,
+    /// Slices that their former owner has let go to this node, with this node's token.
+    taken: BTreeMap<SliceRef, Token>,
 }
 
 /// Requests in flight by slice.
@@ -50,39 +54,49 @@
 }
 
 impl InFlight {
-    /// Notes a request for a slice; `None` while the slice is being handed over.
-    pub fn enter(&self, slice: &SliceRef) -> Option<Entered> {
+    /// Notes a request for a slice held under `token`; `None` once the slice was let go.
+    pub fn enter(&self, slice: &SliceRef, token: Token) -> Option<Entered> {
         let mut inner = self.inner.lock();
-        if inner.moving.contains(slice) {
+        if inner.gone.get(slice).is_some_and(|gone| *gone >= token) {
             return None;
         }
         *inner.running.entry(slice.clone()).or_default() += 1;
         Some(Entered { all: self.clone(), slice: slice.clone() })
     }
 
-    /// Whether the slice is being handed over.
-    pub fn is_moving(&self, slice: &SliceRef) -> bool {
-        self.inner.lock().moving.contains(slice)
+    /// Lets a slice go that was held under `token`: no request for it enters any more.
+    pub fn let_go(&self, slice: &SliceRef, token: Token) {
+        let mut inner = self.inner.lock();
+        let gone = inner.gone.entry(slice.clone()).or_default();
+        *gone = (*gone).max(token);
     }
 
-    /// Admits no more requests for the slices. Those that were moving already are not returned.
-    pub fn stop(&self, slices: impl IntoIterator<Item = SliceRef>) -> Vec<SliceRef> {
-        let mut inner = self.inner.lock();
-        slices.into_iter().filter(|s| inner.moving.insert(s.clone())).collect()
+    /// Whether the slice held under `token` was let go.
+    pub fn is_gone(&self, slice: &SliceRef, token: Token) -> bool {
+        self.inner.lock().gone.get(slice).is_some_and(|gone| *gone >= token)
+    }
+
+    /// Notes that the former owner has let a slice go, which this node was granted under `token`.
+    pub fn take(&self, slice: SliceRef, token: Token) {
+        self.inner.lock().taken.insert(slice, token);
     }
 
-    /// Ends the move of slices, once its fate is known.
-    pub fn settle(&self, slices: &[SliceRef]) {
+    /// Whether the former owner has let the slice go to this node under `token`.
+    pub fn is_taken(&self, slice: &SliceRef, token: Token) -> bool {
+        self.inner.lock().taken.get(slice) == Some(&token)
+    }
+
+    /// Forgets slices that `keep` does not name.
+    pub fn prune(&self, keep: impl Fn(&SliceRef) -> bool) {
         let mut inner = self.inner.lock();
-        for slice in slices {
-            inner.moving.remove(slice);
-        }
+        inner.taken.retain(|slice, _| keep(slice));
     }
 
     /// Waits until no request for the slices is in flight.
     pub async fn drained(&self, slices: &[SliceRef]) {
         let mut ended = self.ended.subscribe();
         loop {
+            ended.borrow_and_update();
             let busy = {
                 let inner = self.inner.lock();
                 slices.iter().any(|s| inner.running.contains_key(s))
--- a/src/kelpwind/gate/memory.rs
+++ b/src/kelpwind/gate/memory.rs
@@ -181,6 +181,7 @@
         let now = Instant::now();
         let mut inner = self.inner.lock();
         inner.slices.retain(|slice, _| owned(slice));
+        inner.sent.retain(|slice, _| owned(slice));
         let mut bytes = 0;
         for slice in inner.slices.values_mut() {
             slice.entries.retain(|_, e| e.is_running() || now.duration_since(e.since) < KEPT);
--- a/src/kelpwind/gate/pass.rs
+++ b/src/kelpwind/gate/pass.rs
@@ -16,6 +16,7 @@
 use crate::core::call::{Answer, Attempt, Call, SliceRef};
 use crate::core::codes::Code;
 use crate::core::ids::{Count, Holder, Token};
+use crate::core::state::Slot;
 use crate::lease::clock::{self, Moment};
 use crate::lease::holder::Lease;
 use crate::log::ledger::Ledger;
@@ -100,9 +101,7 @@
             if let Err(code) = self.check_owner(&call) {
                 return refuse(code);
             }
-            let Some(slot) = self.ledger.state().slot(&slice.range, slice.slice).cloned() else {
-                return refuse(Code::NoRange);
-            };
+            let Some(slot) = self.memory_slot(&slice) else { return refuse(Code::NotOwner) };
             let first = attempt == Attempt::First;
             match self.memory.begin(&slice, &slot, &call.id, first) {
                 Turn::Answer(answer) => return answer,
@@ -121,6 +120,18 @@
         }
     }
 
+    /// The slot under which the memory of a slice stands: for a former owner as it was before.
+    fn memory_slot(&self, slice: &SliceRef) -> Option<Slot> {
+        let state = self.ledger.state();
+        let slot = state.slot(&slice.range, slice.slice)?;
+        match &slot.from {
+            Some(f) if f.holder == self.me && slot.holder.as_ref() != Some(&self.me) => {
+                Some(f.slot())
+            }
+            _ => Some(slot.clone()),
+        }
+    }
+
     async fn admit_and_send(&self, call: Call) -> Result<Answer> {
         let attached = self.attached.read().clone().ok_or(Code::NoTarget)?;
         self.check_work(&call, &attached)?;
@@ -165,15 +176,19 @@
         if attached.said.service != call.service.as_str() {
             return Err(Code::StaleRoute);
         }
-        let stopping = self.stopping.load(std::sync::atomic::Ordering::Relaxed);
-        if stopping || attached.said.draining {
+        if self.stopping.load(std::sync::atomic::Ordering::Relaxed) {
             return Err(Code::Draining);
         }
+        // The owner of a key goes on serving it until the key is handed over: nobody else may.
+        if call.key.is_some() {
+            return Ok(());
+        }
         let state = self.ledger.state();
         let me = state.members.get(&self.me).ok_or(Code::NoTarget)?;
-        // The owner of a key goes on serving it until the key is handed over: nobody else may.
-        let owned = call.key.is_some();
-        if !owned && !state.takes_work(&me.member) { Err(Code::Draining) } else { Ok(()) }
+        if attached.said.draining || !state.takes_work(&me.member) {
+            return Err(Code::Draining);
+        }
+        Ok(())
     }
 
     fn check_owner(&self, call: &Call) -> Result<Leave> {
@@ -192,17 +207,37 @@
         let state = self.ledger.state();
         let slot = state.slot(&slice.range, slice.slice).ok_or(Code::NoRange)?;
         let retired = state.ranges.get(&slice.range).is_none_or(|r| r.retired);
-        if retired || slot.holder.as_ref() != Some(&self.me) {
+        if retired {
             return Err(Code::NotOwner);
         }
-        Ok(slot.token)
+        self.token(slice, slot)
+    }
+
+    /// The token under which this node serves a slice: its own, once the former owner has let go,
+    /// or that of the former owner, until the next one asks.
+    fn token(&self, slice: &SliceRef, slot: &Slot) -> Result<Token> {
+        let former = slot.from.as_ref().filter(|f| f.holder == self.me);
+        if slot.holder.as_ref() == Some(&self.me) {
+            let free = slot.from.is_none() || former.is_some();
+            let taken = free || self.inflight.is_taken(slice, slot.token);
+            return if taken { Ok(slot.token) } else { Err(Code::Moving) };
+        }
+        match former {
+            Some(f) if !self.inflight.is_gone(slice, f.token) => Ok(f.token),
+            Some(_) => Err(Code::Moving),
+            None => Err(Code::NotOwner),
+        }
+    }
+
+    /// Whether this node may serve a slice, its lease aside.
+    pub fn serves(&self, slice: &SliceRef, slot: &Slot) -> bool {
+        self.token(slice, slot).is_ok()
     }
 
     fn enter(&self, call: &Call) -> Result<Option<Entered>> {
-        let Some((_, slice)) = &call.key else {
-            return Ok(None);
-        };
-        self.inflight.enter(slice).map(Some).ok_or(Code::Moving)
+        let Some((_, slice)) = &call.key else { return Ok(None) };
+        let token = self.owned(slice)?;
+        self.inflight.enter(slice, token).map(Some).ok_or(Code::Moving)
     }
 
     /// Tells a backend server that checks fences how long the lease now holds.
--- a/src/kelpwind/lease/holder.rs
+++ b/src/kelpwind/lease/holder.rs
@@ -5,7 +5,7 @@
 use super::clock::Moment;
 use super::message::{Message, Seq, Tag};
 use super::{GUARD, LEASE, majority};
-use crate::core::ids::{Holder, RecordId, Version};
+use crate::core::ids::{Holder, Offset, RecordId, Version};
 use crate::core::record::Peer;
 
 /// A change of the witness set whose fate is not known yet.
@@ -81,8 +81,9 @@
         &self.refused
     }
 
-    /// Starts a renewal: the datagrams to send, each with its witness.
-    pub fn renew(&mut self, now: Moment) -> Vec<(Peer, Message)> {
+    /// Starts a renewal: the datagrams to send, each with its witness. `next` is how far this node
+    /// has read the log.
+    pub fn renew(&mut self, next: Offset, now: Moment) -> Vec<(Peer, Message)> {
         self.seq = Seq(self.seq.0 + 1);
         self.sent.push_back((self.seq, now));
         while self.sent.front().is_some_and(|(_, at)| now.since(*at) > LEASE) {
@@ -93,7 +94,7 @@
         let renewal = |peer: &Peer| {
             let holder = Tag::from(self.me.inc);
             let witness = Tag::from(peer.holder.inc);
-            (peer.clone(), Message::Renew { holder, witness, seq: self.seq })
+            (peer.clone(), Message::Renew { holder, witness, seq: self.seq, next })
         };
         peers.into_iter().map(renewal).collect()
     }
--- a/src/kelpwind/lease/message.rs
+++ b/src/kelpwind/lease/message.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::ids::Version;
+use crate::core::ids::{Offset, Version};
 
 /// Number of a renewal, rising for one holder.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -34,6 +34,8 @@
         witness: Tag,
         /// Number of the renewal.
         seq: Seq,
+        /// How far the holder has read the log.
+        next: Offset,
     },
     /// The witness acknowledges a renewal.
     Ack {
@@ -43,6 +45,8 @@
         witness: Tag,
         /// Number of the renewal.
         seq: Seq,
+        /// How far the witness has read the log.
+        next: Offset,
     },
     /// The witness will never acknowledge this holder again.
     Refuse {
--- a/src/kelpwind/lease/witness.rs
+++ b/src/kelpwind/lease/witness.rs
@@ -9,7 +9,7 @@
 use super::clock::Moment;
 use super::message::{Message, Seq, Tag};
 use super::{LEASE, SILENCE};
-use crate::core::ids::Version;
+use crate::core::ids::{Offset, Version};
 
 /// A witness's memory.
 #[derive(Clone, Debug)]
@@ -62,16 +62,13 @@
         }
     }
 
-    /// Answers a renewal. `member` says whether the holder is a member, as the log has it.
-    pub fn renewal(&mut self, holder: Tag, seq: Seq, member: bool, now: Moment) -> Option<Message> {
+    /// Answers a renewal of a member. `next` is how far this node has read the log.
+    pub fn renewal(&mut self, holder: Tag, seq: Seq, next: Offset, now: Moment) -> Message {
         if self.promised.contains(&holder) {
-            return Some(Message::Refuse { holder, witness: self.me });
-        }
-        if !member {
-            return None;
+            return Message::Refuse { holder, witness: self.me };
         }
         self.acked.insert(holder, now);
-        Some(Message::Ack { holder, witness: self.me, seq })
+        Message::Ack { holder, witness: self.me, seq, next }
     }
 
     /// How long a watched holder has been silent; `None` when it is not watched.
--- a/src/kelpwind/node/handover.rs
+++ b/src/kelpwind/node/handover.rs
@@ -1,132 +1,213 @@
-//! Handing slices over to other owners, as planned.
+//! Handing slices over to other owners, as planned, without a moment in which the log is needed.
 //!
-//! The order is what keeps the promise: admission for the slices stops, requests in flight end, and
-//! only then the record is written that names the new owner. Until the record's fate is known this
-//! node does not serve the slices again, whatever the reply of the log was.
+//! 1. The owner writes the record that names the next owner, and goes on serving.
+//! 2. The next owner reads it and asks the former one to let go. That stops admission, waits for
+//!    requests in flight to end, and answers with what it remembers of requests that may not be
+//!    repeated. From then on it never serves the slices under its old token again.
+//! 3. With that answer the next owner serves. Entries know both and try the other when one refuses.
+//!
+//! The slices are without service from the stop to the answer only: one exchange between two nodes
+//! and the requests in flight. Whatever becomes of the log in between, one of the two serves. If the
+//! former owner is lost before it has let go, its witnesses revoke it, and with that record it is
+//! no member and need not be asked.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::{Node, peers};
 use crate::core::call::SliceRef;
 use crate::core::codes::Code;
-use crate::core::ids::Holder;
+use crate::core::ids::{Holder, Offset, Token};
 use crate::core::record::{Body, Move};
-use crate::core::state::Slot;
+use crate::core::state::{Slot, State};
+use crate::gate::memory::Sent;
 use crate::place::planner::{self, Transfer};
 use crate::util::error::{Error, Result};
 
-/// Longest time that a handover waits for requests in flight; then the slices stay.
-const DRAIN_TIME: Duration = Duration::from_secs(3);
+/// Longest time to wait for the fate of a handover's record.
+const RECORD_TIME: Duration = Duration::from_secs(3);
+/// Longest time to wait until this node has read the record by which it should let go.
+const READ_TIME: Duration = Duration::from_secs(2);
 /// Most slices handed over with one record.
 pub const BATCH_MAX: usize = 256;
+/// Pause before a former owner is asked again.
+const ASK_PAUSE: Duration = Duration::from_millis(20);
+
+/// A slice to let go, with the token that was granted to the asker.
+pub type Wanted = (SliceRef, Token);
 
 impl Node {
-    /// Hands over the slices that this node owns under the token the plan names.
+    /// Writes the record that hands over slices that this node owns under the tokens of the plan.
     ///
     /// # Errors
-    /// [`Code::LogDown`] while the log does not answer: the slices stay.
+    /// [`Code::LogDown`] while the log does not answer; the slices stay, or are let go once the
+    /// record shows.
     pub async fn hand_over(&self, transfers: Vec<Transfer>) -> Result<usize> {
         if !self.log_is_up() {
             let context = "failed to hand over: the log does not answer";
             return Err(Error::new(Code::LogDown, context));
         }
-        let mine = self.transfers_of_mine(transfers);
-        let stopped = self.gate.inflight.stop(mine.iter().map(|t| t.slice.clone()));
-        let moving = |t: &&Transfer| stopped.contains(&t.slice);
-        let moves: Vec<Move> = mine.iter().filter(moving).map(to_move).collect();
+        let moves = self.moves_of_mine(transfers);
         if moves.is_empty() {
             return Ok(0);
         }
-        let drained = tokio::time::timeout(DRAIN_TIME, self.gate.inflight.drained(&stopped)).await;
-        if drained.is_err() {
-            self.gate.inflight.settle(&stopped);
-            return Ok(0);
-        }
-        self.send_memory(&moves).await;
         let count = moves.len();
         let from = self.me.clone();
-        self.append_surely(Body::Handover { from, moves }).await;
-        self.gate.inflight.settle(&stopped);
-        self.metrics.handed.inc_by(count as u64);
+        self.append(Body::Handover { from, moves }, RECORD_TIME).await?;
         Ok(count)
     }
 
-    /// Sends what is remembered of requests that may not be repeated to the next owners. If that
-    /// fails, they know that their memory is not whole.
-    async fn send_memory(&self, moves: &[Move]) {
-        let mut by_owner: BTreeMap<&Holder, Vec<(SliceRef, Slot)>> = BTreeMap::new();
-        for step in moves {
-            let slice = SliceRef { range: step.range.clone(), slice: step.slice };
-            let slot = self.ledger.state().slot(&slice.range, slice.slice).cloned();
-            if let Some(slot) = slot {
-                by_owner.entry(&step.to).or_default().push((slice, slot));
-            }
-        }
-        let sent = by_owner.into_iter().map(|(owner, slices)| {
-            let memory = self.gate.memory.hand_over(&slices);
-            let addr = self.ledger.state().members.get(owner).map(|m| m.member.peer);
-            async move {
-                if let Some(addr) = addr {
-                    peers::send_memory(addr, memory).await;
-                }
-            }
-        });
-        futures_util::future::join_all(sent).await;
-    }
-
-    fn transfers_of_mine(&self, transfers: Vec<Transfer>) -> Vec<Transfer> {
+    fn moves_of_mine(&self, transfers: Vec<Transfer>) -> Vec<Move> {
         let state = self.ledger.state();
         let mine = |t: &Transfer| {
             let slot = state.slot(&t.slice.range, t.slice.slice);
-            slot.is_some_and(|s| s.holder.as_ref() == Some(&self.me) && s.token == t.token)
+            slot.is_some_and(|s| s.token == t.token && self.gate.serves(&t.slice, s))
         };
-        transfers.into_iter().filter(mine).take(BATCH_MAX).collect()
+        transfers.into_iter().filter(mine).take(BATCH_MAX).map(to_move).collect()
     }
 
-    /// Hands over all slices, for a planned stop.
+    /// Hands over all slices, for a planned stop, and waits until they are let go.
     pub async fn hand_over_all(&self) {
         loop {
             let moves = planner::replace(&self.ledger.state(), &self.me);
             let transfers: Vec<Transfer> =
                 moves.into_iter().take(BATCH_MAX).map(|m| self.to_transfer(m)).collect();
-            if transfers.is_empty() || self.hand_over(transfers).await.is_err() {
+            let more = !transfers.is_empty();
+            if !more && self.held().is_empty() {
+                return;
+            }
+            if more && self.hand_over(transfers).await.is_err() {
                 return;
             }
+            tokio::time::sleep(ASK_PAUSE).await;
         }
     }
 
+    /// Slices that this node still serves, as owner or former owner.
+    fn held(&self) -> Vec<SliceRef> {
+        let state = self.ledger.state();
+        all_slices(&state).filter(|(s, slot)| self.gate.serves(s, slot)).map(|(s, _)| s).collect()
+    }
+
     fn to_transfer(&self, step: Move) -> Transfer {
         let slice = SliceRef { range: step.range, slice: step.slice };
         Transfer { slice, token: step.prev, from: self.me.clone(), to: step.to }
     }
 
+    /// Lets slices go that were granted to another owner, and says what is remembered for them.
+    /// Those that the log, as read here, does not grant to another are not let go.
+    pub async fn let_go(&self, wanted: Vec<Wanted>) -> Vec<(SliceRef, Sent)> {
+        let newest = wanted.iter().map(|(_, token)| token.0).max().unwrap_or(0);
+        self.read_past(Offset(newest)).await;
+        let mut slices = Vec::new();
+        {
+            let state = self.ledger.state();
+            for (slice, token) in wanted {
+                let Some(slot) = state.slot(&slice.range, slice.slice) else { continue };
+                let Some(former) = &slot.from else { continue };
+                if slot.token == token && former.holder == self.me {
+                    slices.push((slice, former.slot()));
+                }
+            }
+        }
+        for (slice, slot) in &slices {
+            self.gate.inflight.let_go(slice, slot.token);
+        }
+        let names: Vec<SliceRef> = slices.iter().map(|(s, _)| s.clone()).collect();
+        self.gate.inflight.drained(&names).await;
+        self.metrics.handed.inc_by(names.len() as u64);
+        self.gate.memory.hand_over(&slices)
+    }
+
+    async fn read_past(&self, offset: Offset) {
+        let mut moves = self.ledger.moves();
+        let read = moves.wait_for(|next| *next > offset);
+        let _ = tokio::time::timeout(READ_TIME, read).await;
+    }
+
+    /// Slices granted to this node that a former owner has not let go yet, by that owner.
+    fn to_take(&self) -> BTreeMap<Holder, Vec<Wanted>> {
+        let state = self.ledger.state();
+        let mut by_owner: BTreeMap<Holder, Vec<Wanted>> = BTreeMap::new();
+        for (slice, slot) in all_slices(&state) {
+            let Some(former) = &slot.from else { continue };
+            let open = !self.gate.inflight.is_taken(&slice, slot.token);
+            if slot.holder.as_ref() == Some(&self.me) && former.holder != self.me && open {
+                by_owner.entry(former.holder.clone()).or_default().push((slice, slot.token));
+            }
+        }
+        by_owner
+    }
+
+    async fn take_from(&self, owner: Holder, wanted: Vec<Wanted>) {
+        let addr = self.ledger.state().members.get(&owner).map(|m| m.member.peer);
+        let Some(addr) = addr else { return };
+        let Some(given) = peers::ask_let_go(addr, &wanted).await else { return };
+        for (slice, sent) in given {
+            let Some((_, token)) = wanted.iter().find(|(s, _)| *s == slice) else { continue };
+            self.gate.memory.take(slice.clone(), sent);
+            self.gate.inflight.take(slice, *token);
+        }
+    }
+
     /// Gives up the slices of key ranges that were dropped from the configuration.
     pub async fn release_retired(&self) {
-        let retired: Vec<SliceRef> = {
+        let mut by_range: BTreeMap<_, Vec<(SliceRef, Token)>> = BTreeMap::new();
+        {
             let state = self.ledger.state();
-            let owned = state.owned_by(&self.me);
-            let gone = owned.filter(|(r, _, _)| state.ranges.get(*r).is_some_and(|r| r.retired));
-            gone.map(|(r, slice, _)| SliceRef { range: r.clone(), slice }).collect()
-        };
-        let stopped = self.gate.inflight.stop(retired);
-        let Some(first) = stopped.first() else { return };
-        self.gate.inflight.drained(&stopped).await;
-        let (from, range) = (self.me.clone(), first.range.clone());
-        let of_range = |s: &&SliceRef| s.range == range;
-        let done: Vec<SliceRef> = stopped.iter().filter(of_range).cloned().collect();
-        self.append_surely(Body::Release { from, range: range.clone() }).await;
-        self.gate.inflight.settle(&done);
-        let others: Vec<SliceRef> = stopped.into_iter().filter(|s| s.range != range).collect();
-        self.gate.inflight.settle(&others);
+            let retired = |s: &SliceRef| state.ranges.get(&s.range).is_some_and(|r| r.retired);
+            for (slice, slot) in all_slices(&state).filter(|(s, _)| retired(s)) {
+                let mine = slot.holder.as_ref() == Some(&self.me)
+                    || slot.from.as_ref().is_some_and(|f| f.holder == self.me);
+                if mine {
+                    let token = slot.token;
+                    by_range.entry(slice.range.clone()).or_default().push((slice, token));
+                }
+            }
+        }
+        for (range, slices) in by_range {
+            for (slice, token) in &slices {
+                self.gate.inflight.let_go(slice, *token);
+            }
+            let names: Vec<SliceRef> = slices.into_iter().map(|(s, _)| s).collect();
+            self.gate.inflight.drained(&names).await;
+            let _ = self.append(Body::Release { from: self.me.clone(), range }, RECORD_TIME).await;
+        }
     }
 }
 
-fn to_move(transfer: &Transfer) -> Move {
-    Move {
-        range: transfer.slice.range.clone(),
-        slice: transfer.slice.slice,
-        prev: transfer.token,
-        to: transfer.to.clone(),
+/// Takes slices over from their former owners, for as long as the process runs.
+pub async fn take_over(node: Arc<Node>) {
+    let mut moves = node.ledger.moves();
+    loop {
+        moves.borrow_and_update();
+        let wanted = node.to_take();
+        if wanted.is_empty() {
+            if moves.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let asked = wanted.into_iter().map(|(owner, slices)| node.take_from(owner, slices));
+        futures_util::future::join_all(asked).await;
+        if !node.to_take().is_empty() {
+            tokio::time::sleep(ASK_PAUSE).await;
+        }
     }
 }
+
+fn all_slices(state: &State) -> impl Iterator<Item = (SliceRef, &Slot)> {
+    state.ranges.iter().flat_map(|(range, known)| {
+        let slots = known.slots.iter().enumerate();
+        slots.map(move |(i, slot)| {
+            let slice = crate::core::ids::SliceId(i as u32);
+            (SliceRef { range: range.clone(), slice }, slot)
+        })
+    })
+}
+
+fn to_move(transfer: Transfer) -> Move {
+    let SliceRef { range, slice } = transfer.slice;
+    Move { range, slice, prev: transfer.token, to: transfer.to }
+}
--- a/src/kelpwind/node/leases.rs
+++ b/src/kelpwind/node/leases.rs
@@ -7,6 +7,7 @@
 
 use super::Node;
 use super::directory::Watched;
+use crate::core::ids::Offset;
 use crate::core::record::{Body, Peer};
 use crate::lease::clock::{self, Moment};
 use crate::lease::message::{Message, Tag};
@@ -69,10 +70,11 @@
 impl Node {
     /// Sends one round of renewals. A witness in this very process is told without a datagram.
     pub async fn renew_once(&self) {
+        let next = { self.ledger.state().next };
         let renewals = {
             let mut lease = self.lease.lock();
             let Some(lease) = lease.as_mut() else { return };
-            lease.renew(clock::now())
+            lease.renew(next, clock::now())
         };
         for (peer, message) in renewals {
             self.send_to_peer(&peer, message).await;
@@ -110,24 +112,34 @@
         }
     }
 
+    /// Notes how far a member has read the log; others could send anything.
+    fn note_ahead(&self, node: Tag, next: Offset) {
+        if self.directory.read().members.contains(&node) {
+            self.ahead.note(node, next);
+        }
+    }
+
     /// Takes one message.
     pub async fn answer(&self, message: Message) {
         let now = clock::now();
         let mine = Tag::from(self.me.inc);
         match message {
-            Message::Renew { holder, witness, seq } => {
+            Message::Renew { holder, witness, seq, next } => {
                 let member = self.directory.read().members.contains(&holder);
+                self.note_ahead(holder, next);
+                let meant = witness == mine && member;
+                let read = { self.ledger.state().next };
                 let answer = {
                     let mut memory = self.witness.lock();
                     memory.heard(holder, now);
-                    let meant = witness == mine;
-                    meant.then(|| memory.renewal(holder, seq, member, now)).flatten()
+                    meant.then(|| memory.renewal(holder, seq, read, now))
                 };
                 if let Some(answer) = answer {
                     self.reply(holder, answer).await;
                 }
             }
-            Message::Ack { holder, witness, seq } if holder == mine => {
+            Message::Ack { holder, witness, seq, next } if holder == mine => {
+                self.note_ahead(witness, next);
                 if let Some(lease) = self.lease.lock().as_mut() {
                     lease.acknowledged(witness, seq);
                 }
--- a/src/kelpwind/node/membership.rs
+++ b/src/kelpwind/node/membership.rs
@@ -9,6 +9,7 @@
 
 use super::Node;
 use super::directory::Directory;
+use crate::core::call::SliceRef;
 use crate::core::codes::Code;
 use crate::core::ids::{Count, ServiceName};
 use crate::core::record::{Body, Member, Record};
@@ -80,10 +81,13 @@
 
     fn prune_memory(&self) {
         let state = self.ledger.state();
-        self.gate.memory.prune(|slice| {
-            let slot = state.slot(&slice.range, slice.slice);
-            slot.is_some_and(|s| s.holder.as_ref() == Some(&self.me))
-        });
+        let mine = |slice: &SliceRef| {
+            let Some(slot) = state.slot(&slice.range, slice.slice) else { return false };
+            let former = slot.from.as_ref().map(|f| &f.holder);
+            slot.holder.as_ref() == Some(&self.me) || former == Some(&self.me)
+        };
+        self.gate.memory.prune(mine);
+        self.gate.inflight.prune(mine);
     }
 
     fn follow_lease(&self, state: &State) {
--- a/src/kelpwind/node/mod.rs
+++ b/src/kelpwind/node/mod.rs
@@ -6,6 +6,7 @@
 //! operators ([`admin`]).
 
 pub mod admin;
+pub mod catch_up;
 pub mod directory;
 pub mod handover;
 pub mod leases;
@@ -85,6 +86,8 @@
     pub takeovers: Mutex<Takeovers>,
     /// Members by incarnation.
     pub directory: RwLock<Arc<Directory>>,
+    /// How far other nodes have read the log.
+    pub ahead: catch_up::Ahead,
     /// Its gate.
     pub gate: Arc<Gate>,
     /// Its entry.
--- a/src/kelpwind/node/peers.rs
+++ b/src/kelpwind/node/peers.rs
@@ -16,6 +16,7 @@
 use tower::Service;
 
 use super::Node;
+use super::handover::Wanted;
 use crate::core::call::{Answer, SliceRef};
 use crate::core::codes::Code;
 use crate::core::ids::Offset;
@@ -106,12 +107,9 @@
         let transfers: Vec<Transfer> = params.one()?;
         node.hand_over(transfers).await.map_err(|e| rpc_error(&e))
     })?;
-    module.register_method("take_memory", |params, node, _| {
-        let memory: Vec<(SliceRef, Sent)> = params.one()?;
-        for (slice, sent) in memory {
-            node.gate.memory.take(slice, sent);
-        }
-        Ok::<_, ErrorObjectOwned>(())
+    module.register_async_method("let_go", |params, node, _| async move {
+        let wanted: Vec<Wanted> = params.one()?;
+        Ok::<_, ErrorObjectOwned>(node.let_go(wanted).await)
     })?;
     module.register_method("suffix", |params, node, _| {
         let from: Offset = params.one()?;
@@ -136,10 +134,10 @@
     let _ = client.request::<usize, _>("hand_over", rpc_params![transfers]).await;
 }
 
-/// Sends an owner the memory of slices that it is about to get.
-pub async fn send_memory(addr: SocketAddr, memory: Vec<(SliceRef, Sent)>) {
-    let Some(client) = client(addr, HELP_TIME) else { return };
-    let _ = client.request::<(), _>("take_memory", rpc_params![memory]).await;
+/// Asks a former owner to let slices go; what it remembers for each that it let go.
+pub async fn ask_let_go(addr: SocketAddr, wanted: &[Wanted]) -> Option<Vec<(SliceRef, Sent)>> {
+    let client = client(addr, CALL_TIME)?;
+    client.request("let_go", rpc_params![wanted]).await.ok()
 }
 
 /// Asks a node for the records from `next` on, or for its whole state.
--- a/src/kelpwind/node/start.rs
+++ b/src/kelpwind/node/start.rs
@@ -12,10 +12,11 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::catch_up::{self, Ahead};
 use super::metrics::Metrics;
 use super::peers::Rpc;
 use super::settings::Settings;
-use super::{Addrs, Node, admin, leases, life, membership, peers, planning};
+use super::{Addrs, Node, admin, handover, leases, life, membership, peers, planning};
 use crate::core::call::Answer;
 use crate::core::codes::Code;
 use crate::core::ids::{Holder, Incarnation, Offset};
@@ -180,6 +181,7 @@
         witness: Mutex::new(Witness::new(Tag::from(me.inc), born)),
         takeovers: Mutex::default(),
         directory: RwLock::default(),
+        ahead: Ahead::default(),
         stop: watch::Sender::new(false),
         life: Mutex::new(chart),
         settings,
@@ -226,12 +228,14 @@
     let helper = node.clone();
     let help = move |next| ask_someone(helper.clone(), next);
     tasks.spawn(follow::follow(node.log.clone(), node.ledger.clone(), health, help));
+    tasks.spawn(catch_up::catch_up(node.clone()));
     tasks.spawn(membership::track(node.clone()));
     tasks.spawn(membership::care(node.clone()));
     tasks.spawn(leases::receive(node.clone()));
     tasks.spawn(leases::renew(node.clone()));
     tasks.spawn(leases::renew_grant(node.clone()));
     tasks.spawn(leases::watch(node.clone()));
+    tasks.spawn(handover::take_over(node.clone()));
     tasks.spawn(planning::plan(node.clone()));
     tasks.spawn(planning::keep_snapshots(node.clone()));
 }
--- a/src/kelpwind/route/entry.rs
+++ b/src/kelpwind/route/entry.rs
@@ -31,7 +31,7 @@
 /// Weight of the newest latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.2;
 /// Pause before the same owner is asked again.
-const SAME_OWNER_PAUSE: Duration = Duration::from_millis(10);
+const SAME_OWNER_PAUSE: Duration = Duration::from_millis(5);
 
 /// What this entry has measured of a target.
 #[derive(Clone, Copy, Debug, Default)]
@@ -63,6 +63,7 @@
 struct Target {
     member: Member,
     seen: Offset,
+    handed_over: bool,
 }
 
 impl Entry {
@@ -100,12 +101,14 @@
         let budget = self.budget(&asked.call.service);
         budget.earn();
         let mut tried: Vec<Holder> = Vec::new();
+        let mut refused = None;
         let owner_until = Instant::now() + OWNER_WAIT;
         loop {
             if asked.call.deadline <= Instant::now() {
                 return Answer::refusal(Code::DeadlinePast);
             }
-            let target = match self.target(&asked.call, &tried, owner_until).await {
+            let target = self.target(&asked.call, &tried, refused.as_ref(), owner_until).await;
+            let target = match target {
                 Ok(target) => target,
                 Err(answer) => return answer,
             };
@@ -126,7 +129,11 @@
                 *doubtful = Some(answer);
                 asked.call.once = asked.call.once.map(|_| Attempt::Later);
             }
-            if asked.call.key.is_some() {
+            // Of two that may serve a key that is being handed over, the other is asked at once.
+            let other = refused.is_none() && target.handed_over;
+            refused = (refused.as_ref() != Some(&target.member.holder))
+                .then(|| target.member.holder.clone());
+            if asked.call.key.is_some() && !other {
                 self.wait_for_news(target.seen).await;
             }
         }
@@ -140,6 +147,7 @@
         &self,
         call: &Call,
         tried: &[Holder],
+        refused: Option<&Holder>,
         owner_until: Instant,
     ) -> Result<Target, Answer> {
         if call.key.is_none() {
@@ -149,7 +157,7 @@
         let mut moves = self.ledger.moves();
         loop {
             moves.borrow_and_update();
-            if let Some(owner) = self.owner(call) {
+            if let Some(owner) = self.owner(call, refused) {
                 return Ok(owner);
             }
             let until = owner_until.min(call.deadline);
@@ -160,12 +168,17 @@
         }
     }
 
-    fn owner(&self, call: &Call) -> Option<Target> {
+    /// The owner of the request's key. While the key is being handed over there are two that may
+    /// serve it; the one that refused last is passed over.
+    fn owner(&self, call: &Call, refused: Option<&Holder>) -> Option<Target> {
         let (_, slice) = call.key.as_ref()?;
         let state = self.ledger.state();
-        let holder = state.slot(&slice.range, slice.slice)?.holder.as_ref()?;
+        let slot = state.slot(&slice.range, slice.slice)?;
+        let former = slot.from.as_ref().map(|f| &f.holder);
+        let both = slot.holder.as_ref().into_iter().chain(former);
+        let holder = both.clone().find(|h| Some(*h) != refused).or(both.clone().next())?;
         let member = state.members.get(holder)?.member.clone();
-        Some(Target { member, seen: state.next })
+        Some(Target { member, seen: state.next, handed_over: former.is_some() })
     }
 
     fn pick(&self, service: &ServiceName, tried: &[Holder]) -> Option<Target> {
@@ -181,7 +194,7 @@
         };
         let candidates: Vec<Candidate> = members.iter().map(candidate).collect();
         let chosen = picker::choose(&candidates, |n| fastrand::usize(..n))?;
-        Some(Target { member: members[chosen].clone(), seen: state.next })
+        Some(Target { member: members[chosen].clone(), seen: state.next, handed_over: false })
     }
 
     async fn send(&self, to: &Member, call: &Call) -> Answer {
--- a/tests/testsuite/lease_model.rs
+++ b/tests/testsuite/lease_model.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use kelpwind::core::ids::{Holder, Incarnation, RecordId, Version};
+use kelpwind::core::ids::{Holder, Incarnation, Offset, RecordId, Version};
 use kelpwind::core::record::Peer;
 use kelpwind::lease::clock::Moment;
 use kelpwind::lease::holder::Lease;
@@ -120,7 +120,7 @@
         match step {
             Step::Wait(ms) => self.now = self.now + Duration::from_millis(*ms),
             Step::Renew(to, back) => {
-                let sent = self.lease.renew(self.now);
+                let sent = self.lease.renew(Offset(0), self.now);
                 self.exchange(sent.into_iter().map(|(_, m)| m).collect(), *to, *back);
             }
             Step::Deliver(i) => {
@@ -213,12 +213,12 @@
     fn deliver(&mut self, message: Message) {
         let now = self.now;
         let answer = match message {
-            Message::Renew { holder, witness, seq } => {
+            Message::Renew { holder, witness, seq, next } => {
                 let node = node_of(witness);
                 let memory = &mut self.witnesses[node];
                 memory.heard(holder, now);
                 let meant = self.incs[node] == witness.0;
-                meant.then(|| memory.renewal(holder, seq, true, now)).flatten()
+                meant.then(|| memory.renewal(holder, seq, next, now))
             }
             Message::Ack { witness, seq, .. } => {
                 self.lease.acknowledged(witness, seq);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod command_line;
 mod config;
+mod drains;
 mod fold;
 mod lasting;
 mod lease_model;
--- a/tests/testsuite/nonsense.rs
+++ b/tests/testsuite/nonsense.rs
@@ -1,5 +1,6 @@
 //! Whatever comes from the network is read or refused, never more.
 
+use kelpwind::core::ids::Offset;
 use kelpwind::core::record::Record;
 use kelpwind::lease::message::{Message, Seq, Tag};
 use kelpwind::net::datagram::{DatagramError, decode, encode};
@@ -30,8 +31,12 @@
 
 #[test]
 fn datagrams_are_small_and_carry_their_format() {
-    let message =
-        Message::Renew { holder: Tag(u64::MAX), witness: Tag(u64::MAX), seq: Seq(1 << 40) };
+    let message = Message::Renew {
+        holder: Tag(u64::MAX),
+        witness: Tag(u64::MAX),
+        seq: Seq(1 << 30),
+        next: Offset(1 << 30),
+    };
     let raw = encode(&message);
     assert!(raw.len() <= 32, "{} bytes", raw.len());
     assert_eq!(decode(&raw), Ok(message));
