Hedged reads, in-flight age in the picker, silent connections

Cause: a slow target showed only by its answers, and a request on a connection that went silent waited for its deadline. Ruled out: pings (HTTP/1.1 has none while a request is out). Change: requests that may come again are sent once more after the service's p95, within the retry budget; the age of the oldest request in flight counts as latency; busy targets are passed over for 20 ms.

--- a/src/kelpwind/gate/backend.rs
+++ b/src/kelpwind/gate/backend.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use http::{HeaderMap, HeaderValue, Request, header};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use kelpwind_platform::{
     DEADLINE_HEADER, GRANT_HEADER, GRANT_PATH, KEY_HEADER, REFUSED_HEADER, REQUEST_HEADER,
     TOKEN_HEADER,
@@ -74,6 +74,10 @@
         Ok(answer) if answer.headers().contains_key(REFUSED_HEADER) => {
             Answer::refusal(Code::Shed).retry_after(SHED_RETRY)
         }
+        // The server stopped the work at its deadline or for want of a grant.
+        Ok(answer) if answer.status() == StatusCode::GATEWAY_TIMEOUT => {
+            Answer::refusal(Code::Expired)
+        }
         Ok(answer) => {
             let kind = answer.headers().get(header::CONTENT_TYPE).cloned();
             let status = answer.status().as_u16();
--- a/src/kelpwind/net/pool.rs
+++ b/src/kelpwind/net/pool.rs
@@ -71,6 +71,15 @@
 /// Result of a call.
 pub type Result<T> = std::result::Result<T, CallError>;
 
+/// Which connections a call may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// An idle one if there is one.
+    Any,
+    /// Only a fresh one: an idle one may have gone silent.
+    Never,
+}
+
 /// Connections to any number of addresses.
 #[derive(Debug)]
 pub struct Pool {
@@ -103,6 +112,17 @@
         addr: SocketAddr,
         request: Request<Bytes>,
         deadline: Instant,
+    ) -> Result<Response<Bytes>> {
+        self.call_with(addr, request, deadline, Reuse::Any).await
+    }
+
+    /// The same, over an idle connection or a fresh one.
+    pub async fn call_with(
+        &self,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+        deadline: Instant,
+        reuse: Reuse,
     ) -> Result<Response<Bytes>> {
         let mut request = request.map(Full::new);
         let host = addr.to_string().parse();
@@ -110,7 +130,7 @@
             request.headers_mut().insert(header::HOST, host);
         }
         loop {
-            let (mut connection, reused) = self.connection(addr, deadline).await?;
+            let (mut connection, reused) = self.connection(addr, deadline, reuse).await?;
             let sent = connection.sender.try_send_request(request);
             let answer = match timeout_at(deadline.into(), sent).await {
                 Err(_) => return Err(CallError::Expired),
@@ -138,9 +158,16 @@
         self.idle.lock().remove(&addr);
     }
 
-    async fn connection(&self, addr: SocketAddr, deadline: Instant) -> Result<(Connection, bool)> {
+    async fn connection(
+        &self,
+        addr: SocketAddr,
+        deadline: Instant,
+        reuse: Reuse,
+    ) -> Result<(Connection, bool)> {
         let now = Instant::now();
-        while let Some(idle) = self.take_idle(addr) {
+        while reuse == Reuse::Any
+            && let Some(idle) = self.take_idle(addr)
+        {
             let fresh = now.duration_since(idle.used) < IDLE_MAX;
             if fresh && idle.sender.is_ready() {
                 return Ok((idle, true));
--- a/src/kelpwind/node/metrics.rs
+++ b/src/kelpwind/node/metrics.rs
@@ -20,6 +20,10 @@
     pub latency: Histogram,
     /// Tries after the first, by the code of the answer before.
     pub retries: IntCounterVec,
+    /// Slow requests that were sent once more.
+    pub hedges: IntCounter,
+    /// Of these, those that were answered first.
+    pub hedges_won: IntCounter,
     /// Requests that the gate was given, by result code.
     pub gate: IntCounterVec,
     /// Datagrams by direction.
@@ -86,6 +90,11 @@
                 &["direction"],
             ),
             appends: counters("kelpwind_appends_total", "Records appended, by kind.", &["kind"]),
+            hedges: counter("kelpwind_hedges_total", "Slow requests that were sent once more."),
+            hedges_won: counter(
+                "kelpwind_hedges_won_total",
+                "Slow requests whose second sending was answered first.",
+            ),
             takeovers: counter("kelpwind_takeovers_total", "Takeovers started."),
             handed: counter("kelpwind_slices_handed_over_total", "Slices handed over."),
             slices: gauge("kelpwind_slices_owned", "Slices that this node owns."),
--- a/src/kelpwind/node/start.rs
+++ b/src/kelpwind/node/start.rs
@@ -28,7 +28,7 @@
 use crate::log::ledger::Ledger;
 use crate::net::listen;
 use crate::net::pool::Pool;
-use crate::route::entry::Entry;
+use crate::route::entry::{Entry, Event};
 use crate::route::request::Raw;
 use crate::util::error::{Error, Result};
 
@@ -172,8 +172,12 @@
     let pool = Arc::new(Pool::new(Some(settings.peer.ip())));
     let gate = Arc::new(Gate::new(me.clone(), ledger.clone(), lease.clone()));
     let counters = metrics.clone();
-    let retried = Box::new(move |code| counters.count(&counters.retries, code));
-    let entry = Arc::new(Entry::new(settings.domain.clone(), gate.clone(), pool.clone(), retried));
+    let told = Box::new(move |event| match event {
+        Event::Retry(code) => counters.count(&counters.retries, code),
+        Event::Hedge => counters.hedges.inc(),
+        Event::HedgeWon => counters.hedges_won.inc(),
+    });
+    let entry = Arc::new(Entry::new(settings.domain.clone(), gate.clone(), pool.clone(), told));
     let (sender, health) = watch::channel(Health::Starting);
     let chart = life().map_err(|e| Error::new(Code::Internal, "failed to start").caused_by(e))?;
     let node = Node {
--- a/src/kelpwind/route/entry.rs
+++ b/src/kelpwind/route/entry.rs
@@ -1,13 +1,17 @@
 //! Tries targets until a request has its final answer.
+//!
+//! A request that may come again (idempotent, or remembered by its owner) and is slow is hedged: the
+//! same request goes out once more, for an undivided service to another target, for a key to its
+//! owner over a fresh connection, since an old one may have gone silent. The first whole answer
+//! counts and the other request is cancelled. Retries and hedges are paid for by one budget.
 
-use std::collections::HashMap;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use parking_lot::Mutex;
 use tokio::time::timeout;
 
-use super::budget::Budget;
+use super::measure::{Measures, Service};
 use super::picker::{self, Candidate};
 use super::request::Asked;
 use super::wire;
@@ -17,7 +21,7 @@
 use crate::core::record::Member;
 use crate::gate::pass::Gate;
 use crate::log::ledger::Ledger;
-use crate::net::pool::Pool;
+use crate::net::pool::{Pool, Reuse};
 
 /// Longest time that a request waits for its key to get an owner: a planned handover takes tens of
 /// milliseconds. A takeover takes longer; its callers are told to come back.
@@ -26,20 +30,12 @@
 const OWNER_RETRY: Duration = Duration::from_millis(500);
 /// When a caller may come back that met no fit target.
 const TARGET_RETRY: Duration = Duration::from_millis(200);
-/// How long a target that failed is passed over.
-const SUSPECT_TIME: Duration = Duration::from_millis(1000);
-/// Weight of the newest latency in the moving average.
-const LATENCY_WEIGHT: f64 = 0.2;
 /// Pause before the same owner is asked again.
 const SAME_OWNER_PAUSE: Duration = Duration::from_millis(5);
-
-/// What this entry has measured of a target.
-#[derive(Clone, Copy, Debug, Default)]
-struct Measured {
-    running: u32,
-    latency: f64,
-    failed: Option<Instant>,
-}
+/// Times the usual hedge delay after which the owner of a key is asked once more.
+const OWNER_HEDGE_FACTOR: u32 = 10;
+/// Shortest time after which the owner of a key is asked once more.
+const OWNER_HEDGE_MIN: Duration = Duration::from_millis(100);
 
 /// The entry of one node.
 pub struct Entry {
@@ -53,10 +49,21 @@
     pub gate: Arc<Gate>,
     /// Connections to other nodes.
     pub pool: Arc<Pool>,
-    /// Told when a request was tried again.
-    pub retried: Box<dyn Fn(Code) + Send + Sync>,
-    measured: Mutex<HashMap<Holder, Measured>>,
-    budgets: Mutex<HashMap<ServiceName, Arc<Budget>>>,
+    /// What this entry has measured.
+    pub measures: Measures,
+    /// Told what happens besides the usual.
+    pub told: Box<dyn Fn(Event) + Send + Sync>,
+}
+
+/// What an entry does besides sending a request once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It tries again after an answer with this code.
+    Retry(Code),
+    /// It sends a slow request once more.
+    Hedge,
+    /// The second of two requests was answered first.
+    HedgeWon,
 }
 
 /// A target and the offset of the state that named it.
@@ -72,7 +79,7 @@
         domain: DomainName,
         gate: Arc<Gate>,
         pool: Arc<Pool>,
-        retried: Box<dyn Fn(Code) + Send + Sync>,
+        told: Box<dyn Fn(Event) + Send + Sync>,
     ) -> Entry {
         Entry {
             me: gate.me.clone(),
@@ -80,9 +87,8 @@
             ledger: gate.ledger.clone(),
             gate,
             pool,
-            retried,
-            measured: Mutex::default(),
-            budgets: Mutex::default(),
+            measures: Measures::default(),
+            told,
         }
     }
 
@@ -98,8 +104,8 @@
     }
 
     async fn try_targets(&self, asked: &mut Asked, doubtful: &mut Option<Answer>) -> Answer {
-        let budget = self.budget(&asked.call.service);
-        budget.earn();
+        let service = self.measures.service(&asked.call.service);
+        service.budget.earn();
         let mut tried: Vec<Holder> = Vec::new();
         let mut refused = None;
         let owner_until = Instant::now() + OWNER_WAIT;
@@ -112,19 +118,19 @@
                 Ok(target) => target,
                 Err(answer) => return answer,
             };
-            let answer = self.send(&target.member, &asked.call).await;
+            let answer = self.send_hedged(&target, asked, &tried, &service).await;
             let used = tried.len() as u32;
             if !may_retry(asked, &answer, used) {
                 return answer;
             }
             let free = is_moved(answer.code) && Instant::now() < owner_until;
             if !free {
-                if !budget.pay() {
+                if !service.budget.pay() {
                     return answer;
                 }
                 tried.push(target.member.holder.clone());
             }
-            (self.retried)(answer.code);
+            (self.told)(Event::Retry(answer.code));
             if answer.code.outcome() == Outcome::Unknown {
                 *doubtful = Some(answer);
                 asked.call.once = asked.call.once.map(|_| Attempt::Later);
@@ -139,8 +145,49 @@
         }
     }
 
-    fn budget(&self, service: &ServiceName) -> Arc<Budget> {
-        self.budgets.lock().entry(service.clone()).or_default().clone()
+    /// Sends a request, and once more if it is slow and may come again.
+    async fn send_hedged(
+        &self,
+        target: &Target,
+        asked: &Asked,
+        tried: &[Holder],
+        service: &Service,
+    ) -> Answer {
+        let call = &asked.call;
+        let began = Instant::now();
+        let mut first = pin!(self.send(&target.member, call, Reuse::Any));
+        let delay = hedge_delay(asked, service);
+        let answer = match timeout(delay.unwrap_or(Duration::MAX), &mut first).await {
+            Ok(answer) => answer,
+            Err(_) => match self.second(target, call, tried).filter(|_| service.budget.pay()) {
+                None => first.await,
+                Some(other) => {
+                    (self.told)(Event::Hedge);
+                    let again = Call { once: call.once.map(|_| Attempt::Later), ..call.clone() };
+                    let second = pin!(self.send(&other, &again, Reuse::Never));
+                    let (answer, second_won) = first_done(first, second).await;
+                    if second_won {
+                        (self.told)(Event::HedgeWon);
+                        self.pool.forget(target.member.peer);
+                    }
+                    answer
+                }
+            },
+        };
+        if answer.code == Code::Done {
+            service.took(began.elapsed());
+        }
+        answer
+    }
+
+    /// Where the second of two requests goes.
+    fn second(&self, first: &Target, call: &Call, tried: &[Holder]) -> Option<Member> {
+        if call.key.is_some() {
+            return Some(first.member.clone());
+        }
+        let mut tried = tried.to_vec();
+        tried.push(first.member.holder.clone());
+        self.pick(&call.service, &tried).map(|t| t.member)
     }
 
     async fn target(
@@ -185,39 +232,22 @@
         let state = self.ledger.state();
         let fit = |m: &&Member| state.takes_work(m) && !tried.contains(&m.holder);
         let members: Vec<&Member> = state.targets(service).filter(fit).collect();
-        let measured = self.measured.lock();
-        let candidate = |m: &&Member| {
-            let known = measured.get(&m.holder).copied().unwrap_or_default();
-            let suspect = known.failed.is_some_and(|at| at.elapsed() < SUSPECT_TIME);
-            let near = m.domain == self.domain;
-            Candidate { running: known.running, latency: known.latency, near, suspect }
-        };
+        let candidate = |m: &&Member| self.measures.candidate(&m.holder, m.domain == self.domain);
         let candidates: Vec<Candidate> = members.iter().map(candidate).collect();
         let chosen = picker::choose(&candidates, |n| fastrand::usize(..n))?;
         Some(Target { member: members[chosen].clone(), seen: state.next, handed_over: false })
     }
 
-    async fn send(&self, to: &Member, call: &Call) -> Answer {
-        let began = Instant::now();
-        let _running = Running::begin(self, &to.holder);
+    async fn send(&self, to: &Member, call: &Call, reuse: Reuse) -> Answer {
+        let running = self.measures.begin(&to.holder);
         let answer = match to.holder == self.me {
             true => self.gate.pass(call.clone()).await,
-            false => wire::send(&self.pool, to.peer, call).await,
+            false => wire::send(&self.pool, to.peer, call, reuse).await,
         };
-        self.measure(&to.holder, &answer, began.elapsed());
+        running.ended(answer.code);
         answer
     }
 
-    fn measure(&self, target: &Holder, answer: &Answer, took: Duration) {
-        let mut measured = self.measured.lock();
-        let known = measured.entry(target.clone()).or_default();
-        let took = took.as_secs_f64() * 1e3;
-        known.latency += LATENCY_WEIGHT * (took - known.latency);
-        if matches!(answer.code, Code::Unreachable | Code::Lost | Code::Draining) {
-            known.failed = Some(Instant::now());
-        }
-    }
-
     /// Waits for newer assignments than those that led to a refusal, or a short time.
     async fn wait_for_news(&self, seen: Offset) {
         let mut moves = self.ledger.moves();
@@ -229,9 +259,39 @@
     /// Forgets what was measured of targets that are members no more.
     pub fn prune(&self) {
         let state = self.ledger.state();
-        self.measured.lock().retain(|h, m| m.running > 0 || state.members.contains_key(h));
-        self.budgets.lock().retain(|s, _| state.config.service.contains_key(s));
+        let member = |holder: &Holder| state.members.contains_key(holder);
+        self.measures.prune(member, |service| state.config.service.contains_key(service));
+    }
+}
+
+/// Time after which a request is sent once more; `None` when it may not come again.
+fn hedge_delay(asked: &Asked, service: &Service) -> Option<Duration> {
+    if !asked.idempotent && asked.call.once.is_none() {
+        return None;
+    }
+    let usual = service.hedge_delay()?;
+    if asked.call.key.is_none() {
+        return Some(usual);
     }
+    Some((usual * OWNER_HEDGE_FACTOR).max(OWNER_HEDGE_MIN))
+}
+
+/// The first of two answers that is done, and whether it is the second one's. If neither is, the one
+/// of which the caller may be told least for certain.
+async fn first_done(
+    mut first: impl Future<Output = Answer> + Unpin,
+    mut second: impl Future<Output = Answer> + Unpin,
+) -> (Answer, bool) {
+    let (answer, was_second) = tokio::select! {
+        answer = &mut first => (answer, false),
+        answer = &mut second => (answer, true),
+    };
+    if answer.code == Code::Done {
+        return (answer, was_second);
+    }
+    let other = if was_second { first.await } else { second.await };
+    let other_counts = other.code.outcome() != Outcome::NotRun;
+    if other_counts { (other, !was_second) } else { (answer, was_second) }
 }
 
 /// Whether the answer says that the key is owned elsewhere or about to be.
@@ -255,24 +315,3 @@
         }
     }
 }
-
-/// Counts a request in flight to a target, also when it is cancelled.
-struct Running<'a> {
-    entry: &'a Entry,
-    target: &'a Holder,
-}
-
-impl<'a> Running<'a> {
-    fn begin(entry: &'a Entry, target: &'a Holder) -> Running<'a> {
-        entry.measured.lock().entry(target.clone()).or_default().running += 1;
-        Running { entry, target }
-    }
-}
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        if let Some(known) = self.entry.measured.lock().get_mut(self.target) {
-            known.running -= 1;
-        }
-    }
-}
--- /dev/null
+++ b/src/kelpwind/route/measure.rs
@@ -0,0 +1,149 @@
+//! What this entry has measured itself: of each target, and of each service.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+
+use super::budget::Budget;
+use super::picker::Candidate;
+use super::quantile::Quantile;
+use crate::core::codes::Code;
+use crate::core::ids::{Holder, ServiceName};
+
+/// How long a target that failed is passed over.
+const FAILED_TIME: Duration = Duration::from_millis(1000);
+/// How long a target that bears no more is passed over.
+const BUSY_TIME: Duration = Duration::from_millis(20);
+/// Weight of the newest latency in the moving average.
+const LATENCY_WEIGHT: f64 = 0.2;
+/// Quantile of the latency after which a read is hedged.
+const HEDGE_QUANTILE: f64 = 0.95;
+/// Answers after which the quantile is trusted.
+const HEDGE_LEAST: u32 = 50;
+/// Shortest time after which a read is hedged.
+const HEDGE_MIN: Duration = Duration::from_millis(1);
+
+/// What is known of one target.
+#[derive(Clone, Debug, Default)]
+struct Target {
+    /// Requests in flight, by number, with the time they were sent.
+    running: BTreeMap<u64, Instant>,
+    sent: u64,
+    latency: f64,
+    avoid: Option<Instant>,
+}
+
+/// What is known of one service.
+#[derive(Debug)]
+pub struct Service {
+    /// Its retry budget.
+    pub budget: Budget,
+    latency: Mutex<Quantile>,
+}
+
+impl Default for Service {
+    fn default() -> Service {
+        let latency = Mutex::new(Quantile::new(HEDGE_QUANTILE));
+        Service { budget: Budget::default(), latency }
+    }
+}
+
+impl Service {
+    /// Time after which a read is hedged; `None` while too little is known.
+    pub fn hedge_delay(&self) -> Option<Duration> {
+        let ms = self.latency.lock().get(HEDGE_LEAST)?;
+        Some(Duration::from_secs_f64(ms / 1e3).max(HEDGE_MIN))
+    }
+
+    /// Notes the latency of a request that was done.
+    pub fn took(&self, time: Duration) {
+        self.latency.lock().take(time.as_secs_f64() * 1e3);
+    }
+}
+
+/// All measurements of one entry.
+#[derive(Debug, Default)]
+pub struct Measures {
+    targets: Mutex<HashMap<Holder, Target>>,
+    services: Mutex<HashMap<ServiceName, Arc<Service>>>,
+}
+
+/// A request in flight to a target. It ends when dropped, also when it is cancelled.
+#[derive(Debug)]
+pub struct Running<'a> {
+    measures: &'a Measures,
+    target: &'a Holder,
+    number: u64,
+}
+
+impl Measures {
+    /// What is known of a service.
+    pub fn service(&self, name: &ServiceName) -> Arc<Service> {
+        self.services.lock().entry(name.clone()).or_default().clone()
+    }
+
+    /// What the picker needs to know of a target. The age of the oldest request in flight counts as
+    /// a latency: a target that has just become slow shows by it long before an answer comes.
+    pub fn candidate(&self, target: &Holder, near: bool) -> Candidate {
+        let targets = self.targets.lock();
+        let Some(known) = targets.get(target) else {
+            return Candidate { running: 0, latency: 0.0, near, suspect: false };
+        };
+        let oldest = known.running.first_key_value().map_or(Duration::ZERO, |(_, at)| at.elapsed());
+        let latency = known.latency.max(oldest.as_secs_f64() * 1e3);
+        let suspect = known.avoid.is_some_and(|until| Instant::now() < until);
+        Candidate { running: known.running.len() as u32, latency, near, suspect }
+    }
+
+    /// Notes that a request is sent to a target.
+    pub fn begin<'a>(&'a self, target: &'a Holder) -> Running<'a> {
+        let mut targets = self.targets.lock();
+        let known = targets.entry(target.clone()).or_default();
+        known.sent += 1;
+        let number = known.sent;
+        known.running.insert(number, Instant::now());
+        Running { measures: self, target, number }
+    }
+
+    /// Forgets what `keep` does not name.
+    pub fn prune(&self, keep: impl Fn(&Holder) -> bool, serves: impl Fn(&ServiceName) -> bool) {
+        self.targets.lock().retain(|h, t| !t.running.is_empty() || keep(h));
+        self.services.lock().retain(|s, _| serves(s));
+    }
+}
+
+impl Running<'_> {
+    /// Notes how the request ended.
+    pub fn ended(self, code: Code) {
+        let mut targets = self.measures.targets.lock();
+        let Some(known) = targets.get_mut(self.target) else { return };
+        let began = known.running.get(&self.number).copied();
+        let avoid = match code {
+            Code::Unreachable | Code::Lost | Code::Draining => Some(FAILED_TIME),
+            Code::Busy | Code::Cold | Code::Shed => Some(BUSY_TIME),
+            _ => None,
+        };
+        if let Some(time) = avoid {
+            known.avoid = Some(Instant::now() + time);
+        }
+        if let (Code::Done | Code::Expired, Some(began)) = (code, began) {
+            let ms = began.elapsed().as_secs_f64() * 1e3;
+            known.latency += LATENCY_WEIGHT * (ms - known.latency);
+        }
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let mut targets = self.measures.targets.lock();
+        let Some(known) = targets.get_mut(self.target) else { return };
+        let Some(began) = known.running.remove(&self.number) else { return };
+        // A request that was cancelled took at least so long.
+        let ms = began.elapsed().as_secs_f64() * 1e3;
+        if ms > known.latency {
+            known.latency += LATENCY_WEIGHT * (ms - known.latency);
+        }
+    }
+}
--- a/src/kelpwind/route/mod.rs
+++ b/src/kelpwind/route/mod.rs
@@ -7,6 +7,8 @@
 
 pub mod budget;
 pub mod entry;
+pub mod measure;
 pub mod picker;
+pub mod quantile;
 pub mod request;
 pub mod wire;
--- a/src/kelpwind/route/wire.rs
+++ b/src/kelpwind/route/wire.rs
@@ -13,7 +13,7 @@
 use crate::core::call::{Answer, Call, SliceRef};
 use crate::core::codes::Code;
 use crate::gate::backend;
-use crate::net::pool::Pool;
+use crate::net::pool::{Pool, Reuse};
 
 /// Path under which gates take requests.
 pub const GATE_PATH: &str = "/gate";
@@ -27,11 +27,11 @@
 pub type Result<T> = std::result::Result<T, Code>;
 
 /// Sends a request to the gate at `addr` and says what became of it.
-pub async fn send(pool: &Pool, addr: SocketAddr, call: &Call) -> Answer {
+pub async fn send(pool: &Pool, addr: SocketAddr, call: &Call, reuse: Reuse) -> Answer {
     let Some(request) = to_request(call) else {
         return Answer::refusal(Code::BadRequest);
     };
-    match pool.call(addr, request, call.deadline).await {
+    match pool.call_with(addr, request, call.deadline, reuse).await {
         Ok(answer) => from_response(answer).unwrap_or_else(|| Answer::refusal(Code::Lost)),
         Err(e) => Answer::refusal(backend::code(&e)),
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,4 +12,5 @@
 mod once;
 mod ownership;
 mod path;
+mod silent;
 mod support;
--- /dev/null
+++ b/tests/testsuite/silent.rs
@@ -0,0 +1,39 @@
+//! Open connections that go silent for good while new ones work.
+
+use std::time::Duration;
+
+use kelpwind_test_support::history::untrue;
+use kelpwind_test_support::http::get;
+use kelpwind_test_support::workload::{Plan, Workload, summary};
+use serde_json::json;
+
+use crate::support::{THREE, settled};
+
+#[tokio::test]
+async fn requests_go_on_when_old_connections_go_silent() {
+    let cluster = settled(&THREE).await;
+    // Only entries on other nodes use connections between nodes; the workload goes to all.
+    let load = Workload::start(Plan {
+        entries: cluster.nodes.iter().map(|n| n.listen).collect(),
+        prefix: "/historie".to_owned(),
+        keys: 24,
+        pace: Duration::from_millis(5),
+        writes: 0.3,
+        seed: 41,
+    });
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    for round in 1..4 {
+        for i in 0..3 {
+            cluster.fault(&format!("peer-{i}"), json!({"silence": round})).await;
+        }
+        tokio::time::sleep(Duration::from_millis(800)).await;
+    }
+    let asked = load.stop().await;
+    println!("{:?}", summary(&asked));
+    let lost: Vec<_> = asked.iter().filter(|a| a.outcome != "done").collect();
+    assert!(lost.is_empty(), "requests were lost on silent connections: {lost:?}");
+    assert_eq!(untrue(&asked, &cluster.all_executions().await), [""; 0]);
+    let metrics = get(cluster.nodes[0].admin, "/metrics").await.unwrap();
+    let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
+    assert!(metrics.contains("kelpwind_takeovers_total 0"), "no peer was condemned");
+}
