A report of measurements, and what it showed: planner, witness loads, picker

Ruled out: strict rendezvous sets (in-degree is Poisson, the most loaded node would exceed its bytes).

--- /dev/null
+++ b/benches/report/state.rs
@@ -0,0 +1,147 @@
+//! Cost of the state: fold, memory, snapshots and planning, by the number of slices and members.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use kelpwind::core::config::Config;
+use kelpwind::core::config::change::Change;
+use kelpwind::core::ids::{Count, Holder, Incarnation, Offset, Revision, Token};
+use kelpwind::core::record::{Body, Member, Peer, Record};
+use kelpwind::core::state::State;
+use kelpwind::lease::set;
+use kelpwind::log::snapshot::{Joiner, split};
+use kelpwind::place::planner;
+
+use super::proc::{memory, short};
+use super::write::Report;
+
+const SIZES: [(u32, u64); 5] =
+    [(1_000, 27), (10_000, 270), (50_000, 1_350), (100_000, 2_700), (200_000, 2_700)];
+const RECORDS: u64 = 1_000;
+
+fn holder(n: u64) -> Holder {
+    let name = format!("nl-west-rdam-a-host-{n:04}");
+    Holder { node: name.parse().expect("a name"), inc: Incarnation(n.wrapping_mul(0x9e37_79b9)) }
+}
+
+fn member(n: u64) -> Member {
+    Member {
+        holder: holder(n),
+        peer: ([127, 0, 0, 1], 7000).into(),
+        admin: ([127, 0, 0, 1], 7001).into(),
+        domain: format!("domain-{}", n % 7).parse().expect("a name"),
+        service: Some("historie".parse().expect("a name")),
+        slots: Count(12),
+        conns: Count(130),
+        fenced: true,
+        draining: false,
+        witnesses: (1..6)
+            .map(|i| Peer { holder: holder(n + i), addr: ([127, 0, 0, 1], 7000).into() })
+            .collect(),
+    }
+}
+
+fn config(slices: u32) -> Config {
+    let mut text = String::new();
+    for n in 0..7 {
+        text += &format!("[failure-domain.domain-{n}]\nregion = \"r{}\"\n", n % 3);
+    }
+    text += "[policy.p]\nrepeat = \"idempotent\"\n[service.historie]\n";
+    text += "domains = [\"domain-0\"]\nread = \"p\"\nwrite = \"p\"\n";
+    text += &format!("[key-range.keys]\nservice = \"historie\"\nslices = {slices}\n");
+    Config::try_from(text.as_str()).expect("a valid configuration")
+}
+
+fn apply(state: &mut State, body: Body) {
+    let raw = Record::new("bench", body).encode();
+    let _ = state.apply(state.next, &raw);
+}
+
+fn timed<T>(what: impl FnOnce() -> T) -> (T, f64) {
+    let began = Instant::now();
+    let made = what();
+    (made, began.elapsed().as_secs_f64() * 1e3)
+}
+
+pub(crate) fn measure(report: &mut Report) {
+    report.part(
+        "State",
+        "One key range, one thread. Milliseconds but for the columns that say otherwise. `fold` is \
+         the mean of 1,000 records that each change the witness set of one member. `replace` plans \
+         new owners for one lost member; `choose` is one member's witness set.",
+    );
+    let mut rows = Vec::new();
+    for (slices, members) in SIZES {
+        rows.push(one(slices, members));
+    }
+    let head = [
+        "slices",
+        "members",
+        "memory MB",
+        "fold µs",
+        "snapshot MB",
+        "split",
+        "join",
+        "assign all",
+        "rebalance",
+        "replace",
+        "choose",
+    ];
+    report.table(&head, &rows);
+}
+
+fn one(slices: u32, members: u64) -> Vec<String> {
+    let id = std::process::id();
+    let before = memory(id);
+    let mut state = State::default();
+    let change = Change::between(&Config::default(), &config(slices));
+    apply(&mut state, Body::Config { base: Revision(0), change });
+    (0..members).for_each(|n| apply(&mut state, Body::Join(member(n))));
+    let range = "keys".parse().expect("a name");
+    let (moves, assign) = timed(|| planner::assign(&state, &range));
+    apply(&mut state, Body::Assign { moves });
+    let used = memory(id).saturating_sub(before);
+
+    let records: Vec<Bytes> = (0..RECORDS)
+        .map(|n| {
+            let member = member(n % members);
+            let base = state.members[&member.holder].version;
+            let body = Body::Witnesses { holder: member.holder, base, set: member.witnesses };
+            Record::new("bench", body).encode()
+        })
+        .collect();
+    let ((), fold) = timed(|| {
+        for raw in &records {
+            let _ = state.apply(state.next, raw);
+        }
+    });
+    let (pieces, split_time) = timed(|| split(&state, "bench"));
+    let raw: Vec<Bytes> = pieces.iter().map(Record::encode).collect();
+    let size: usize = raw.iter().map(Bytes::len).sum();
+    let (joined, join) = timed(|| {
+        let mut joiner = Joiner::default();
+        raw.iter().for_each(|r| joiner.take(r));
+        joiner.newest()
+    });
+    assert!(joined.is_some_and(|s| s.next == state.next && s.next > Offset(0)));
+    let (_, rebalance) = timed(|| planner::rebalance(&state, &range, 8));
+    let (moves, replace) = timed(|| planner::replace(&state, &holder(1)));
+    assert!(moves.iter().all(|m| m.prev > Token(0)));
+    let (_, choose) = timed(|| {
+        set::choose(&member(3), state.newest_members(), &[], &std::collections::BTreeSet::new())
+    });
+    let mb = |bytes: f64| short(bytes / 1e6);
+    vec![
+        slices.to_string(),
+        members.to_string(),
+        mb(used as f64),
+        short(fold * 1e3 / RECORDS as f64),
+        mb(size as f64),
+        short(split_time),
+        short(join),
+        short(assign),
+        short(rebalance),
+        short(replace),
+        short(choose),
+    ]
+}
--- a/crates/kelpwind-stand-ins/src/backend.rs
+++ b/crates/kelpwind-stand-ins/src/backend.rs
@@ -272,8 +272,9 @@
             if fenced && self.has_lapsed() {
                 return json(504, &"lapsed");
             }
-            let left = time.saturating_sub(began.elapsed()).max(FREEZE_LOOK);
-            tokio::time::sleep(left.min(STEP)).await;
+            let left = time.saturating_sub(began.elapsed());
+            let step = if left.is_zero() { FREEZE_LOOK } else { left.min(STEP) };
+            tokio::time::sleep(step).await;
         }
         run.completed = true;
         drop(run);
--- a/crates/kelpwind-test-support/src/cluster.rs
+++ b/crates/kelpwind-test-support/src/cluster.rs
@@ -68,6 +68,8 @@
     /// The proxy's process.
     pub proxy: Process,
     proxy_addr: SocketAddr,
+    /// Whether nodes reach one another without the proxy.
+    direct: bool,
     /// The nodes.
     pub nodes: Vec<Node>,
 }
@@ -93,11 +95,21 @@
 impl Cluster {
     /// Starts a log service, a proxy, and a node with a backend server for each target.
     pub async fn start(program: &str, targets: &[Target<'_>]) -> Cluster {
+        Cluster::start_with(program, targets, false).await
+    }
+
+    /// The same without the proxy between nodes, for measurements.
+    pub async fn start_direct(program: &str, targets: &[Target<'_>]) -> Cluster {
+        Cluster::start_with(program, targets, true).await
+    }
+
+    async fn start_with(program: &str, targets: &[Target<'_>], direct: bool) -> Cluster {
         let log = Process::start(program, &["stand-in", "log", "--listen", "127.0.0.1:0"], &[]);
         let proxy = Process::start(program, &["stand-in", "proxy", "--listen", "127.0.0.1:0"], &[]);
         let (log_addr, proxy_addr) = (addr(&log.ready), addr(&proxy.ready));
         let program = program.to_owned();
-        let mut cluster = Cluster { program, log, log_addr, proxy, proxy_addr, nodes: Vec::new() };
+        let nodes = Vec::new();
+        let mut cluster = Cluster { program, log, log_addr, proxy, proxy_addr, direct, nodes };
         for target in targets {
             cluster.add(target).await;
         }
@@ -163,6 +175,9 @@
     }
 
     async fn open(&self, name: &str, target: SocketAddr) -> SocketAddr {
+        if self.direct {
+            return target;
+        }
         let link = json!({"name": name, "listen": "127.0.0.1:0", "target": target});
         let answer = control(self.proxy_addr, "/open", &link).await.expect("the proxy answers");
         addr(&String::from_utf8_lossy(&answer.body))
@@ -260,6 +275,24 @@
         .await;
     }
 
+    /// Waits until a service has so many targets, as node `i` has it.
+    pub async fn targets_ready(&self, i: usize, service: &str, count: usize) {
+        self.until("the targets are ready", async || {
+            self.status(i).await["services"][service]["targets"] == count
+        })
+        .await;
+    }
+
+    /// Number of slices that node `owner` owns, as node `i` has it.
+    pub async fn owner_count(&self, i: usize, owner: usize) -> u64 {
+        let status = self.status(i).await;
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        let of_owner = members
+            .iter()
+            .filter(|m| m["holder"].as_str().is_some_and(|h| h.starts_with(&format!("n{owner}/"))));
+        of_owner.filter_map(|m| m["slices"].as_u64()).sum()
+    }
+
     /// Waits until something is so.
     ///
     /// # Panics
--- a/src/bin/kelpwind/main.rs
+++ b/src/bin/kelpwind/main.rs
@@ -11,6 +11,8 @@
 
 /// Exit code of a command that was refused or failed.
 const FAILED: u8 = 1;
+/// Threads of a node: it shares its host with a backend server.
+const NODE_THREADS: usize = 2;
 /// Exit code of a command line that cannot be read.
 const USAGE: u8 = 2;
 
@@ -36,7 +38,11 @@
             return ExitCode::from(USAGE);
         }
     };
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if matches!(flags.subcommand, cli::KelpwindCmd::Node(_)) {
+        builder.worker_threads(NODE_THREADS);
+    }
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
             eprintln!("error: failed to start: {e}");
--- a/src/kelpwind/core/call.rs
+++ b/src/kelpwind/core/call.rs
@@ -130,6 +130,29 @@
     pub body: Bytes,
     /// When the caller may come back.
     pub retry: Option<Duration>,
+    /// How busy the gate that answered is; for entries, not for callers.
+    pub load: Option<Load>,
+}
+
+/// How busy a backend server is, as its gate knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+/// {busy}/{limit}
+pub struct Load {
+    /// Requests running and waiting.
+    pub busy: u32,
+    /// Requests that may run at once.
+    pub limit: u32,
+}
+
+impl FromStr for Load {
+    type Err = ParseError;
+    fn from_str(raw: &str) -> Result<Self, ParseError> {
+        let bad = || ParseError::Number(raw.to_owned());
+        let (busy, limit) = raw.split_once('/').ok_or_else(bad)?;
+        let busy = busy.parse().map_err(|_| bad())?;
+        let limit = limit.parse().map_err(|_| bad())?;
+        Ok(Load { busy, limit })
+    }
 }
 
 impl Answer {
@@ -137,7 +160,7 @@
     pub fn refusal(code: Code) -> Answer {
         let kind = Some(HeaderValue::from_static("text/plain; charset=utf-8"));
         let body = Bytes::from(format!("{}: {code}\n", code.outcome()));
-        Answer { code, status: code.status(), kind, body, retry: None }
+        Answer { code, status: code.status(), kind, body, retry: None, load: None }
     }
 
     /// The same answer with the time after which the caller may come back.
--- a/src/kelpwind/core/mod.rs
+++ b/src/kelpwind/core/mod.rs
@@ -7,4 +7,5 @@
 pub mod config;
 pub mod ids;
 pub mod record;
+mod slots;
 pub mod state;
--- a/src/kelpwind/core/state.rs
+++ b/src/kelpwind/core/state.rs
@@ -88,6 +88,7 @@
     /// The range as configured.
     pub range: KeyRange,
     /// One slot a slice.
+    #[serde(with = "super::slots")]
     pub slots: Vec<Slot>,
     /// Whether the range was dropped from the configuration while slices had owners.
     pub retired: bool,
@@ -373,16 +374,18 @@
             .map(|(name, slice, s)| (name, slice, s.token))
     }
 
-    /// Members that no later incarnation of the same node has followed. A node that restarts joins
-    /// before its former incarnation is revoked, and that one is dead.
+    /// Whether no later incarnation of the same node has followed a member. A node that restarts
+    /// joins before its former incarnation is revoked, and that one is dead.
+    pub fn is_newest(&self, known: &MemberState) -> bool {
+        let node = &known.member.holder.node;
+        let first = Holder { node: node.clone(), inc: Incarnation(0) };
+        let same = self.members.range(first..).take_while(|(h, _)| h.node == *node);
+        same.into_iter().all(|(_, other)| other.joined <= known.joined)
+    }
+
+    /// Members that no later incarnation of the same node has followed.
     pub fn newest_members(&self) -> impl Iterator<Item = &Member> {
-        let newest = |known: &&MemberState| {
-            let node = &known.member.holder.node;
-            let first = Holder { node: node.clone(), inc: Incarnation(0) };
-            let same = self.members.range(first..).take_while(|(h, _)| h.node == *node);
-            same.into_iter().all(|(_, other)| other.joined <= known.joined)
-        };
-        self.members.values().filter(newest).map(|m| &m.member)
+        self.members.values().filter(|m| self.is_newest(m)).map(|m| &m.member)
     }
 
     /// Members whose backend server serves `service`.
--- a/src/kelpwind/gate/admission.rs
+++ b/src/kelpwind/gate/admission.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout_at;
 
 use super::limiter::Limiter;
+use crate::core::call::Load;
 use crate::core::codes::Code;
 use crate::lease::clock;
 
@@ -62,12 +63,19 @@
         act(&mut self.inner.lock().limiter)
     }
 
-    /// Requests running and waiting.
-    pub fn load(&self) -> (u32, u32) {
+    /// Requests running, and requests waiting.
+    pub fn counts(&self) -> (u32, u32) {
         let inner = self.inner.lock();
         (inner.running, inner.queue.len() as u32)
     }
 
+    /// How busy the backend server is.
+    pub fn load(&self) -> Load {
+        let inner = self.inner.lock();
+        let busy = inner.running + inner.queue.len() as u32;
+        Load { busy, limit: inner.limiter.limit(clock::now()).0 }
+    }
+
     /// Asks to run a request of this weight; waits until `deadline` at the latest.
     ///
     /// # Errors
--- a/src/kelpwind/gate/backend.rs
+++ b/src/kelpwind/gate/backend.rs
@@ -82,7 +82,7 @@
             let kind = answer.headers().get(header::CONTENT_TYPE).cloned();
             let status = answer.status().as_u16();
             let body = answer.into_body();
-            Answer { code: Code::Done, status, kind, body, retry: None }
+            Answer { code: Code::Done, status, kind, body, retry: None, load: None }
         }
         Err(e) => Answer::refusal(code(&e)),
     }
--- a/src/kelpwind/gate/memory.rs
+++ b/src/kelpwind/gate/memory.rs
@@ -223,6 +223,7 @@
                 kind: kind.and_then(|k| k.parse().ok()),
                 body,
                 retry: None,
+                load: None,
             });
             let cost = cost(&answer);
             (r.id, Entry { known: Known::Ended(answer), since, cost })
--- a/src/kelpwind/gate/pass.rs
+++ b/src/kelpwind/gate/pass.rs
@@ -87,10 +87,11 @@
 
     /// Takes a request to its end.
     pub async fn pass(&self, call: Call) -> Answer {
-        match call.once {
+        let answer = match call.once {
             Some(attempt) => self.pass_once(call, attempt).await,
             None => self.admit_and_send(call).await.unwrap_or_else(refuse),
-        }
+        };
+        Answer { load: Some(self.admission.load()), ..answer }
     }
 
     /// Takes a request that may run once to its end: a repeat waits for the first one's answer.
--- a/src/kelpwind/lease/set.rs
+++ b/src/kelpwind/lease/set.rs
@@ -1,12 +1,11 @@
 //! Chooses witness sets.
 //!
 //! A set has up to [`SET_SIZE`] witnesses, spread over failure domains as evenly as they allow, so
-//! that a set over three domains bears the loss of any one of them. Between equals a hash of holder
-//! and witness decides: sets differ from holder to holder, each node witnesses about as many
-//! holders as every other, and a change of membership disturbs few sets. A holder stands in its own
-//! set only when there are too few others.
+//! that a set over three domains bears the loss of any one of them. Among equals those that witness
+//! the fewest holders are taken, so that no node's datagrams exceed its share; a hash of holder and
+//! witness decides the rest. A holder stands in its own set only when there are too few others.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -15,32 +14,44 @@
 use crate::core::ids::{DomainName, Holder};
 use crate::core::record::{Member, Peer};
 
+/// More holders than the mean that a witness may have before one of them looks for another.
+const LOAD_SLACK: usize = 2;
+
 /// Chooses the set of `me` among `members`; those in `barred` have refused it.
 ///
-/// Witnesses of `current` that are still members are kept: each change costs a record.
+/// Witnesses of `current` are kept while they are members and not overloaded: each change costs a
+/// record.
 pub fn choose<'a>(
     me: &Member,
     members: impl Iterator<Item = &'a Member>,
     current: &[Peer],
     barred: &BTreeSet<Tag>,
 ) -> Vec<Peer> {
-    let all: Vec<&Member> = members
+    let members: Vec<&Member> = members.collect();
+    let loads = loads(&members, &me.holder);
+    let load = |m: &Member| loads.get(&Tag::from(m.holder.inc)).copied().unwrap_or(0);
+    let fit = members
+        .iter()
         .filter(|m| m.holder != me.holder && !m.draining)
-        .filter(|m| !barred.contains(&Tag::from(m.holder.inc)))
+        .filter(|m| !barred.contains(&Tag::from(m.holder.inc)));
+    let most = SET_SIZE + LOAD_SLACK;
+    let kept = |m: &Member| load(m) < most && current.iter().any(|p| p.holder == m.holder);
+    let mut ranked: Vec<Ranked> = fit
+        .map(|m| {
+            let fresh = !kept(m);
+            let load = if fresh { load(m) } else { 0 };
+            Ranked { fresh, load, rank: rank(&me.holder, &m.holder), member: m }
+        })
         .collect();
-    let kept = |m: &Member| current.iter().any(|p| p.holder == m.holder);
-    let mut ranked: Vec<(bool, u64, &Member)> =
-        all.iter().map(|m| (!kept(m), rank(&me.holder, &m.holder), *m)).collect();
-    ranked.sort_unstable_by_key(|(fresh, rank, _)| (*fresh, *rank));
+    ranked.sort_unstable_by_key(|r| (r.fresh, r.load, r.rank));
 
     let mut taken: Vec<Peer> = Vec::new();
     let mut per_domain: BTreeMap<&DomainName, usize> = BTreeMap::new();
     while taken.len() < SET_SIZE && !ranked.is_empty() {
-        let load = |m: &Member| per_domain.get(&m.domain).copied().unwrap_or(0);
-        let Some(best) = (0..ranked.len()).min_by_key(|i| (load(ranked[*i].2), *i)) else {
-            break;
-        };
-        let (_, _, member) = ranked.remove(best);
+        let share = |m: &Member| per_domain.get(&m.domain).copied().unwrap_or(0);
+        let best = (0..ranked.len()).min_by_key(|i| (share(ranked[*i].member), *i));
+        let Some(best) = best else { break };
+        let member = ranked.remove(best).member;
         *per_domain.entry(&member.domain).or_default() += 1;
         taken.push(Peer { holder: member.holder.clone(), addr: member.peer });
     }
@@ -52,11 +63,43 @@
     taken
 }
 
-/// Whether the current set should be replaced by `wanted`: it has lost a witness, or can grow to
-/// bear more losses.
-pub fn worth_changing(current: &[Peer], wanted: &[Peer]) -> bool {
-    let kept = current.iter().filter(|p| wanted.contains(p)).count();
-    kept < current.len() || majority(wanted.len()) > majority(current.len())
+/// Why a set should be replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// It is as good as the wanted one.
+    None,
+    /// It bears as many losses as it should, but a witness has more holders than its share.
+    Even,
+    /// It has lost a witness or can grow to bear more losses.
+    Now,
+}
+
+/// Whether the current set should be replaced by `wanted`; `counts` says who can still witness.
+pub fn need(current: &[Peer], wanted: &[Peer], counts: impl Fn(&Holder) -> bool) -> Need {
+    let lost = current.iter().any(|p| !counts(&p.holder));
+    if lost || majority(wanted.len()) > majority(current.len()) {
+        return Need::Now;
+    }
+    let same = current.iter().all(|p| wanted.contains(p));
+    if same { Need::None } else { Need::Even }
+}
+
+/// A candidate, in the order in which candidates are preferred.
+struct Ranked<'a> {
+    fresh: bool,
+    load: usize,
+    rank: u64,
+    member: &'a Member,
+}
+
+/// How many other holders each member witnesses.
+fn loads(members: &[&Member], me: &Holder) -> HashMap<Tag, usize> {
+    let mut loads = HashMap::new();
+    let others = members.iter().filter(|m| m.holder != *me);
+    for peer in others.flat_map(|m| &m.witnesses) {
+        *loads.entry(Tag::from(peer.holder.inc)).or_default() += 1;
+    }
+    loads
 }
 
 fn rank(holder: &Holder, witness: &Holder) -> u64 {
--- a/src/kelpwind/net/pool.rs
+++ b/src/kelpwind/net/pool.rs
@@ -28,7 +28,7 @@
 /// Idle connections older than this are closed instead of used.
 const IDLE_MAX: Duration = Duration::from_secs(10);
 /// Most idle connections kept to one address.
-const IDLE_COUNT_MAX: usize = 64;
+const IDLE_COUNT_MAX: usize = 512;
 /// Largest answer that is read, in bytes.
 pub const ANSWER_MAX: usize = 8 << 20;
 
--- a/src/kelpwind/node/membership.rs
+++ b/src/kelpwind/node/membership.rs
@@ -11,7 +11,7 @@
 use super::directory::Directory;
 use crate::core::call::SliceRef;
 use crate::core::codes::Code;
-use crate::core::ids::{Count, ServiceName};
+use crate::core::ids::{Count, Holder, ServiceName};
 use crate::core::record::{Body, Member, Record};
 use crate::core::state::State;
 use crate::gate::backend;
@@ -19,13 +19,15 @@
 use crate::lease::clock;
 use crate::lease::holder::Lease;
 use crate::lease::message::Tag;
-use crate::lease::set;
+use crate::lease::set::{self, Need};
 use crate::util::error::{Error, Result};
 
 /// Longest time to wait for the fate of a joining record before it is sent anew.
 const JOIN_TIME: Duration = Duration::from_secs(5);
 /// Time between two looks at the witness set and at what the backend server said.
 const CARE_INTERVAL: Duration = Duration::from_millis(250);
+/// One in so many looks evens the loads of witnesses out.
+const EVEN_ODDS: u32 = 8;
 /// Silence after which a backend server that announced itself counts as gone.
 const ANNOUNCED_MAX: Duration = Duration::from_secs(5);
 /// Longest time that a planned stop waits for a part of it.
@@ -236,7 +238,7 @@
 
     async fn idle(&self) {
         const LOOK: Duration = Duration::from_millis(10);
-        while self.gate.admission.load() != (0, 0) {
+        while self.gate.admission.counts() != (0, 0) {
             tokio::time::sleep(LOOK).await;
         }
     }
@@ -272,8 +274,16 @@
         }
         let members = state.newest_members();
         let wanted = set::choose(&known.member, members, lease.set(), lease.refused());
-        if !set::worth_changing(lease.set(), &wanted) {
-            return None;
+        let counts = |holder: &Holder| {
+            let newest = state.members.get(holder).filter(|m| state.is_newest(m));
+            let stays = newest.is_some_and(|m| !m.member.draining);
+            stays && !lease.refused().contains(&Tag::from(holder.inc))
+        };
+        match set::need(lease.set(), &wanted, counts) {
+            Need::Now => {}
+            // Not all at once: each such change shifts the loads that the next one reckons with.
+            Need::Even if fastrand::u32(..EVEN_ODDS) == 0 => {}
+            _ => return None,
         }
         let body =
             Body::Witnesses { holder: self.me.clone(), base: known.version, set: wanted.clone() };
--- a/src/kelpwind/node/view.rs
+++ b/src/kelpwind/node/view.rs
@@ -196,7 +196,7 @@
 
     fn backend_view(&self) -> Option<BackendView> {
         let attached = self.gate.attached.read().clone()?;
-        let (running, waiting) = self.gate.admission.load();
+        let (running, waiting) = self.gate.admission.counts();
         Some(BackendView {
             service: attached.said.service.clone(),
             addr: attached.said.addr.clone(),
--- a/src/kelpwind/place/planner.rs
+++ b/src/kelpwind/place/planner.rs
@@ -1,6 +1,7 @@
 //! The planner of one key range.
 
-use std::collections::BTreeMap;
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BinaryHeap, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -22,10 +23,34 @@
     pub to: Holder,
 }
 
-/// Loads of the targets of one range, in slices for each slot of capacity.
+/// A target's load as the heap of [`Loads`] orders it: slices for each slot of capacity, counting
+/// the one that it would get next. Compared as a fraction, so that equals are equal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Load {
+    next: u64,
+    slots: u64,
+    target: usize,
+}
+
+impl Ord for Load {
+    fn cmp(&self, other: &Load) -> Ordering {
+        let (mine, theirs) = (self.next * other.slots, other.next * self.slots);
+        mine.cmp(&theirs).then(self.target.cmp(&other.target))
+    }
+}
+
+impl PartialOrd for Load {
+    fn partial_cmp(&self, other: &Load) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// The targets of one range, the lightest on top of a heap.
 struct Loads<'a> {
     targets: Vec<&'a Member>,
-    counts: BTreeMap<&'a Holder, u32>,
+    by_holder: HashMap<&'a Holder, usize>,
+    counts: Vec<u64>,
+    heap: BinaryHeap<Reverse<Load>>,
 }
 
 impl<'a> Loads<'a> {
@@ -33,35 +58,60 @@
         let known = state.ranges.get(range)?;
         let fit = state.targets(&known.range.service).filter(|m| state.takes_work(m));
         let targets: Vec<&Member> = fit.collect();
-        let mut counts = BTreeMap::new();
+        let by_holder: HashMap<&Holder, usize> =
+            targets.iter().enumerate().map(|(i, m)| (&m.holder, i)).collect();
+        let mut counts = vec![0; targets.len()];
         for holder in known.slots.iter().filter_map(|s| s.holder.as_ref()) {
-            *counts.entry(holder).or_default() += 1;
+            if let Some(i) = by_holder.get(holder) {
+                counts[*i] += 1;
+            }
         }
-        Some(Loads { targets, counts })
+        let mut loads = Loads { targets, by_holder, counts, heap: BinaryHeap::new() };
+        loads.heap = (0..loads.targets.len()).map(|i| Reverse(loads.load(i))).collect();
+        Some(loads)
     }
 
-    fn count(&self, member: &Member) -> u32 {
-        self.counts.get(&member.holder).copied().unwrap_or(0)
+    fn load(&self, target: usize) -> Load {
+        let slots = u64::from(self.targets[target].slots.0.max(1));
+        Load { next: self.counts[target] + 1, slots, target }
     }
 
-    fn load(&self, member: &Member, more: u32) -> f64 {
-        f64::from(self.count(member) + more) / f64::from(member.slots.0.max(1))
+    /// The lightest target other than `except`; it is off the heap until [`Loads::put`].
+    fn pop(&mut self, except: Option<&Holder>) -> Option<usize> {
+        let mut aside = None;
+        let found = loop {
+            let Some(Reverse(load)) = self.heap.pop() else { break None };
+            // The target's count has changed since this entry was made; a true one is in the heap.
+            if load != self.load(load.target) {
+                continue;
+            }
+            if Some(&self.targets[load.target].holder) == except {
+                aside = Some(Reverse(load));
+                continue;
+            }
+            break Some(load.target);
+        };
+        self.heap.extend(aside);
+        found
     }
 
-    fn lightest(&self, except: Option<&Holder>) -> Option<&'a Member> {
-        let open = self.targets.iter().filter(|m| Some(&m.holder) != except);
-        let lightest = open.min_by(|a, b| self.load(a, 1).total_cmp(&self.load(b, 1)));
-        lightest.copied()
+    fn put(&mut self, target: usize) {
+        let load = self.load(target);
+        self.heap.push(Reverse(load));
     }
 
-    fn take(&mut self, to: &'a Holder) {
-        *self.counts.entry(to).or_default() += 1;
+    /// Gives one slice to the lightest target other than `except`.
+    fn give_one(&mut self, except: Option<&Holder>) -> Option<&'a Holder> {
+        let target = self.pop(except)?;
+        self.counts[target] += 1;
+        self.put(target);
+        Some(&self.targets[target].holder)
     }
 
-    fn give(&mut self, from: &'a Holder) {
-        if let Some(n) = self.counts.get_mut(from) {
-            *n -= 1;
-        }
+    /// Whether a slice moved from one target to another makes the heavier of them lighter.
+    fn is_relief(&self, from: usize, to: usize) -> bool {
+        let slots = |t: usize| u64::from(self.targets[t].slots.0.max(1));
+        self.counts[from] * slots(to) > (self.counts[to] + 1) * slots(from)
     }
 }
 
@@ -95,17 +145,9 @@
         if !wanted(&slot.holder) {
             continue;
         }
-        let Some(target) = loads.lightest(except) else {
-            break;
-        };
-        loads.take(&target.holder);
+        let Some(to) = loads.give_one(except) else { break };
         let slice = SliceId(i as u32);
-        moves.push(Move {
-            range: range.clone(),
-            slice,
-            prev: slot.token,
-            to: target.holder.clone(),
-        });
+        moves.push(Move { range: range.clone(), slice, prev: slot.token, to: to.clone() });
     }
     moves
 }
@@ -125,19 +167,20 @@
             break;
         }
         let Some(holder) = &slot.holder else { continue };
-        let Some(owner) = state.members.get(holder) else {
-            continue;
-        };
-        let leaves = !state.takes_work(&owner.member);
-        let Some(to) = loads.lightest(Some(holder)) else {
-            break;
-        };
-        let relief = loads.load(&owner.member, 0) - loads.load(to, 1);
-        if !leaves && relief <= 0.0 {
+        // An owner that is no target takes no work any more: its slices move.
+        let owner = loads.by_holder.get(holder).copied();
+        let Some(lightest) = loads.pop(Some(holder)) else { break };
+        if owner.is_some_and(|owner| !loads.is_relief(owner, lightest)) {
+            loads.put(lightest);
             continue;
         }
-        loads.take(&to.holder);
-        loads.give(holder);
+        loads.counts[lightest] += 1;
+        loads.put(lightest);
+        if let Some(owner) = owner {
+            loads.counts[owner] -= 1;
+            loads.put(owner);
+        }
+        let to = loads.targets[lightest];
         transfers.push(Transfer {
             slice: SliceRef { range: range.clone(), slice: SliceId(i as u32) },
             token: slot.token,
--- a/src/kelpwind/route/entry.rs
+++ b/src/kelpwind/route/entry.rs
@@ -97,10 +97,11 @@
         let mut doubtful = None;
         let last = self.try_targets(&mut asked, &mut doubtful).await;
         // A later refusal does not undo an earlier try whose outcome is unknown.
-        match doubtful {
+        let answer = match doubtful {
             Some(earlier) if last.code.outcome() == Outcome::NotRun => earlier,
             _ => last,
-        }
+        };
+        Answer { load: None, ..answer }
     }
 
     async fn try_targets(&self, asked: &mut Asked, doubtful: &mut Option<Answer>) -> Answer {
@@ -187,7 +188,10 @@
         }
         let mut tried = tried.to_vec();
         tried.push(first.member.holder.clone());
-        self.pick(&call.service, &tried).map(|t| t.member)
+        let other = self.pick(&call.service, &tried)?.member;
+        // A second request where others wait would only make more of them wait.
+        let room = self.measures.candidate(&other.holder, true).has_room();
+        room.then_some(other)
     }
 
     async fn target(
@@ -244,7 +248,7 @@
             true => self.gate.pass(call.clone()).await,
             false => wire::send(&self.pool, to.peer, call, reuse).await,
         };
-        running.ended(answer.code);
+        running.ended(&answer);
         answer
     }
 
--- a/src/kelpwind/route/measure.rs
+++ b/src/kelpwind/route/measure.rs
@@ -9,6 +9,7 @@
 use super::budget::Budget;
 use super::picker::Candidate;
 use super::quantile::Quantile;
+use crate::core::call::{Answer, Load};
 use crate::core::codes::Code;
 use crate::core::ids::{Holder, ServiceName};
 
@@ -18,6 +19,8 @@
 const BUSY_TIME: Duration = Duration::from_millis(20);
 /// Weight of the newest latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.2;
+/// Time in which a remembered latency counts half as much.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Quantile of the latency after which a read is hedged.
 const HEDGE_QUANTILE: f64 = 0.95;
 /// Answers after which the quantile is trusted.
@@ -32,7 +35,25 @@
     running: BTreeMap<u64, Instant>,
     sent: u64,
     latency: f64,
+    sampled: Option<Instant>,
     avoid: Option<Instant>,
+    /// How busy its gate last said it was, and `sent` at that time.
+    load: Option<(Load, u64)>,
+}
+
+impl Target {
+    fn sample(&mut self, took: Duration) {
+        let ms = took.as_secs_f64() * 1e3;
+        self.latency += LATENCY_WEIGHT * (ms - self.latency);
+        self.sampled = Some(Instant::now());
+    }
+
+    /// The moving average, which is trusted less the older it is: a target that was slow gets a
+    /// request again in the end, and by that one's age shows whether it still is.
+    fn remembered(&self) -> f64 {
+        let age = self.sampled.map_or(Duration::ZERO, |at| at.elapsed());
+        self.latency * 0.5_f64.powf(age.as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64())
+    }
 }
 
 /// What is known of one service.
@@ -89,12 +110,18 @@
     pub fn candidate(&self, target: &Holder, near: bool) -> Candidate {
         let targets = self.targets.lock();
         let Some(known) = targets.get(target) else {
-            return Candidate { running: 0, latency: 0.0, near, suspect: false };
+            return Candidate { busy: 0, limit: 1, latency: 0.0, near, suspect: false };
         };
         let oldest = known.running.first_key_value().map_or(Duration::ZERO, |(_, at)| at.elapsed());
-        let latency = known.latency.max(oldest.as_secs_f64() * 1e3);
+        let latency = known.remembered().max(oldest.as_secs_f64() * 1e3);
         let suspect = known.avoid.is_some_and(|until| Instant::now() < until);
-        Candidate { running: known.running.len() as u32, latency, near, suspect }
+        let running = known.running.len() as u32;
+        let (busy, limit) = match known.load {
+            // What this entry sent since then is not in what the gate said.
+            Some((load, sent)) => (load.busy + (known.sent - sent) as u32, load.limit.max(1)),
+            None => (running, 1),
+        };
+        Candidate { busy: busy.max(running), limit, latency, near, suspect }
     }
 
     /// Notes that a request is sent to a target.
@@ -116,7 +143,8 @@
 
 impl Running<'_> {
     /// Notes how the request ended.
-    pub fn ended(self, code: Code) {
+    pub fn ended(self, answer: &Answer) {
+        let code = answer.code;
         let mut targets = self.measures.targets.lock();
         let Some(known) = targets.get_mut(self.target) else { return };
         let began = known.running.get(&self.number).copied();
@@ -125,12 +153,14 @@
             Code::Busy | Code::Cold | Code::Shed => Some(BUSY_TIME),
             _ => None,
         };
+        if let Some(load) = answer.load {
+            known.load = Some((load, known.sent));
+        }
         if let Some(time) = avoid {
             known.avoid = Some(Instant::now() + time);
         }
         if let (Code::Done | Code::Expired, Some(began)) = (code, began) {
-            let ms = began.elapsed().as_secs_f64() * 1e3;
-            known.latency += LATENCY_WEIGHT * (ms - known.latency);
+            known.sample(began.elapsed());
         }
     }
 }
@@ -141,9 +171,9 @@
         let Some(known) = targets.get_mut(self.target) else { return };
         let Some(began) = known.running.remove(&self.number) else { return };
         // A request that was cancelled took at least so long.
-        let ms = began.elapsed().as_secs_f64() * 1e3;
-        if ms > known.latency {
-            known.latency += LATENCY_WEIGHT * (ms - known.latency);
+        let took = began.elapsed();
+        if took.as_secs_f64() * 1e3 > known.latency {
+            known.sample(took);
         }
     }
 }
--- a/src/kelpwind/route/wire.rs
+++ b/src/kelpwind/route/wire.rs
@@ -22,6 +22,7 @@
 const SLICE_HEADER: &str = "kelpwind-slice";
 const WEIGHT_HEADER: &str = "kelpwind-weight";
 const ONCE_HEADER: &str = "kelpwind-once";
+const LOAD_HEADER: &str = "kelpwind-load";
 
 /// Result of reading a request from another node.
 pub type Result<T> = std::result::Result<T, Code>;
@@ -114,6 +115,9 @@
     if let Some(kind) = answer.kind {
         headers.insert(header::CONTENT_TYPE, kind);
     }
+    if let Some(load) = answer.load.and_then(|l| l.to_string().parse().ok()) {
+        headers.insert(LOAD_HEADER, load);
+    }
     if let Some(retry) = answer.retry {
         headers.insert(RETRY_HEADER, HeaderValue::from(retry.as_millis() as u64));
         let seconds = retry.as_millis().div_ceil(1000) as u64;
@@ -132,6 +136,7 @@
         status: response.status().as_u16(),
         kind,
         retry: retry.map(Duration::from_millis),
+        load: parse(headers, LOAD_HEADER).ok(),
         body: response.into_body(),
     })
 }
