--- a/src/kelpwind/core/state.rs
+++ b/src/kelpwind/core/state.rs
@@ -67,6 +67,11 @@
         self.holder.is_some() || self.from.is_some()
     }
 
+    /// Whether `holder` is the owner or the former owner.
+    pub fn is_of(&self, holder: &Holder) -> bool {
+        self.holder.as_ref() == Some(holder) || self.is_from(holder)
+    }
+
     fn is_from(&self, holder: &Holder) -> bool {
         self.from.as_ref().is_some_and(|f| f.holder == *holder)
     }
--- a/src/kelpwind/gate/pass.rs
+++ b/src/kelpwind/gate/pass.rs
@@ -155,7 +155,7 @@
             Some(_) => self.while_leased(sent).await,
             None => sent.await,
         };
-        self.learn(&answer);
+        self.learn(&answer, now.elapsed());
         Ok(answer)
     }
 
@@ -254,9 +254,9 @@
     }
 
     /// Tells the limiter how it went.
-    fn learn(&self, answer: &Answer) {
+    fn learn(&self, answer: &Answer, took: Duration) {
         self.admission.limiter(|l| match answer.code {
-            Code::Done => l.served(),
+            Code::Done => l.served(took, clock::now()),
             Code::Shed => l.shed(clock::now()),
             _ => {}
         });
--- a/src/kelpwind/log/follow.rs
+++ b/src/kelpwind/log/follow.rs
@@ -21,7 +21,7 @@
 use crate::util::error::Error;
 
 /// Time that a read waits for a record to come.
-const READ_WAIT: Duration = Duration::from_millis(1000);
+const READ_WAIT: Duration = Duration::from_secs(5);
 /// Pause between two tries while the log does not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
--- a/src/kelpwind/node/handover.rs
+++ b/src/kelpwind/node/handover.rs
@@ -18,7 +18,7 @@
 use super::{Node, peers};
 use crate::core::call::SliceRef;
 use crate::core::codes::Code;
-use crate::core::ids::{Holder, Offset, Token};
+use crate::core::ids::{Holder, Offset, SliceId, Token};
 use crate::core::record::{Body, Move};
 use crate::core::state::{Slot, State};
 use crate::gate::memory::Sent;
@@ -87,7 +87,8 @@
     /// Slices that this node still serves, as owner or former owner.
     fn held(&self) -> Vec<SliceRef> {
         let state = self.ledger.state();
-        all_slices(&state).filter(|(s, slot)| self.gate.serves(s, slot)).map(|(s, _)| s).collect()
+        let mine = slices_where(&state, |slot| slot.is_of(&self.me));
+        mine.filter(|(s, slot)| self.gate.serves(s, slot)).map(|(s, _)| s).collect()
     }
 
     fn to_transfer(&self, step: Move) -> Transfer {
@@ -130,10 +131,11 @@
     fn to_take(&self) -> BTreeMap<Holder, Vec<Wanted>> {
         let state = self.ledger.state();
         let mut by_owner: BTreeMap<Holder, Vec<Wanted>> = BTreeMap::new();
-        for (slice, slot) in all_slices(&state) {
+        let granted = |slot: &Slot| slot.from.is_some() && slot.holder.as_ref() == Some(&self.me);
+        for (slice, slot) in slices_where(&state, granted) {
             let Some(former) = &slot.from else { continue };
             let open = !self.gate.inflight.is_taken(&slice, slot.token);
-            if slot.holder.as_ref() == Some(&self.me) && former.holder != self.me && open {
+            if former.holder != self.me && open {
                 by_owner.entry(former.holder.clone()).or_default().push((slice, slot.token));
             }
         }
@@ -157,13 +159,9 @@
         {
             let state = self.ledger.state();
             let retired = |s: &SliceRef| state.ranges.get(&s.range).is_some_and(|r| r.retired);
-            for (slice, slot) in all_slices(&state).filter(|(s, _)| retired(s)) {
-                let mine = slot.holder.as_ref() == Some(&self.me)
-                    || slot.from.as_ref().is_some_and(|f| f.holder == self.me);
-                if mine {
-                    let token = slot.token;
-                    by_range.entry(slice.range.clone()).or_default().push((slice, token));
-                }
+            let mine = slices_where(&state, |slot| slot.is_of(&self.me));
+            for (slice, slot) in mine.filter(|(s, _)| retired(s)) {
+                by_range.entry(slice.range.clone()).or_default().push((slice, slot.token));
             }
         }
         for (range, slices) in by_range {
@@ -197,12 +195,16 @@
     }
 }
 
-fn all_slices(state: &State) -> impl Iterator<Item = (SliceRef, &Slot)> {
-    state.ranges.iter().flat_map(|(range, known)| {
-        let slots = known.slots.iter().enumerate();
+/// The slices of `state` whose slots `wanted` names. A state has far more slices than any node has
+/// to do with, so names are made for the wanted ones only.
+fn slices_where<'a>(
+    state: &'a State,
+    wanted: impl Fn(&Slot) -> bool + Copy + 'a,
+) -> impl Iterator<Item = (SliceRef, &'a Slot)> {
+    state.ranges.iter().flat_map(move |(range, known)| {
+        let slots = known.slots.iter().enumerate().filter(move |(_, slot)| wanted(slot));
         slots.map(move |(i, slot)| {
-            let slice = crate::core::ids::SliceId(i as u32);
-            (SliceRef { range: range.clone(), slice }, slot)
+            (SliceRef { range: range.clone(), slice: SliceId(i as u32) }, slot)
         })
     })
 }
--- a/src/kelpwind/node/planning.rs
+++ b/src/kelpwind/node/planning.rs
@@ -15,8 +15,12 @@
 use crate::place::planner::{self, Transfer};
 use crate::place::planner_of;
 
-/// Longest time between two rounds of planning.
-const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+/// Time until slices that were not handed over are asked for again.
+const AGAIN_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time between two rounds of planning while nothing changes.
+const PLAN_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two looks at whether a snapshot is due.
+const SNAPSHOT_LOOK: Duration = Duration::from_millis(500);
 /// Shortest time between two rounds.
 const PLAN_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time to wait for the fate of an assignment.
@@ -33,12 +37,11 @@
     let mut moves = node.ledger.moves();
     loop {
         moves.borrow_and_update();
-        if node.is("serving") && node.log_is_up() {
-            node.plan_once().await;
-        }
+        let more = node.is("serving") && node.log_is_up() && node.plan_once().await;
         node.release_retired().await;
         tokio::time::sleep(PLAN_PAUSE).await;
-        let _ = timeout(PLAN_INTERVAL, moves.changed()).await;
+        let pause = if more { AGAIN_INTERVAL } else { PLAN_INTERVAL };
+        let _ = timeout(pause, moves.changed()).await;
     }
 }
 
@@ -47,7 +50,7 @@
 pub async fn keep_snapshots(node: Arc<Node>) {
     let mut newest = (Offset(0), Instant::now());
     loop {
-        tokio::time::sleep(PLAN_INTERVAL).await;
+        tokio::time::sleep(SNAPSHOT_LOOK).await;
         let (next, snapshot) = {
             let state = node.ledger.state();
             (state.next, state.snapshot)
@@ -65,7 +68,8 @@
 }
 
 impl Node {
-    async fn plan_once(&self) {
+    /// One round of planning; whether there was anything to do.
+    async fn plan_once(&self) -> bool {
         let (moves, transfers) = {
             let state = self.ledger.state();
             let mine: Vec<&RangeName> = planned_by(&state, &self.me).collect();
@@ -76,7 +80,10 @@
         };
         if !moves.is_empty() {
             let _ = self.append(Body::Assign { moves }, ASSIGN_TIME).await;
-            return;
+            return true;
+        }
+        if transfers.is_empty() {
+            return false;
         }
         let mut by_owner: BTreeMap<Holder, Vec<Transfer>> = BTreeMap::new();
         for transfer in transfers {
@@ -84,6 +91,7 @@
         }
         let asked = by_owner.into_iter().map(|(owner, list)| self.ask_to_hand_over(owner, list));
         futures_util::future::join_all(asked).await;
+        true
     }
 
     async fn ask_to_hand_over(&self, owner: Holder, transfers: Vec<Transfer>) {
--- a/src/kelpwind/node/settings.rs
+++ b/src/kelpwind/node/settings.rs
@@ -14,7 +14,7 @@
 /// Records after which a snapshot is due by default.
 pub const SNAPSHOT_EVERY: u64 = 5_000;
 /// Time after which a snapshot is due by default.
-pub const SNAPSHOT_AGE: Duration = Duration::from_secs(3600);
+pub const SNAPSHOT_AGE: Duration = Duration::from_secs(6 * 3600);
 
 /// Settings as they were given; `None` where a flag and its variable are both missing.
 #[derive(Clone, Debug, Default)]
--- /dev/null
+++ b/tests/testsuite/decisions.rs
@@ -0,0 +1,184 @@
+//! The pure decisions: pickers, limits, quantiles, budgets, plans and witness sets.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use kelpwind::core::ids::{Count, Holder, Incarnation};
+use kelpwind::core::record::Member;
+use kelpwind::gate::limiter::Limiter;
+use kelpwind::lease::clock::Moment;
+use kelpwind::lease::set;
+use kelpwind::route::budget::Budget;
+use kelpwind::route::picker::{Candidate, choose};
+use kelpwind::route::quantile::Quantile;
+use proptest::prelude::*;
+
+const USUAL: Candidate =
+    Candidate { busy: 6, limit: 12, latency: 40.0, near: true, suspect: false };
+
+fn chosen(all: &[Candidate], draws: usize) -> Vec<usize> {
+    let mut random = fastrand::Rng::with_seed(3);
+    let mut counts = vec![0; all.len()];
+    for _ in 0..draws {
+        counts[choose(all, |n| random.usize(..n)).unwrap()] += 1;
+    }
+    counts
+}
+
+#[test]
+fn an_idle_straggler_is_not_chosen_before_busy_targets() {
+    let straggler = Candidate { busy: 0, latency: 800.0, ..USUAL };
+    let busy = Candidate { busy: 13, ..USUAL };
+    let counts = chosen(&[straggler, busy, busy, busy], 1000);
+    assert_eq!(counts[0], 0, "{counts:?}");
+}
+
+#[test]
+fn an_idle_near_target_goes_first_and_a_full_one_spills_over() {
+    let idle = Candidate { busy: 0, ..USUAL };
+    let far = Candidate { near: false, ..idle };
+    assert_eq!(chosen(&[idle, far, far], 300), [300, 0, 0]);
+    let full = Candidate { busy: 12, ..USUAL };
+    assert_eq!(chosen(&[full, far, far], 300)[0], 0);
+}
+
+#[test]
+fn suspects_are_chosen_only_when_there_is_nobody_else() {
+    let suspect = Candidate { suspect: true, busy: 0, ..USUAL };
+    assert_eq!(chosen(&[suspect, USUAL], 100), [0, 100]);
+    assert_eq!(chosen(&[suspect], 10), [10]);
+    assert_eq!(choose(&[], |_| 0), None);
+}
+
+#[test]
+fn a_cold_server_is_ramped_up_and_a_shed_request_lowers_the_limit() {
+    let start = Moment::from_micros(1_000_000_000);
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut limiter = Limiter::new(Count(20), Duration::from_secs(10));
+    assert_eq!(limiter.limit(start), Count(20));
+    limiter.turned_cold(start);
+    assert_eq!(limiter.limit(at(0)), Count(2));
+    assert_eq!(limiter.limit(at(5_000)), Count(12));
+    assert!(limiter.is_cold(at(5_000)));
+    assert_eq!(limiter.limit(at(10_000)), Count(20));
+    limiter.shed(at(20_000));
+    limiter.shed(at(20_010));
+    assert_eq!(limiter.limit(at(20_020)), Count(16), "one burst counts once");
+    (0..100).for_each(|_| limiter.served(Duration::from_millis(20), at(21_000)));
+    assert_eq!(limiter.limit(at(21_000)), Count(20));
+}
+
+/// A server that turns cold without a word, bears 2 of 12 requests, and takes five times as long for
+/// each one over that; always as many requests as the limit allows.
+#[test]
+fn a_server_that_turned_cold_unannounced_is_given_what_it_bears() {
+    let start = Moment::from_micros(1_000_000_000);
+    let mut limiter = Limiter::new(Count(12), Duration::from_secs(10));
+    let mut at = start;
+    let mut round = |limiter: &mut Limiter, bears: u32| {
+        let running = limiter.limit(at).0;
+        let over = running.saturating_sub(bears);
+        let time = Duration::from_millis(20 * u64::from(1 + 4 * over));
+        at = at + time;
+        (0..running).for_each(|_| limiter.served(time, at));
+        (at.since(start), running)
+    };
+    for _ in 0..20 {
+        round(&mut limiter, 12);
+    }
+    let cold_from = round(&mut limiter, 12).0;
+    let mut over_after = Duration::ZERO;
+    for _ in 0..200 {
+        let (now, running) = round(&mut limiter, 2);
+        if running > 4 {
+            over_after = now - cold_from;
+        }
+    }
+    assert!(
+        over_after < Duration::from_secs(6),
+        "more than twice what it bears for {over_after:?}"
+    );
+    let warm_from = round(&mut limiter, 12).0;
+    let full = (0..2000).find_map(|_| {
+        let (now, running) = round(&mut limiter, 12);
+        (running == 12).then_some(now - warm_from)
+    });
+    assert!(full.is_some_and(|t| t < Duration::from_secs(6)), "full use after {full:?}");
+}
+
+#[test]
+fn the_quantile_follows_its_values() {
+    let mut quantile = Quantile::new(0.95);
+    let mut random = fastrand::Rng::with_seed(5);
+    (0..5000).for_each(|_| quantile.take(random.f64() * 100.0));
+    let estimate = quantile.get(50).unwrap();
+    assert!((85.0..100.0).contains(&estimate), "{estimate}");
+    assert_eq!(Quantile::new(0.95).get(1), None);
+}
+
+#[test]
+fn retries_stay_within_a_tenth_of_the_requests() {
+    let budget = Budget::default();
+    let mut paid = 0;
+    for _ in 0..1000 {
+        budget.earn();
+        paid += u32::from(budget.pay());
+    }
+    assert!(paid <= 110, "{paid} retries for 1,000 requests");
+}
+
+fn member(n: u64, domains: u64) -> Member {
+    let holder = Holder { node: format!("n{n}").parse().unwrap(), inc: Incarnation(n + 1) };
+    Member {
+        holder,
+        peer: ([127, 0, 0, 1], 1).into(),
+        admin: ([127, 0, 0, 1], 1).into(),
+        domain: format!("d{}", n % domains).parse().unwrap(),
+        service: None,
+        slots: Count(1),
+        conns: Count(1),
+        fenced: false,
+        draining: false,
+        witnesses: Vec::new(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60,
+        rng_seed: prop::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn witness_sets_are_spread_and_share_the_work(nodes in 6u64..60, domains in 3u64..8) {
+        let mut members: Vec<Member> = (0..nodes).map(|n| member(n, domains)).collect();
+        let none = BTreeSet::new();
+        // Members choose one after another, then once more with all others known.
+        for round in 0..3 {
+            for i in 0..members.len() {
+                let known: Vec<Member> =
+                    if round == 0 { members[..=i].to_vec() } else { members.clone() };
+                let wanted = set::choose(&members[i], known.iter(), &members[i].witnesses, &none);
+                members[i].witnesses = wanted;
+            }
+        }
+        let domain_of: BTreeMap<_, _> =
+            members.iter().map(|m| (m.holder.clone(), m.domain.clone())).collect();
+        let mut loads: BTreeMap<Holder, usize> = BTreeMap::new();
+        for member in &members {
+            prop_assert_eq!(member.witnesses.len(), 5);
+            let mut per_domain: BTreeMap<_, usize> = BTreeMap::new();
+            for peer in &member.witnesses {
+                prop_assert!(peer.holder != member.holder);
+                *per_domain.entry(&domain_of[&peer.holder]).or_default() += 1;
+                *loads.entry(peer.holder.clone()).or_default() += 1;
+            }
+            let most = per_domain.values().max().copied().unwrap_or(0);
+            prop_assert!(most <= 2, "one domain's loss leaves a majority: {per_domain:?}");
+        }
+        let most = loads.values().max().copied().unwrap_or(0);
+        prop_assert!(most <= 10, "one node witnesses {most} of {nodes}");
+    }
+}
--- a/tests/testsuite/drains.rs
+++ b/tests/testsuite/drains.rs
@@ -127,3 +127,26 @@
     check(&cluster, &keyed.stop().await).await;
     check(&cluster, &any.stop().await).await;
 }
+
+/// The next owner dies while slices are on their way to it.
+#[rstest]
+#[case::before_the_exchange(39, 10)]
+#[case::after_it(40, 30)]
+#[tokio::test]
+async fn the_next_owner_may_die_during_a_handover(#[case] seed: u64, #[case] after: u64) {
+    let mut cluster = start().await;
+    let keyed = load(&cluster, "historie", seed);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cluster.command(0, &["drain", "delft-c"]);
+    tokio::time::sleep(Duration::from_millis(after)).await;
+    cluster.nodes[1].process.kill();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let asked = keyed.stop().await;
+    println!("{:?}", summary(&asked));
+    let late = asked.iter().rev().take(50);
+    let served = late.filter(|a| a.outcome == "done").count();
+    assert!(served > 30, "{served} of the last 50 were done");
+    let ran = cluster.all_executions().await;
+    assert_eq!(overlaps(&ran, 0), []);
+    assert_eq!(untrue(&asked, &ran), [""; 0]);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,8 +2,10 @@
 //! processes.
 
 mod bad_input;
+mod charts;
 mod command_line;
 mod config;
+mod decisions;
 mod drains;
 mod fold;
 mod lasting;
