--- a/benches/report/main.rs
+++ b/benches/report/main.rs
@@ -9,6 +9,7 @@
 mod handover;
 mod load;
 mod overload;
+mod placement;
 mod plot;
 mod proc;
 mod state;
@@ -20,8 +21,16 @@
 /// The program under measurement.
 pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_kelpwind");
 
-const PARTS: [&str; 7] =
-    ["state", "control", "failover", "handover", "stragglers", "overload", "data-path"];
+const PARTS: [&str; 8] = [
+    "state",
+    "placement",
+    "control",
+    "failover",
+    "handover",
+    "stragglers",
+    "overload",
+    "data-path",
+];
 
 fn main() {
     let named: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with('-')).collect();
@@ -35,6 +44,7 @@
         println!("measuring {part}");
         match part {
             "state" => state::measure(&mut report),
+            "placement" => placement::measure(&mut report),
             "control" => runtime.block_on(control::measure(&mut report)),
             "failover" => runtime.block_on(failover::measure(&mut report)),
             "handover" => runtime.block_on(handover::measure(&mut report)),
--- /dev/null
+++ b/benches/report/placement.rs
@@ -0,0 +1,145 @@
+//! Churn and imbalance of placement against rendezvous hashing, on the same events.
+
+use std::collections::BTreeMap;
+
+use kelpwind::core::config::Config;
+use kelpwind::core::config::change::Change;
+use kelpwind::core::ids::{Holder, Revision};
+use kelpwind::core::record::{Body, Move};
+use kelpwind::core::state::State;
+use kelpwind::place::planner;
+
+use super::proc::short;
+use super::state::{apply, config, member};
+use super::write::Report;
+
+const MEMBERS: u64 = 105;
+const SLICES: u32 = 6_720;
+const DOMAINS: u64 = 7;
+
+/// What happens, and which members live after it.
+type Event = (&'static str, fn(u64) -> bool);
+
+/// Owner of each slice.
+type Owners = Vec<Option<Holder>>;
+
+pub(crate) fn measure(report: &mut Report) {
+    report.part(
+        "Placement",
+        "105 equal members in 7 failure domains, 6,720 slices. Churn is the part of all slices that \
+         changed owners; what had to move at least stands beside it. Imbalance is the most slices \
+         of a member over the mean. Rendezvous hashing gives each slice to the member with the \
+         greatest hash of both.",
+    );
+    let mut rows = Vec::new();
+    let mut ours = Ours::new();
+    let mut theirs: Owners = rendezvous(|_| true);
+    let events: [Event; 4] = [
+        ("start", |_| true),
+        ("one member lost", |n| n != 3),
+        ("a failure domain out", |n| n != 3 && n % DOMAINS != 1),
+        ("the failure domain back", |n| n != 3),
+    ];
+    for (name, live) in events {
+        let before = ours.owners();
+        ours.follow(live);
+        let after = ours.owners();
+        let hashed = rendezvous(live);
+        rows.push(vec![
+            name.to_owned(),
+            percent(least(&before, live)),
+            percent(churn(&before, &after)),
+            percent(churn(&theirs, &hashed)),
+            short(imbalance(&after)),
+            short(imbalance(&hashed)),
+        ]);
+        theirs = hashed;
+    }
+    let head = [
+        "event",
+        "had to move",
+        "churn",
+        "churn, rendezvous",
+        "imbalance",
+        "imbalance, rendezvous",
+    ];
+    report.table(&head, &rows);
+}
+
+struct Ours {
+    state: State,
+}
+
+impl Ours {
+    fn new() -> Ours {
+        let mut state = State::default();
+        let change = Change::between(&Config::default(), &config(SLICES));
+        apply(&mut state, Body::Config { base: Revision(0), change });
+        Ours { state }
+    }
+
+    /// Members that are not live leave; the others join; then the planner runs until it rests.
+    fn follow(&mut self, live: fn(u64) -> bool) {
+        for n in 0..MEMBERS {
+            let holder = member(n).holder;
+            let known = self.state.members.contains_key(&holder);
+            if live(n) && !known {
+                apply(&mut self.state, Body::Join(member(n)));
+            }
+            if !live(n) && known {
+                let base = self.state.members[&holder].version;
+                let moves = planner::replace(&self.state, &holder);
+                apply(&mut self.state, Body::Revoke { holder, base, moves });
+            }
+        }
+        let range = "keys".parse().expect("a name");
+        let moves = planner::assign(&self.state, &range);
+        apply(&mut self.state, Body::Assign { moves });
+        loop {
+            let transfers = planner::rebalance(&self.state, &range, 64);
+            if transfers.is_empty() {
+                return;
+            }
+            for t in transfers {
+                let slice = t.slice.slice;
+                let moves = vec![Move { range: t.slice.range, slice, prev: t.token, to: t.to }];
+                apply(&mut self.state, Body::Handover { from: t.from, moves });
+            }
+        }
+    }
+
+    fn owners(&self) -> Owners {
+        self.state.ranges.values().flat_map(|r| &r.slots).map(|s| s.holder.clone()).collect()
+    }
+}
+
+fn rendezvous(live: fn(u64) -> bool) -> Owners {
+    let members: Vec<Holder> =
+        (0..MEMBERS).filter(|n| live(*n)).map(|n| member(n).holder).collect();
+    let hash = |holder: &Holder, slice: u32| {
+        xxhash_rust::xxh3::xxh3_64_with_seed(&slice.to_le_bytes(), holder.inc.0)
+    };
+    (0..SLICES).map(|s| members.iter().max_by_key(|h| hash(h, s)).cloned()).collect()
+}
+
+fn churn(before: &Owners, after: &Owners) -> f64 {
+    let moved = before.iter().zip(after).filter(|(b, a)| b.is_some() && b != a).count();
+    moved as f64 / after.len() as f64
+}
+
+fn least(before: &Owners, live: fn(u64) -> bool) -> f64 {
+    let gone: Vec<Holder> = (0..MEMBERS).filter(|n| !live(*n)).map(|n| member(n).holder).collect();
+    let forced = before.iter().flatten().filter(|h| gone.contains(h)).count();
+    forced as f64 / before.len() as f64
+}
+
+fn imbalance(owners: &Owners) -> f64 {
+    let mut counts: BTreeMap<&Holder, f64> = BTreeMap::new();
+    owners.iter().flatten().for_each(|h| *counts.entry(h).or_default() += 1.0);
+    let most = counts.values().copied().fold(0.0, f64::max);
+    most * counts.len() as f64 / owners.len() as f64
+}
+
+fn percent(part: f64) -> String {
+    format!("{:.1}%", part * 100.0)
+}
--- a/benches/report/state.rs
+++ b/benches/report/state.rs
@@ -24,7 +24,7 @@
     Holder { node: name.parse().expect("a name"), inc: Incarnation(n.wrapping_mul(0x9e37_79b9)) }
 }
 
-fn member(n: u64) -> Member {
+pub(crate) fn member(n: u64) -> Member {
     Member {
         holder: holder(n),
         peer: ([127, 0, 0, 1], 7000).into(),
@@ -41,7 +41,7 @@
     }
 }
 
-fn config(slices: u32) -> Config {
+pub(crate) fn config(slices: u32) -> Config {
     let mut text = String::new();
     for n in 0..7 {
         text += &format!("[failure-domain.domain-{n}]\nregion = \"r{}\"\n", n % 3);
@@ -52,7 +52,7 @@
     Config::try_from(text.as_str()).expect("a valid configuration")
 }
 
-fn apply(state: &mut State, body: Body) {
+pub(crate) fn apply(state: &mut State, body: Body) {
     let raw = Record::new("bench", body).encode();
     let _ = state.apply(state.next, &raw);
 }
--- a/crates/kelpwind-stand-ins/src/backend.rs
+++ b/crates/kelpwind-stand-ins/src/backend.rs
@@ -20,7 +20,7 @@
 use warp::reply::{Reply, Response};
 
 use crate::cold::bears;
-use crate::run::{json, serve};
+use crate::run::{json, serve_limited};
 
 /// Time between two announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -38,7 +38,7 @@
     pub service: String,
     /// Requests it runs at once.
     pub slots: u32,
-    /// Connections it announces.
+    /// Connections it accepts at once.
     pub conns: u32,
     /// Time that a request takes.
     pub work: Duration,
@@ -66,6 +66,8 @@
     pub truncate: bool,
     /// Load that it reports, whatever the truth.
     pub report: Option<u32>,
+    /// Age of the load that it reports, in milliseconds.
+    pub report_lag_ms: u64,
     /// Set to turn cold once, without announcing it.
     pub chill: bool,
 }
@@ -79,6 +81,7 @@
             sheds: true,
             truncate: false,
             report: None,
+            report_lag_ms: 0,
             chill: false,
         }
     }
@@ -105,6 +108,8 @@
     tokens: HashMap<String, u64>,
     cold: Instant,
     grant: u64,
+    /// Load as it was last reported, and when that was.
+    reported: (u32, Instant),
 }
 
 /// A backend server.
@@ -165,6 +170,7 @@
             tokens: HashMap::new(),
             cold: Instant::now(),
             grant: 0,
+            reported: (0, Instant::now()),
         };
         Backend { options: Arc::new(options), inner: Arc::new(Mutex::new(inner)) }
     }
@@ -221,7 +227,7 @@
                 },
             );
         let routes = history.or(load).unify().or(control).unify().or(grant).unify().or(work);
-        let bound = serve(addr, routes).await?;
+        let bound = serve_limited(addr, routes, self.options.conns as usize).await?;
         if let Some(node) = self.options.node {
             tokio::spawn(self.clone().announce(node, bound));
         }
@@ -229,8 +235,12 @@
     }
 
     fn load(&self) -> LoadReport {
-        let inner = self.inner.lock();
-        let running = inner.faults.report.unwrap_or(inner.running);
+        let mut inner = self.inner.lock();
+        let lag = Duration::from_millis(inner.faults.report_lag_ms);
+        if inner.reported.1.elapsed() >= lag {
+            inner.reported = (inner.running, Instant::now());
+        }
+        let running = inner.faults.report.unwrap_or(inner.reported.0);
         LoadReport { running, slots: self.options.slots }
     }
 
--- a/crates/kelpwind-stand-ins/src/run.rs
+++ b/crates/kelpwind-stand-ins/src/run.rs
@@ -2,8 +2,13 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use warp::Filter;
 use warp::reply::Reply;
 
@@ -19,6 +24,32 @@
     Ok(bound)
 }
 
+/// The same for a server that accepts `limit` connections at once and closes further ones unread.
+pub async fn serve_limited<F>(addr: SocketAddr, routes: F, limit: usize) -> io::Result<SocketAddr>
+where
+    F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
+    F::Extract: Reply,
+{
+    let listener = TcpListener::bind(addr).await?;
+    let bound = listener.local_addr()?;
+    let service = TowerToHyperService::new(warp::service(routes));
+    let open = Arc::new(Semaphore::new(limit));
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let Ok(permit) = open.clone().try_acquire_owned() else { continue };
+            let _ = stream.set_nodelay(true);
+            let connection =
+                http1::Builder::new().serve_connection(TokioIo::new(stream), service.clone());
+            tokio::spawn(async move {
+                let _ = connection.await;
+                drop(permit);
+            });
+        }
+    });
+    Ok(bound)
+}
+
 /// An answer in JSON with a status.
 pub fn json<T: serde::Serialize>(status: u16, value: &T) -> warp::reply::Response {
     let status = warp::http::StatusCode::from_u16(status).unwrap_or_default();
--- a/src/kelpwind/gate/mod.rs
+++ b/src/kelpwind/gate/mod.rs
@@ -6,9 +6,9 @@
 //! ([`admission`], [`limiter`]); then ownership and lease once more, since it may have waited; then
 //! it is sent, bounded by its deadline and by the lease's end ([`backend`]).
 
-pub mod admission;
-pub mod backend;
-pub mod inflight;
+pub(crate) mod admission;
+pub(crate) mod backend;
+pub(crate) mod inflight;
 pub mod limiter;
-pub mod memory;
-pub mod pass;
+pub(crate) mod memory;
+pub(crate) mod pass;
--- a/src/kelpwind/lease/set.rs
+++ b/src/kelpwind/lease/set.rs
@@ -63,25 +63,28 @@
     taken
 }
 
-/// Why a set should be replaced.
+/// How much a set needs to be replaced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Need {
     /// It is as good as the wanted one.
     None,
-    /// It bears as many losses as it should, but a witness has more holders than its share.
-    Even,
-    /// It has lost a witness or can grow to bear more losses.
+    /// It has lost a witness but bears another loss, or a witness has more holders than its share.
+    /// After the loss of a whole failure domain most sets are in this state, and the records by
+    /// which lost holders are revoked must come before theirs.
+    Soon,
+    /// It bears no more losses, or can grow to bear more.
     Now,
 }
 
-/// Whether the current set should be replaced by `wanted`; `counts` says who can still witness.
+/// How much the current set needs to be replaced by `wanted`; `counts` says who can still witness.
 pub fn need(current: &[Peer], wanted: &[Peer], counts: impl Fn(&Holder) -> bool) -> Need {
-    let lost = current.iter().any(|p| !counts(&p.holder));
-    if lost || majority(wanted.len()) > majority(current.len()) {
+    let left = current.iter().filter(|p| counts(&p.holder)).count();
+    let lost = left < current.len();
+    if lost && left <= majority(current.len()) || majority(wanted.len()) > majority(current.len()) {
         return Need::Now;
     }
     let same = current.iter().all(|p| wanted.contains(p));
-    if same { Need::None } else { Need::Even }
+    if same { Need::None } else { Need::Soon }
 }
 
 /// A candidate, in the order in which candidates are preferred.
--- a/src/kelpwind/log/mod.rs
+++ b/src/kelpwind/log/mod.rs
@@ -5,8 +5,8 @@
 //! [`follow`] keeps it up to date from the log, or from other nodes while the log is down.
 //! [`snapshot`] writes the state back into the log before its retention runs out.
 
-pub mod client;
-pub mod follow;
-pub mod http;
-pub mod ledger;
+pub(crate) mod client;
+pub(crate) mod follow;
+pub(crate) mod http;
+pub(crate) mod ledger;
 pub mod snapshot;
--- a/src/kelpwind/net/mod.rs
+++ b/src/kelpwind/net/mod.rs
@@ -4,5 +4,5 @@
 //! relies on: it says whether any byte of a request can have left.
 
 pub mod datagram;
-pub mod listen;
+pub(crate) mod listen;
 pub mod pool;
--- a/src/kelpwind/node/admin.rs
+++ b/src/kelpwind/node/admin.rs
@@ -92,14 +92,7 @@
 }
 
 /// The methods on the operators' address.
-pub fn methods(node: Arc<Node>) -> Result<RpcModule<Arc<Node>>> {
-    let mut module = RpcModule::new(node);
-    let registered = register(&mut module);
-    registered.map_err(|e| Error::new(Code::Internal, "failed to register calls").caused_by(e))?;
-    Ok(module)
-}
-
-fn register(
+pub fn register(
     module: &mut RpcModule<Arc<Node>>,
 ) -> std::result::Result<(), jsonrpsee::core::RegisterMethodError> {
     module.register_method("dump", |_, node, _| Ok::<_, ErrorObjectOwned>(node.dump()))?;
@@ -125,6 +118,7 @@
         let ends = self.lease.lock().as_ref().and_then(|l| l.ends());
         let left = ends.map_or(0, |e| e.since(now).as_millis() as i64);
         self.metrics.lease.set(left);
+        self.metrics.remembered.set(self.gate.memory.bytes() as i64);
         self.metrics.text()
     }
 
--- a/src/kelpwind/node/membership.rs
+++ b/src/kelpwind/node/membership.rs
@@ -26,8 +26,8 @@
 const JOIN_TIME: Duration = Duration::from_secs(5);
 /// Time between two looks at the witness set and at what the backend server said.
 const CARE_INTERVAL: Duration = Duration::from_millis(250);
-/// One in so many looks evens the loads of witnesses out.
-const EVEN_ODDS: u32 = 8;
+/// One in so many looks replaces a set that can wait.
+const SOON_ODDS: u32 = 8;
 /// Silence after which a backend server that announced itself counts as gone.
 const ANNOUNCED_MAX: Duration = Duration::from_secs(5);
 /// Longest time that a planned stop waits for a part of it.
@@ -282,7 +282,7 @@
         match set::need(lease.set(), &wanted, counts) {
             Need::Now => {}
             // Not all at once: each such change shifts the loads that the next one reckons with.
-            Need::Even if fastrand::u32(..EVEN_ODDS) == 0 => {}
+            Need::Soon if fastrand::u32(..SOON_ODDS) == 0 => {}
             _ => return None,
         }
         let body =
--- a/src/kelpwind/node/metrics.rs
+++ b/src/kelpwind/node/metrics.rs
@@ -44,6 +44,8 @@
     pub revision: IntGauge,
     /// Time left of the lease, in milliseconds.
     pub lease: IntGauge,
+    /// Bytes of remembered outcomes.
+    pub remembered: IntGauge,
     /// Members as the log has them.
     pub members: IntGauge,
 }
@@ -101,6 +103,10 @@
             offset: gauge("kelpwind_log_offset", "Offset of the next record to apply."),
             revision: gauge("kelpwind_config_revision", "Current revision of the configuration."),
             lease: gauge("kelpwind_lease_left_milliseconds", "Time left of the lease."),
+            remembered: gauge(
+                "kelpwind_remembered_bytes",
+                "Bytes of outcomes remembered of requests that may not be repeated.",
+            ),
             members: gauge("kelpwind_members", "Members as the log has them."),
             registry,
         }
--- a/src/kelpwind/node/mod.rs
+++ b/src/kelpwind/node/mod.rs
@@ -5,18 +5,18 @@
 //! leave), the [`planning`] loop, and the listeners for callers, other nodes ([`peers`]) and
 //! operators ([`admin`]).
 
-pub mod admin;
-pub mod catch_up;
-pub mod directory;
-pub mod handover;
-pub mod leases;
-pub mod membership;
-pub mod metrics;
-pub mod peers;
-pub mod planning;
+pub(crate) mod admin;
+pub(crate) mod catch_up;
+pub(crate) mod directory;
+pub(crate) mod handover;
+pub(crate) mod leases;
+pub(crate) mod membership;
+pub(crate) mod metrics;
+pub(crate) mod peers;
+pub(crate) mod planning;
 pub mod settings;
-pub mod start;
-pub mod view;
+pub(crate) mod start;
+pub(crate) mod view;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,7 +30,6 @@
 use crate::core::ids::Holder;
 use crate::core::record::{Body, Record};
 use crate::gate::pass::Gate;
-use crate::lease::clock::Moment;
 use crate::lease::holder::Lease;
 use crate::lease::takeover::Takeover;
 use crate::lease::witness::Witness;
@@ -60,18 +59,16 @@
 }
 
 /// Takeovers under way, by the incarnation of the silent holder.
-pub type Takeovers = std::collections::BTreeMap<crate::lease::message::Tag, Takeover>;
+pub(crate) type Takeovers = std::collections::BTreeMap<crate::lease::message::Tag, Takeover>;
 
 /// One node.
-pub struct Node {
+pub(crate) struct Node {
     /// Its settings.
     pub settings: Settings,
     /// Its addresses.
     pub addrs: Addrs,
     /// Its name and incarnation.
     pub me: Holder,
-    /// When it started.
-    pub born: Moment,
     /// The log service.
     pub log: Arc<Log>,
     /// Whether the log answers.
@@ -135,18 +132,6 @@
         self.ledger.append(&self.log, record, limit).await
     }
 
-    /// Appends a record and goes on until its fate is known. It is the caller's business that
-    /// nothing unsafe happens while it is not.
-    pub async fn append_surely(&self, body: Body) -> Fate {
-        const TRY: Duration = Duration::from_secs(5);
-        let record = Record::new(&self.me, body);
-        loop {
-            if let Ok(fate) = self.append_record(&record, TRY).await {
-                return fate;
-            }
-        }
-    }
-
     /// Whether the log answers.
     pub fn log_is_up(&self) -> bool {
         *self.health.borrow() == Health::Up
--- a/src/kelpwind/node/peers.rs
+++ b/src/kelpwind/node/peers.rs
@@ -11,7 +11,9 @@
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use jsonrpsee::rpc_params;
-use jsonrpsee::server::{HttpBody, RpcModule, Server, StopHandle, TowerServiceBuilder};
+use jsonrpsee::server::{
+    HttpBody, RpcModule, Server, ServerHandle, StopHandle, TowerServiceBuilder,
+};
 use jsonrpsee::types::ErrorObjectOwned;
 use tower::Service;
 
@@ -41,15 +43,24 @@
     builder: TowerServiceBuilder<tower::layer::util::Identity, tower::layer::util::Identity>,
     methods: RpcModule<Arc<Node>>,
     stop: StopHandle,
+    /// The service stops when the last of these is gone.
+    _handle: ServerHandle,
 }
 
+/// Adds methods to a listener's.
+pub type Register =
+    fn(&mut RpcModule<Arc<Node>>) -> std::result::Result<(), jsonrpsee::core::RegisterMethodError>;
+
 impl Rpc {
-    /// The methods as a service that goes on until the process ends.
-    pub fn new(methods: RpcModule<Arc<Node>>) -> Rpc {
+    /// The methods that `register` names, as a service.
+    pub fn new(node: Arc<Node>, register: Register) -> Result<Rpc> {
+        let mut methods = RpcModule::new(node);
+        let registered = register(&mut methods);
+        registered
+            .map_err(|e| Error::new(Code::Internal, "failed to register calls").caused_by(e))?;
         let (stop, handle) = jsonrpsee::server::stop_channel();
-        // The handle would stop the service when dropped; the service lives as long as the process.
-        std::mem::forget(handle);
-        Rpc { builder: Server::builder().to_service_builder(), methods, stop }
+        let builder = Server::builder().to_service_builder();
+        Ok(Rpc { builder, methods, stop, _handle: handle })
     }
 
     /// Answers one call.
@@ -93,14 +104,7 @@
 }
 
 /// The methods on the address for other nodes.
-pub fn methods(node: Arc<Node>) -> Result<RpcModule<Arc<Node>>> {
-    let mut module = RpcModule::new(node);
-    let registered = register(&mut module);
-    registered.map_err(|e| Error::new(Code::Internal, "failed to register calls").caused_by(e))?;
-    Ok(module)
-}
-
-fn register(
+pub fn register(
     module: &mut RpcModule<Arc<Node>>,
 ) -> std::result::Result<(), jsonrpsee::core::RegisterMethodError> {
     module.register_async_method("hand_over", |params, node, _| async move {
--- a/src/kelpwind/node/start.rs
+++ b/src/kelpwind/node/start.rs
@@ -191,7 +191,6 @@
         settings,
         addrs,
         me,
-        born,
         health,
         ledger,
         lease,
@@ -216,12 +215,12 @@
     let take = move |request| take_request(caller.clone(), request);
     tasks.spawn(listen::serve(listen, take, stop.clone()));
 
-    let rpc = Rpc::new(peers::methods(node.clone())?);
+    let rpc = Rpc::new(node.clone(), peers::register)?;
     let other = node.clone();
     let take = move |request| peers::serve(other.clone(), rpc.clone(), request);
     tasks.spawn(listen::serve(peer, take, stop.clone()));
 
-    let rpc = Rpc::new(admin::methods(node.clone())?);
+    let rpc = Rpc::new(node.clone(), admin::register)?;
     let operator = node.clone();
     let take = move |request| admin::serve(operator.clone(), rpc.clone(), request);
     tasks.spawn(listen::serve(operators, take, stop));
--- a/src/kelpwind/route/mod.rs
+++ b/src/kelpwind/route/mod.rs
@@ -6,9 +6,9 @@
 //! outcome is unknown only if its policy says that it is idempotent.
 
 pub mod budget;
-pub mod entry;
-pub mod measure;
+pub(crate) mod entry;
+pub(crate) mod measure;
 pub mod picker;
 pub mod quantile;
-pub mod request;
-pub mod wire;
+pub(crate) mod request;
+pub(crate) mod wire;
--- a/tests/testsuite/decisions.rs
+++ b/tests/testsuite/decisions.rs
@@ -7,7 +7,7 @@
 use kelpwind::core::record::Member;
 use kelpwind::gate::limiter::Limiter;
 use kelpwind::lease::clock::Moment;
-use kelpwind::lease::set;
+use kelpwind::lease::set::{self, Need};
 use kelpwind::route::budget::Budget;
 use kelpwind::route::picker::{Candidate, choose};
 use kelpwind::route::quantile::Quantile;
@@ -182,3 +182,22 @@
         prop_assert!(most <= 10, "one node witnesses {most} of {nodes}");
     }
 }
+
+#[test]
+fn a_set_that_bears_another_loss_can_wait() {
+    let mut members: Vec<Member> = (0..12).map(|n| member(n, 4)).collect();
+    let none = BTreeSet::new();
+    let set = set::choose(&members[0], members.iter(), &[], &none);
+    members[0].witnesses = set.clone();
+    let wanted = |lost: usize| {
+        let lost: Vec<&Holder> = set[..lost].iter().map(|p| &p.holder).collect();
+        let left = members.iter().filter(|m| !lost.contains(&&m.holder));
+        set::choose(&members[0], left, &set, &none)
+    };
+    let need = |lost: usize| {
+        let gone: Vec<&Holder> = set[..lost].iter().map(|p| &p.holder).collect();
+        set::need(&set, &wanted(lost), |h| !gone.contains(&h))
+    };
+    assert_eq!([need(0), need(1), need(2)], [Need::None, Need::Soon, Need::Now]);
+    assert_eq!(set::need(&set[..3], &set, |_| true), Need::Now);
+}
