--- a/src/kelpwind/core/call.rs
+++ b/src/kelpwind/core/call.rs
@@ -135,8 +135,7 @@
 }
 
 /// How busy a backend server is, as its gate knows it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
-/// {busy}/{limit}
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
     /// Requests running and waiting.
     pub busy: u32,
@@ -144,6 +143,12 @@
     pub limit: u32,
 }
 
+impl fmt::Display for Load {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.busy, self.limit)
+    }
+}
+
 impl FromStr for Load {
     type Err = ParseError;
     fn from_str(raw: &str) -> Result<Self, ParseError> {
--- a/src/kelpwind/node/admin.rs
+++ b/src/kelpwind/node/admin.rs
@@ -20,7 +20,8 @@
 use crate::core::config::read::Faults;
 use crate::core::ids::Revision;
 use crate::core::record::{Body, Record};
-use crate::util::error::{Error, Result};
+use crate::lease::clock;
+use crate::util::error::{Error, Result, chain};
 
 /// Longest time to wait for the fate of a published change.
 const PUBLISH_TIME: Duration = Duration::from_secs(10);
@@ -87,7 +88,7 @@
     };
     match node.announced(said) {
         Ok(()) => plain(200, String::new()),
-        Err(e) => plain(400, crate::util::error::chain(&e)),
+        Err(e) => plain(400, chain(&e)),
     }
 }
 
@@ -114,7 +115,7 @@
 
 impl Node {
     fn metrics_text(&self) -> Vec<u8> {
-        let now = crate::lease::clock::now();
+        let now = clock::now();
         let ends = self.lease.lock().as_ref().and_then(|l| l.ends());
         let left = ends.map_or(0, |e| e.since(now).as_millis() as i64);
         self.metrics.lease.set(left);
--- a/src/kelpwind/node/start.rs
+++ b/src/kelpwind/node/start.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -34,6 +34,12 @@
 
 /// Tries to find a port that is free for both TCP and UDP.
 const PORT_TRIES: u32 = 20;
+/// Time between two looks at whether the listeners have closed.
+const SERVER_LOOK: Duration = Duration::from_millis(10);
+/// Longest time for the listeners to close.
+const SERVER_STOP: Duration = Duration::from_secs(5);
+/// Time between two looks at whether this node was revoked.
+const REVOKED_LOOK: Duration = Duration::from_millis(50);
 
 /// The listeners of a node, open. They outlast its incarnations.
 #[derive(Clone)]
@@ -141,13 +147,6 @@
     Ok(true)
 }
 
-/// Time between two looks at whether the listeners have closed.
-const SERVER_LOOK: std::time::Duration = std::time::Duration::from_millis(10);
-/// Longest time for the listeners to close.
-const SERVER_STOP: std::time::Duration = std::time::Duration::from_secs(5);
-/// Time between two looks at whether this node was revoked.
-const REVOKED_LOOK: std::time::Duration = std::time::Duration::from_millis(50);
-
 async fn told_to_stop(stop: &mut watch::Receiver<bool>) {
     // A sender that is gone means that the process ends.
     drop(stop.wait_for(|s| *s).await);
--- a/src/kelpwind/route/entry.rs
+++ b/src/kelpwind/route/entry.rs
@@ -107,40 +107,26 @@
     async fn try_targets(&self, asked: &mut Asked, doubtful: &mut Option<Answer>) -> Answer {
         let service = self.measures.service(&asked.call.service);
         service.budget.earn();
-        let mut tried: Vec<Holder> = Vec::new();
-        let mut refused = None;
-        let owner_until = Instant::now() + OWNER_WAIT;
+        let mut tries = Tries::begin();
         loop {
             if asked.call.deadline <= Instant::now() {
                 return Answer::refusal(Code::DeadlinePast);
             }
-            let target = self.target(&asked.call, &tried, refused.as_ref(), owner_until).await;
-            let target = match target {
+            let target = match self.target(&asked.call, &tries).await {
                 Ok(target) => target,
                 Err(answer) => return answer,
             };
-            let answer = self.send_hedged(&target, asked, &tried, &service).await;
-            let used = tried.len() as u32;
-            if !may_retry(asked, &answer, used) {
+            let answer = self.send_hedged(&target, asked, &tries.tried, &service).await;
+            if !tries.may_go_on(asked, &target, &answer, &service) {
                 return answer;
             }
-            let free = is_moved(answer.code) && Instant::now() < owner_until;
-            if !free {
-                if !service.budget.pay() {
-                    return answer;
-                }
-                tried.push(target.member.holder.clone());
-            }
             (self.told)(Event::Retry(answer.code));
             if answer.code.outcome() == Outcome::Unknown {
                 *doubtful = Some(answer);
                 asked.call.once = asked.call.once.map(|_| Attempt::Later);
             }
-            // Of two that may serve a key that is being handed over, the other is asked at once.
-            let other = refused.is_none() && target.handed_over;
-            refused = (refused.as_ref() != Some(&target.member.holder))
-                .then(|| target.member.holder.clone());
-            if asked.call.key.is_some() && !other {
+            let ask_other = tries.refused_by(&target);
+            if asked.call.key.is_some() && !ask_other {
                 self.wait_for_news(target.seen).await;
             }
         }
@@ -157,22 +143,12 @@
         let call = &asked.call;
         let began = Instant::now();
         let mut first = pin!(self.send(&target.member, call, Reuse::Any));
-        let delay = hedge_delay(asked, service);
-        let answer = match timeout(delay.unwrap_or(Duration::MAX), &mut first).await {
+        let delay = hedge_delay(asked, service).unwrap_or(Duration::MAX);
+        let answer = match timeout(delay, &mut first).await {
             Ok(answer) => answer,
             Err(_) => match self.second(target, call, tried).filter(|_| service.budget.pay()) {
                 None => first.await,
-                Some(other) => {
-                    (self.told)(Event::Hedge);
-                    let again = Call { once: call.once.map(|_| Attempt::Later), ..call.clone() };
-                    let second = pin!(self.send(&other, &again, Reuse::Never));
-                    let (answer, second_won) = first_done(first, second).await;
-                    if second_won {
-                        (self.told)(Event::HedgeWon);
-                        self.pool.forget(target.member.peer);
-                    }
-                    answer
-                }
+                Some(other) => self.send_second(first, target, &other, call).await,
             },
         };
         if answer.code == Code::Done {
@@ -181,6 +157,25 @@
         answer
     }
 
+    async fn send_second(
+        &self,
+        first: impl Future<Output = Answer> + Unpin,
+        target: &Target,
+        other: &Member,
+        call: &Call,
+    ) -> Answer {
+        (self.told)(Event::Hedge);
+        let again = Call { once: call.once.map(|_| Attempt::Later), ..call.clone() };
+        let second = pin!(self.send(other, &again, Reuse::Never));
+        let (answer, second_won) = first_done(first, second).await;
+        if second_won {
+            (self.told)(Event::HedgeWon);
+            // The idle connections to the first may be as silent as the one just used.
+            self.pool.forget(target.member.peer);
+        }
+        answer
+    }
+
     /// Where the second of two requests goes.
     fn second(&self, first: &Target, call: &Call, tried: &[Holder]) -> Option<Member> {
         if call.key.is_some() {
@@ -194,24 +189,18 @@
         room.then_some(other)
     }
 
-    async fn target(
-        &self,
-        call: &Call,
-        tried: &[Holder],
-        refused: Option<&Holder>,
-        owner_until: Instant,
-    ) -> Result<Target, Answer> {
+    async fn target(&self, call: &Call, tries: &Tries) -> Result<Target, Answer> {
         if call.key.is_none() {
             let refusal = || Answer::refusal(Code::NoTarget).retry_after(TARGET_RETRY);
-            return self.pick(&call.service, tried).ok_or_else(refusal);
+            return self.pick(&call.service, &tries.tried).ok_or_else(refusal);
         }
         let mut moves = self.ledger.moves();
         loop {
             moves.borrow_and_update();
-            if let Some(owner) = self.owner(call, refused) {
+            if let Some(owner) = self.owner(call, tries.refused.as_ref()) {
                 return Ok(owner);
             }
-            let until = owner_until.min(call.deadline);
+            let until = tries.owner_until.min(call.deadline);
             let left = until.saturating_duration_since(Instant::now());
             if timeout(left, moves.changed()).await.is_err() {
                 return Err(Answer::refusal(Code::NoOwner).retry_after(OWNER_RETRY));
@@ -298,6 +287,51 @@
     if other_counts { (other, !was_second) } else { (answer, was_second) }
 }
 
+/// The tries of one request so far.
+struct Tries {
+    /// Targets whose try was paid for.
+    tried: Vec<Holder>,
+    /// The one that refused last.
+    refused: Option<Holder>,
+    /// Until when a key without an owner is waited for.
+    owner_until: Instant,
+}
+
+impl Tries {
+    fn begin() -> Tries {
+        Tries { tried: Vec::new(), refused: None, owner_until: Instant::now() + OWNER_WAIT }
+    }
+
+    /// Whether another try may follow an answer. A key that has just moved costs nothing; all else
+    /// is paid for.
+    fn may_go_on(
+        &mut self,
+        asked: &Asked,
+        target: &Target,
+        answer: &Answer,
+        service: &Service,
+    ) -> bool {
+        if !may_retry(asked, answer, self.tried.len() as u32) {
+            return false;
+        }
+        if is_moved(answer.code) && Instant::now() < self.owner_until {
+            return true;
+        }
+        self.tried.push(target.member.holder.clone());
+        service.budget.pay()
+    }
+
+    /// Notes who refused. Of two that may serve a key that is being handed over, the other is asked
+    /// at once: then this is true.
+    fn refused_by(&mut self, target: &Target) -> bool {
+        let holder = &target.member.holder;
+        let again = self.refused.as_ref() == Some(holder);
+        let first = self.refused.is_none();
+        self.refused = (!again).then(|| holder.clone());
+        first && target.handed_over
+    }
+}
+
 /// Whether the answer says that the key is owned elsewhere or about to be.
 fn is_moved(code: Code) -> bool {
     matches!(code, Code::NotOwner | Code::Moving | Code::LeaseLapsed | Code::StaleRoute)
