--- a/tests/testsuite/ownership.rs
+++ b/tests/testsuite/ownership.rs
@@ -85,10 +85,18 @@
     check(&cluster, &load.stop().await).await;
 }
 
+/// With backend servers that check fences, and with some that do not: then the gate alone stops.
+#[rstest]
+#[case::fenced(13, &["--fenced", "--work-ms", "20"])]
+#[case::not_fenced(21, &["--work-ms", "20"])]
 #[tokio::test]
-async fn an_owner_that_is_cut_off_stops_serving() {
-    let cluster = settled(&FIVE).await;
-    let load = Workload::start(plan(&cluster, &[0, 1, 2, 3, 4], 13));
+async fn an_owner_that_is_cut_off_stops_serving(
+    #[case] seed: u64,
+    #[case] backend: &'static [&'static str],
+) {
+    let targets = FIVE.map(|target| Target { backend, ..target });
+    let cluster = settled(&targets).await;
+    let load = Workload::start(plan(&cluster, &[0, 1, 2, 3, 4], seed));
     pause(500).await;
     cluster.isolate(4, true).await;
     pause(3000).await;
