A new link to a gate counts its requests in a session of its own; retry budget from the bounds

The new link numbered its requests from 1 in the same session, for which the gate still keeps answers, so it was given those of the old link. Ruled out: answers of the backend server, which are matched by the request's id. Change: a link draws its session's number. Nothing else of the session changes.

The entry's retry budget was the default (a tenth, 10 saved a node) and not the bounds of the settings: Share::of divides what all may spend; a test replays a failure of all targets at 14, 88 and 300 nodes.

--- a/src/kelpwind/mesh/choice.rs
+++ b/src/kelpwind/mesh/choice.rs
@@ -112,7 +112,8 @@
             let own = self.own_busy.get();
             let others = report.busy.saturating_sub(own);
             let (slots, age) = (report.slots, Duration::ZERO);
-            return View { others, own, slots, service, age, near, suspect: false };
+            let suspect = self.server.borrow().is_none();
+            return View { others, own, slots, service, age, near, suspect };
         }
         let slots = member.server.as_ref().map_or(1, |s| s.slots.0);
         let links = self.links.borrow();
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -18,7 +18,7 @@
 use crate::core::codes::Code;
 use crate::core::ids::{NodeId, ServiceName};
 use crate::core::routes::{Route, Routes};
-use crate::route::budget::Budget;
+use crate::route::budget::{Budget, Share};
 use crate::route::comeback;
 
 /// Most gates that are asked for one request while none of them has run it.
@@ -121,8 +121,9 @@
         if !routes.is_keyed(&service) {
             request.key = None;
         }
-        let budget = self.budget(&service);
-        budget.earn();
+        let share = self.retry_share();
+        let budget = self.budget(&service, share);
+        budget.earn(share);
         Way {
             aim: arrived + route.aim.saturating_sub(waited),
             limit: arrived + left.min(route.timeout),
@@ -164,11 +165,17 @@
         route.parts[part].service.clone()
     }
 
-    fn budget(&self, service: &ServiceName) -> Rc<Budget> {
+    /// What this node may spend of the budget that all nodes have together.
+    fn retry_share(&self) -> Share {
+        let bounds = &self.place.borrow().bounds;
+        Share::of(bounds.retry_part, bounds.retry_slack, self.table.borrow().members.len())
+    }
+
+    fn budget(&self, service: &ServiceName, share: Share) -> Rc<Budget> {
         if let Some(budget) = self.budgets.borrow().get(service) {
             return budget.clone();
         }
-        let budget = Rc::new(Budget::default());
+        let budget = Rc::new(Budget::new(share));
         self.budgets.borrow_mut().insert(service.clone(), budget.clone());
         budget
     }
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -19,12 +19,12 @@
 /// What an entry sends.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Up {
-    /// The first frame: which run of which node is calling, and whom it means to reach.
+    /// The first frame: which node is calling, and whom it means to reach.
     Hello {
         /// Name of the calling node.
         node: String,
-        /// Its run.
-        run: u64,
+        /// Its session: requests are numbered within it, over any number of connections.
+        session: u64,
         /// Name of the node it means to reach.
         to: String,
     },
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -22,6 +22,7 @@
 use crate::core::codes::Code;
 use crate::core::ids::NodeId;
 use crate::net::http1::guard_against_silence;
+use crate::route::standing::Standing;
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -68,6 +69,7 @@
     wake: Notify,
     retired: Cell<bool>,
     leaving: Cell<bool>,
+    standing: Cell<Standing>,
     /// What the gate said last, and when.
     pub report: Cell<(Report, Option<Instant>)>,
 }
@@ -89,13 +91,16 @@
 }
 
 impl Link {
-    /// A link that opens its connection with the first request. `me` and `run` name the caller.
-    pub fn new(me: &NodeId, run: u64, node: NodeId, addr: SocketAddr) -> Rc<Link> {
+    /// A link that opens its connection with the first request. Its session is its own: a link that
+    /// replaces another to the same gate counts its requests anew, and must not be given the answers
+    /// that the gate keeps for the other.
+    pub fn new(me: &NodeId, node: NodeId, addr: SocketAddr) -> Rc<Link> {
         let (me, to) = (me.to_string(), node.to_string());
+        let session = fastrand::u64(..);
         let link = Rc::new(Link {
             node,
             addr,
-            hello: frame::encode(&Up::Hello { node: me, run, to }),
+            hello: frame::encode(&Up::Hello { node: me, session, to }),
             pending: RefCell::default(),
             next: Cell::new(1),
             outbox: RefCell::default(),
@@ -105,6 +110,7 @@
             wake: Notify::new(),
             retired: Cell::new(false),
             leaving: Cell::new(false),
+            standing: Cell::default(),
             report: Cell::default(),
         });
         tokio::task::spawn_local(link.clone().keep());
@@ -117,9 +123,10 @@
         self.wake.notify_one();
     }
 
-    /// Whether the gate owes an answer and is silent, or cannot be reached.
+    /// Whether the gate owes an answer and is silent, cannot be reached, or has no server.
     pub fn is_suspect(&self) -> bool {
-        self.lost.get().is_some() || self.silence() > PING_AFTER + LOOK
+        let away = self.standing.get().is_away(Instant::now());
+        away || self.lost.get().is_some() || self.silence() > PING_AFTER + LOOK
     }
 
     /// Whether the gate has said that it is about to stop.
@@ -278,6 +285,7 @@
             match down {
                 Down::Reply { number, outcome, report } => {
                     self.report.set((report, Some(Instant::now())));
+                    self.note_standing(&outcome);
                     let pending = self.pending.borrow_mut().remove(&number);
                     if let Some(pending) = pending {
                         // An error means that nobody waits any more.
@@ -290,6 +298,16 @@
         }
     }
 
+    fn note_standing(&self, outcome: &Outcome) {
+        let mut standing = self.standing.get();
+        match outcome {
+            Outcome::NotRun { code, .. } => standing.refused(*code, Instant::now()),
+            Outcome::Answer(_) => standing.ran(),
+            Outcome::Unknown(_) => {}
+        }
+        self.standing.set(standing);
+    }
+
     /// Returns when the gate has been silent for too long.
     async fn watch(&self, outbox: &Outbox) {
         let ping = frame::encode(&Up::Ping);
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -215,7 +215,7 @@
             link.retire();
         }
         let node = member.holder.node.clone();
-        let link = Link::new(&self.name(), self.run, node.clone(), member.addr);
+        let link = Link::new(&self.name(), node.clone(), member.addr);
         links.insert(node, link.clone());
         link
     }
--- a/src/kelpwind/mesh/serve.rs
+++ b/src/kelpwind/mesh/serve.rs
@@ -1,6 +1,6 @@
 //! The gate's end of connections from other nodes' entries.
 //!
-//! A session lasts as long as the run of the entry, over any number of connections. Each request is
+//! A session lasts as long as the entry's link, over any number of connections. Each request is
 //! run once by its number; an answer that may not have arrived is kept for a while, for an entry
 //! that asks again over a new connection (see [`super::frame`]).
 
@@ -37,7 +37,7 @@
     Ended { reply: Bytes, at: Instant },
 }
 
-/// One run of one entry.
+/// What one link of one entry has asked.
 #[derive(Default)]
 pub(crate) struct Session {
     jobs: RefCell<HashMap<u64, Job>>,
@@ -45,7 +45,7 @@
     pruned: Cell<Option<Instant>>,
 }
 
-/// Sessions by the run of the entry.
+/// Sessions by the number that the entry drew.
 pub(crate) type Sessions = RefCell<HashMap<u64, Rc<Session>>>;
 
 /// Accepts connections of other nodes for as long as the process runs.
@@ -70,11 +70,11 @@
     let (mut reader, writer) = stream.into_split();
     let mut buffer = BytesMut::new();
     let hello = timeout(HELLO_TIMEOUT, frame::next(&mut reader, &mut buffer)).await;
-    let Ok(Some(Up::Hello { run, to, .. })) = hello else { return };
+    let Ok(Some(Up::Hello { session: id, to, .. })) = hello else { return };
     if to != node.name().as_str() {
         return;
     }
-    let session = node.sessions.borrow_mut().entry(run).or_default().clone();
+    let session = node.sessions.borrow_mut().entry(id).or_default().clone();
     let outbox = Rc::new(Outbox::default());
     outbox.push(&frame::encode(&Down::Hello { run: node.run }));
     let sender = outbox.clone();
@@ -102,7 +102,7 @@
             sleep(KEPT).await;
             let mut sessions = node.sessions.borrow_mut();
             if session.outbox.borrow().is_none() {
-                sessions.remove(&run);
+                sessions.remove(&id);
             }
         }
     }
--- a/src/kelpwind/route/entry.rs
+++ b/src/kelpwind/route/entry.rs
@@ -11,6 +11,7 @@
 
 use tokio::time::timeout;
 
+use super::budget::Share;
 use super::measure::{Measures, Service};
 use super::picker::{self, Candidate};
 use super::request::Asked;
@@ -106,7 +107,7 @@
 
     async fn try_targets(&self, asked: &mut Asked, doubtful: &mut Option<Answer>) -> Answer {
         let service = self.measures.service(&asked.call.service);
-        service.budget.earn();
+        service.budget.earn(Share::default());
         let mut tries = Tries::begin();
         loop {
             if asked.call.deadline <= Instant::now() {
--- a/src/kelpwind/route/mod.rs
+++ b/src/kelpwind/route/mod.rs
@@ -14,4 +14,5 @@
 pub mod quantile;
 pub(crate) mod request;
 pub mod shares;
+pub mod standing;
 pub(crate) mod wire;
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -72,6 +72,42 @@
     assert_kept(&fleet);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_whose_record_was_lost_for_a_while_answers_no_request_with_an_older_one_s_answer() {
+    /// Time in which entries drop their links to a node that is a member no more.
+    const DROP_TIME: Duration = Duration::from_millis(1900);
+    let fleet = Fleet::start(SERVICES, WORK).await;
+    futures_util::future::join_all((0..30).map(|key| fleet.call(0, "maps", key, false))).await;
+    let cut = Faults { cut_forward: true, cut_backward: true, ..Faults::default() };
+    fleet.set_faults(3, cut);
+    let lost = fleet.store.forget(&fleet.machines[3].ip.to_string());
+    tokio::time::sleep(DROP_TIME).await;
+    fleet.store.restore(lost);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let again = (100..130).map(|key| fleet.call(0, "maps", key, false));
+    let told = futures_util::future::join_all(again).await;
+    let failed: Vec<_> = told.iter().filter(|t| t.status != 200).collect();
+    assert!(failed.is_empty(), "{failed:?}");
+    assert_kept(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_starts_anew_between_two_grants_gets_higher_tokens() {
+    let mut fleet = Fleet::start(SERVICES, WORK).await;
+    let callers = fleet.callers(&["books"], Duration::from_millis(10));
+    for round in 0..12 {
+        let machine = round % 3;
+        fleet.machines[machine].server.take().unwrap().crash();
+        fleet.start_server_unannounced(machine, Duration::from_millis(700)).await;
+        tokio::time::sleep(Duration::from_millis(350)).await;
+    }
+    for key in [0, 10_000, 30_000, 50_000, 65_535] {
+        until_served(&fleet, 3, key).await;
+    }
+    callers.iter().for_each(|c| c.abort());
+    assert_kept(&fleet);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn owners_go_on_while_the_store_is_down() {
     let fleet = Fleet::start(SERVICES, WORK).await;
--- a/tests/testsuite/decisions.rs
+++ b/tests/testsuite/decisions.rs
@@ -1,17 +1,20 @@
 //! The pure decisions: pickers, limits, quantiles, budgets, plans and witness sets.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use kelpwind::core::codes::Code;
 use kelpwind::core::ids::{Count, Holder, Incarnation};
 use kelpwind::core::record::Member;
 use kelpwind::gate::limiter::Limiter;
 use kelpwind::lease::clock::Moment;
 use kelpwind::lease::set::{self, Need};
-use kelpwind::route::budget::Budget;
+use kelpwind::route::budget::{Budget, Share};
 use kelpwind::route::picker::{Candidate, choose};
 use kelpwind::route::quantile::Quantile;
+use kelpwind::route::standing::{AWAY_TIME, Standing};
 use proptest::prelude::*;
+use rstest::rstest;
 
 const USUAL: Candidate =
     Candidate { busy: 6, limit: 12, latency: 40.0, near: true, suspect: false };
@@ -121,12 +124,50 @@
     let budget = Budget::default();
     let mut paid = 0;
     for _ in 0..1000 {
-        budget.earn();
+        budget.earn(Share::default());
         paid += u32::from(budget.pay());
     }
     assert!(paid <= 110, "{paid} retries for 1,000 requests");
 }
 
+/// All targets of a service fail, and every request would be sent again, at many nodes at once.
+#[rstest]
+#[case(14, 64.0)]
+#[case(88, 218.0)]
+#[case(300, 160.0)]
+fn nodes_that_do_not_ask_each_other_stay_within_the_common_budget(
+    #[case] nodes: usize,
+    #[case] slack: f64,
+) {
+    const PART: f64 = 0.2;
+    const REQUESTS: usize = 20;
+    let share = Share::of(PART, slack, nodes);
+    let budgets: Vec<Budget> = (0..nodes).map(|_| Budget::new(share)).collect();
+    let mut paid = 0;
+    for budget in budgets.iter().flat_map(|b| std::iter::repeat_n(b, REQUESTS)) {
+        budget.earn(share);
+        paid += u32::from(budget.pay());
+    }
+    let most = PART * (nodes * REQUESTS) as f64 + slack;
+    assert!(f64::from(paid) <= most, "{paid} retries, at most {most}");
+    assert!(paid > 0);
+}
+
+#[test]
+fn a_gate_without_a_server_gets_nothing_for_a_while() {
+    let start = Instant::now();
+    let mut standing = Standing::default();
+    assert!(!standing.is_away(start));
+    standing.refused(Code::Busy, start);
+    assert!(!standing.is_away(start), "a busy server is there");
+    standing.refused(Code::Unreachable, start);
+    assert!(standing.is_away(start));
+    assert!(!standing.is_away(start + AWAY_TIME), "it is tried again");
+    standing.refused(Code::NoTarget, start);
+    standing.ran();
+    assert!(!standing.is_away(start));
+}
+
 fn member(n: u64, domains: u64) -> Member {
     let holder = Holder { node: format!("n{n}").parse().unwrap(), inc: Incarnation(n + 1) };
     Member {
--- a/tests/users/fleet.rs
+++ b/tests/users/fleet.rs
@@ -96,6 +96,7 @@
                 slots: 6,
                 work,
                 keyed: service == services[0].0,
+                unannounced: Duration::ZERO,
             };
             fleet.add(ip(1 + i as u8), ip(250), manner).await;
         }
@@ -155,10 +156,16 @@
 
     /// Starts the server of a machine.
     pub async fn start_server(&mut self, machine: usize) {
+        self.start_server_unannounced(machine, Duration::ZERO).await;
+    }
+
+    /// Starts the server of a machine, which makes its first report after some time.
+    pub async fn start_server_unannounced(&mut self, machine: usize, unannounced: Duration) {
         let machine = &mut self.machines[machine];
         let addr = |port| SocketAddr::new(machine.ip.into(), port);
         let history = self.history.clone();
-        let server = Server::start(addr(8301), addr(8306), machine.manner.clone(), history).await;
+        let manner = Manner { unannounced, ..machine.manner.clone() };
+        let server = Server::start(addr(8301), addr(8306), manner, history).await;
         machine.server = Some(server);
     }
 
--- a/tests/users/server.rs
+++ b/tests/users/server.rs
@@ -64,6 +64,8 @@
     pub work: Duration,
     /// Whether it runs requests only for keys that it holds.
     pub keyed: bool,
+    /// Time before its first report.
+    pub unannounced: Duration,
 }
 
 /// A running server.
@@ -138,6 +140,7 @@
     async fn report(&self, node: SocketAddr) {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let born = since.as_millis() as u64;
+        tokio::time::sleep(self.manner.unannounced).await;
         for sequence in 1.. {
             let Manner { service, zone, slots, .. } = &self.manner;
             let state = if *self.draining.lock() { "draining" } else { "ready" };
--- a/tests/users/store.rs
+++ b/tests/users/store.rs
@@ -16,7 +16,7 @@
 use super::{Reply, Whole, query, reply, serve};
 
 /// One record: its key and its value.
-type Record = (String, Bytes);
+pub type Record = (String, Bytes);
 
 /// The store.
 #[derive(Default)]
@@ -46,6 +46,24 @@
         self.push("keyed.op", key, Bytes::copy_from_slice(value.as_bytes()));
     }
 
+    /// Deletes the newest records of all keys that contain `part`, and returns them with their topics.
+    pub fn forget(&self, part: &str) -> Vec<(String, Record)> {
+        let newest: BTreeMap<(String, String), Bytes> = {
+            let topics = self.topics.lock();
+            let all = topics.iter().flat_map(|(t, records)| records.iter().map(move |r| (t, r)));
+            let named = all.filter(|(_, (key, _))| key.contains(part));
+            named.map(|(t, (key, value))| ((t.clone(), key.clone()), value.clone())).collect()
+        };
+        let lost: Vec<_> = newest.into_iter().map(|((t, k), v)| (t, (k, v))).collect();
+        lost.iter().for_each(|(topic, (key, _))| self.push(topic, key, Bytes::new()));
+        lost
+    }
+
+    /// Writes records that were deleted once more.
+    pub fn restore(&self, lost: Vec<(String, Record)>) {
+        lost.into_iter().for_each(|(topic, (key, value))| self.push(&topic, &key, value));
+    }
+
     /// Takes the store down, or up again. While it is down it answers 503.
     pub fn set_down(&self, down: bool) {
         self.down.store(down, Ordering::Relaxed);
