Grants go within a session: a server that starts anew between two grants gets higher tokens

Ways weighed: asking for its name before each grant (a life may start again under its name, and a question each 300 ms is dear); waiting for a newer report (an older life's may come late); noticing that the connection broke. The last is certain, as the kernel closes the connections of a process that ends. Keys stay served meanwhile if the server is the same.

--- a/src/kelpwind/mesh/held.rs
+++ b/src/kelpwind/mesh/held.rs
@@ -2,6 +2,7 @@
 //!
 //! A range of the table is one grant; while part of it is being moved it is kept in parts.
 
+use super::port::Session;
 use crate::core::ids::Token;
 use crate::gate::hold;
 use crate::lease::LEASE;
@@ -15,6 +16,8 @@
     pub span: Span,
     /// The token under which this node has them.
     pub token: Token,
+    /// The session in which the server was granted them under this token.
+    pub session: Option<Session>,
     /// What the last owner's server left, until the server has taken it.
     pub handover: Option<String>,
     /// Until when the server surely holds it.
@@ -77,8 +80,10 @@
             let mut parts: Vec<HeldRange> = Vec::new();
             for k in known.iter().filter(|k| k.token <= range.token) {
                 if let Some(span) = k.span.meet(range.span) {
-                    let due = if k.token == range.token { k.due } else { Moment::default() };
-                    parts.push(HeldRange { span, token: range.token, due, ..k.clone() });
+                    let same = k.token == range.token;
+                    let due = if same { k.due } else { Moment::default() };
+                    let session = k.session.filter(|_| same);
+                    parts.push(HeldRange { span, token: range.token, session, due, ..k.clone() });
                 }
             }
             fill_gaps(&mut parts, range);
@@ -118,6 +123,7 @@
         HeldRange {
             span: range.span,
             token: range.token,
+            session: None,
             handover: range.handover.clone(),
             active: None,
             held_until: Moment::default(),
@@ -152,11 +158,12 @@
 fn joined(span: Span, parts: Vec<HeldRange>) -> HeldRange {
     let active = parts.iter().map(|p| p.active).min().flatten();
     let due = parts.iter().map(|p| p.due).min().unwrap_or_default();
+    let session = parts.iter().filter_map(|p| p.session).min();
     let held_until = parts.iter().map(|p| p.held_until).max().unwrap_or_default();
     let mut open: Vec<(u64, Moment)> = parts.iter().flat_map(|p| p.open.clone()).collect();
     open.sort_unstable();
     open.dedup();
-    HeldRange { span, active, due, held_until, open, ..parts[0].clone() }
+    HeldRange { span, session, active, due, held_until, open, ..parts[0].clone() }
 }
 
 /// The parts of a range in, before and after `part`; the one in it leaves.
--- a/src/kelpwind/mesh/keeper.rs
+++ b/src/kelpwind/mesh/keeper.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use super::node::Node;
-use super::port::{Grant, Granted};
+use super::port::{Grant, Granted, Session};
 use crate::core::ids::NodeId;
 use crate::gate::hold;
 use crate::lease::RENEW;
@@ -74,10 +74,24 @@
 
     /// Writes that what a former run owned is this one's. Renewals go on meanwhile.
     fn reclaim(self: &Rc<Self>) {
+        self.rewrite("keys of a former run", Node::reclaimed);
+    }
+
+    /// Writes that this node has spans of its keys under higher tokens, which any life of the server
+    /// may be granted.
+    fn raise(self: &Rc<Self>, what: &'static str, spans: Vec<Span>) {
+        self.rewrite(what, move |node, table| node.raised(table, &spans));
+    }
+
+    fn rewrite(
+        self: &Rc<Self>,
+        what: &'static str,
+        decide: impl Fn(&Node, &Table) -> Option<Draft> + 'static,
+    ) {
         self.held.borrow_mut().moving = true;
         let node = self.clone();
         tokio::task::spawn_local(async move {
-            node.commit("keys of a former run", |node, table| node.reclaimed(table)).await;
+            node.commit(what, decide).await;
             node.held.borrow_mut().moving = false;
             node.keep.notify_one();
         });
@@ -121,13 +135,18 @@
         let now = clock::now();
         let most = self.place.borrow().bounds.hold;
         let Some(time) = hold::hold_time(ends, now, most) else { return };
-        let mut due = Vec::new();
+        let session = (self.platform.backend.session)();
+        let (mut due, mut lost) = (Vec::new(), Vec::new());
         let mut held = self.held.borrow_mut();
         let mut number = held.grants;
         for range in &mut held.ranges {
             if range.busy || range.leaving || range.due > now {
                 continue;
             }
+            if *range.session.get_or_insert(session) != session {
+                lost.push(range.span);
+                continue;
+            }
             number += 1;
             let free = hold::free_at(now, time);
             range.busy = true;
@@ -142,13 +161,17 @@
         drop(held);
         for (number, grant) in due {
             let node = self.clone();
-            tokio::task::spawn_local(async move { node.grant(number, grant, now).await });
+            tokio::task::spawn_local(async move { node.grant(number, grant, session, now).await });
+        }
+        if !lost.is_empty() && !self.is_moving() {
+            spdlog::info!("the backend server may have started anew", kv: { session = session.0, ranges = lost.len() });
+            self.raise("keys of a server that may have started anew", lost);
         }
     }
 
-    async fn grant(self: Rc<Self>, number: u64, grant: Grant, sent: Moment) {
+    async fn grant(self: Rc<Self>, number: u64, grant: Grant, session: Session, sent: Moment) {
         let (span, token, time) = (grant.span, grant.token, grant.hold);
-        let granted = (self.platform.backend.grant)(grant, GRANT_TIMEOUT).await;
+        let granted = (self.platform.backend.grant)(grant, session, GRANT_TIMEOUT).await;
         let mut became = false;
         for range in self.held.borrow_mut().parts_of(span, token) {
             range.busy = false;
@@ -164,7 +187,7 @@
                     range.due = sent + RENEW;
                     range.handover = None;
                 }
-                Granted::Unknown => range.due = clock::now(),
+                Granted::Unknown | Granted::Broken => range.due = clock::now(),
                 Granted::Outdated | Granted::Dead => range.due = clock::now() + RENEW,
             }
         }
@@ -181,20 +204,25 @@
             Granted::Outdated => {
                 spdlog::warn!("the backend server has seen a higher token", kv: { first = span.first, token = token.0 });
                 if !self.is_moving() {
-                    self.commit("a higher token", |node, table| node.raised(table, span)).await;
+                    self.raise("a higher token", vec![span]);
                 }
             }
+            Granted::Broken => self.keep.notify_one(),
             Granted::Dead => self.server_is_dead(),
         }
     }
 
-    /// The ownership record in which this node has its range under a higher token.
-    fn raised(&self, table: &Table, span: Span) -> Option<Draft> {
+    /// The ownership record in which this node has spans of its keys under higher tokens.
+    fn raised(&self, table: &Table, spans: &[Span]) -> Option<Draft> {
         let me = self.me();
         let service = self.service();
         let to = Owner { holder: me.clone(), life: self.server_life()? };
         let mut keys = table.keys.get(&service)?.clone();
-        keys.give(span, Some(&me), Some(to), None).then(|| Draft::keys(&service, &keys))
+        let mut changed = false;
+        for span in spans {
+            changed |= keys.give(*span, Some(&me), Some(to.clone()), None);
+        }
+        changed.then(|| Draft::keys(&service, &keys))
     }
 
     /// Nothing listens at the server's address: its process has ended, and it holds nothing.
--- a/src/kelpwind/mesh/port.rs
+++ b/src/kelpwind/mesh/port.rs
@@ -183,6 +183,11 @@
     pub handover: Option<String>,
 }
 
+/// An unbroken contact with the backend server. Within one session it is the same process; in
+/// another it may have started anew, under the same name or not, and hold nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Session(pub u64);
+
 /// How a grant ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Granted {
@@ -192,6 +197,8 @@
     Outdated,
     /// Nothing listens at the server's address: no server lives there.
     Dead,
+    /// The session had ended, and nothing was sent.
+    Broken,
     /// No answer, or none that can be read: it may be carried out.
     Unknown,
 }
@@ -224,8 +231,10 @@
     /// Sends a request to the server named `id`, which is told to stop at the deadline. Dropping
     /// the future ends the server's work.
     pub send: SendFn,
-    /// Grants keys, or renews a grant; gives up after the time given.
-    pub grant: Box<dyn Fn(Grant, Duration) -> Local<Granted>>,
+    /// The present session.
+    pub session: Box<dyn Fn() -> Session>,
+    /// Grants keys, or renews a grant, within a session; gives up after the time given.
+    pub grant: Box<dyn Fn(Grant, Session, Duration) -> Local<Granted>>,
     /// Takes keys back; the answer comes when no work runs on them.
     pub release: Box<dyn Fn(Span, Token, Duration) -> Local<Released>>,
     /// Asks for its health at this path.
--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -129,6 +129,19 @@
         matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Whether the other end has the connection open, whatever state it is in. Bytes that nobody will
+    /// read are dropped.
+    pub fn is_open(&mut self) -> bool {
+        let mut dropped = [0; 256];
+        loop {
+            match self.stream.try_read(&mut dropped) {
+                Ok(0) => return false,
+                Ok(_) => self.reusable = false,
+                Err(e) => return e.kind() == io::ErrorKind::WouldBlock,
+            }
+        }
+    }
+
     /// Whether the last exchange left the connection in a state in which it can be used again.
     pub fn is_reusable(&self) -> bool {
         self.reusable && self.buffer.is_empty()
