Ownership in small records; what a node wrote itself, or is told, needs no read; few read orders often

Change: ownership stands in 64 records of 1,024 keys, each naming its owners once, and a move writes those it touches with one call (tests/testsuite/table.rs: at most 4 KB, 400 moves, whatever order a reader gets them in). A takeover drops the lost node's record in the same call. What a node appended where it had read to, it takes at once; news to those concerned carry the records. A gate asked for a key it does not own reads the table only if the asker has read further. Orders: six nodes at a time, drawn anew for each read, read often and tell the others; the rest wait 8 s with one call.

--- a/src/kelpwind/mesh/commit.rs
+++ b/src/kelpwind/mesh/commit.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::{sleep, timeout};
 
+use super::datagram::News;
 use super::node::Node;
 use super::port::StoreError;
 use crate::core::ids::Offset;
@@ -22,9 +23,9 @@
 const TRIES_MAX: u32 = 30;
 
 impl Node {
-    /// Writes what `decide` makes of the table, and decides anew when the table has moved. Returns
-    /// whether a record was written, once the table shows it; false when there was nothing to write,
-    /// or the store took nothing for long.
+    /// Writes what `decide` makes of the table, and decides anew when the table has moved. Returns what
+    /// was written, once the table shows it; `None` when there was nothing to write, or the store took
+    /// nothing for long.
     ///
     /// A call without an answer may be carried out later, but only while the log still ends where it
     /// says; any record after that, also a second try of this one, makes it void. So when this
@@ -33,7 +34,7 @@
         &self,
         what: &str,
         decide: impl Fn(&Node, &Table) -> Option<Draft>,
-    ) -> bool {
+    ) -> Option<News> {
         let mut failures = 0;
         let mut unsure: Option<Offset> = None;
         while failures < TRIES_MAX || unsure.is_some() {
@@ -44,21 +45,21 @@
             let settled = unsure.is_none_or(|before| at > before);
             let Some(draft) = draft else {
                 // Nothing is left to do; after a call without an answer that may be our own work.
-                return unsure.is_some();
+                return unsure.map(|_| News { next: at, draft: Draft::default() });
             };
             if settled {
                 unsure = None;
             }
-            match (self.platform.store.append)(draft, Some(at)).await {
-                Ok(offset) => {
-                    self.hurry();
-                    self.wait_for_table(offset).await;
-                    return true;
+            match (self.platform.store.append)(draft.clone(), Some(at)).await {
+                Ok(next) => {
+                    let news = News { next, draft };
+                    self.take_news(&news);
+                    return Some(news);
                 }
                 Err(StoreError::Conflict) => {
                     self.hurry();
                     // A timeout only means that the next try conflicts again.
-                    let _ = timeout(NEWS_WAIT, self.wait_for_table(at)).await;
+                    let _ = timeout(NEWS_WAIT, self.wait_for_table(at.next())).await;
                     sleep(CONFLICT_PAUSE.mul_f64(fastrand::f64() * f64::from(failures + 1))).await;
                 }
                 Err(e) => {
@@ -75,13 +76,13 @@
             failures += 1;
         }
         spdlog::error!("a record was given up", kv: { what });
-        false
+        None
     }
 
-    /// Waits until the table has the record at an offset.
+    /// Waits until the table has all records before an offset.
     async fn wait_for_table(&self, offset: Offset) {
         let mut read = self.read.subscribe();
         // An error would mean that the sender is gone, which is part of this node.
-        drop(read.wait_for(|next| next.is_some_and(|next| next > offset)).await);
+        drop(read.wait_for(|next| next.is_some_and(|next| next >= offset)).await);
     }
 }
--- a/src/kelpwind/mesh/datagram.rs
+++ b/src/kelpwind/mesh/datagram.rs
@@ -4,6 +4,16 @@
 
 use crate::core::ids::Offset;
 use crate::lease::message::Message;
+use crate::table::Draft;
+
+/// Records that were appended to the table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct News {
+    /// The table's next offset after them.
+    pub next: Offset,
+    /// The records, which come before `next`; none when they are too large for a datagram.
+    pub draft: Draft,
+}
 
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -11,8 +21,10 @@
     /// About a lease.
     Lease(Message),
     /// The table has records that concern the node.
-    News {
-        /// The table's next offset after them.
+    News(News),
+    /// Operators have published something.
+    Orders {
+        /// The next offset of the orders after it.
         next: Offset,
     },
     /// An owner of keys asks another how busy it is.
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -16,7 +16,7 @@
 use super::node::Node;
 use super::port::{Answer, Asked, Request};
 use crate::core::codes::Code;
-use crate::core::ids::{NodeId, ServiceName};
+use crate::core::ids::{NodeId, Offset, ServiceName};
 use crate::core::routes::{Route, Routes};
 use crate::route::budget::{Budget, Share};
 use crate::route::comeback;
@@ -224,7 +224,7 @@
     }
 
     async fn send(self: &Rc<Self>, chosen: &Chosen, way: &Way) -> Outcome {
-        let work = way.work(chosen);
+        let work = way.work(chosen, self.table.borrow().next);
         let gate = &chosen.member.holder.node;
         let (outcome, service_ms) = if *gate == self.holder.borrow().node {
             let _own = Busy::on(self);
@@ -272,7 +272,7 @@
         self.limit.saturating_duration_since(Instant::now())
     }
 
-    fn work(&self, chosen: &Chosen) -> Work {
+    fn work(&self, chosen: &Chosen, read: Offset) -> Work {
         let now = Instant::now();
         Work {
             number: 0,
@@ -283,6 +283,7 @@
             rank: self.route.rank,
             aim_ms: self.aim.saturating_duration_since(now).as_millis() as u32,
             left_ms: self.limit.saturating_duration_since(now).as_millis() as u32,
+            read,
         }
     }
 
--- a/src/kelpwind/mesh/follow.rs
+++ b/src/kelpwind/mesh/follow.rs
@@ -4,21 +4,33 @@
 //! record. What has been taken is never taken back: an older configuration is ignored, and while the
 //! store does not answer, what is known stays in force.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use tokio::time::{sleep, timeout};
 
-use super::datagram::Datagram;
+use super::datagram::{Datagram, News};
 use super::node::Node;
 use super::port::{Order, StoreError, Topic};
 use crate::core::ids::{NodeId, Offset};
 use crate::core::routes::Routes;
-use crate::table::{Record, Table};
+use crate::net::datagram::DATAGRAM_MAX;
+use crate::table::{Draft, Record, Table};
 
-/// Longest time that one read of the orders waits. A configuration must be in force 2 s after the
-/// store has acknowledged it, also where a read was missed by the store or its connection is silent.
+/// Longest time that one read of the orders waits, at the few nodes that read often. A configuration
+/// must be in force 2 s after the store has acknowledged it, also where a read was missed by the store
+/// or its connection is silent.
 const ORDERS_WAIT: Duration = Duration::from_millis(1500);
+/// The same at all other nodes: the store answers them as soon, and if it does not, those who read often
+/// tell them what they have missed.
+const ORDERS_WAIT_LONG: Duration = Duration::from_secs(8);
+/// Nodes that read the orders often at any time, drawn anew for each read: enough that some of them are
+/// in touch with the store when others are not.
+const ORDERS_READERS: f64 = 6.0;
+/// Time after others were seen to have newer orders in which the own read may still bring them.
+const ORDERS_LAG: Duration = Duration::from_millis(200);
 /// Longest time that one read of the table waits; nothing there has such a bound.
 const TABLE_WAIT: Duration = Duration::from_secs(3);
 /// Time between two reads of a topic that moves: records that come close together are read with one
@@ -31,12 +43,16 @@
 const TABLE_PACE_EACH: Duration = Duration::from_millis(25);
 /// Least time between two reads of a topic that moves, also in a hurry.
 const PACE_MIN: Duration = Duration::from_millis(25);
+/// The same for each member: when many start at once, what they write is read in few calls.
+const PACE_MIN_EACH: Duration = Duration::from_millis(1);
 /// Least time between two hurried reads of those who guess that the table has moved.
 const HURRY_PACE: Duration = Duration::from_millis(400);
 /// The same for each member.
 const HURRY_PACE_EACH: Duration = Duration::from_millis(15);
 /// Part of the wait that is drawn at random, so that nodes do not read in step.
 const WAIT_SPREAD: f64 = 0.2;
+/// Most bytes of records that are told in a datagram.
+const NEWS_MAX: usize = DATAGRAM_MAX - 256;
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// Longest pause after failed reads.
@@ -47,9 +63,20 @@
     let mut next: Option<Offset> = None;
     let mut failures = 0_u32;
     loop {
-        let read = match next {
-            None => (node.platform.store.newest)(topic).await,
-            Some(from) => (node.platform.store.read)(topic, from, wait(topic)).await,
+        let often = fastrand::f64() * f64::from(node.member_count()) < ORDERS_READERS;
+        let read = match (next, topic) {
+            (None, _) => (node.platform.store.newest)(topic).await,
+            (Some(_), Topic::Table) => {
+                let from = node.table.borrow().next;
+                (node.platform.store.read)(topic, from, spread(TABLE_WAIT)).await
+            }
+            (Some(from), Topic::Orders) => {
+                let wait = spread(if often { ORDERS_WAIT } else { ORDERS_WAIT_LONG });
+                tokio::select! {
+                    read = (node.platform.store.read)(topic, from, wait) => read,
+                    () = node.orders_missed(from) => continue,
+                }
+            }
         };
         match read {
             Ok(batch) => {
@@ -58,6 +85,9 @@
                 }
                 failures = 0;
                 node.take(topic, &batch.records, next.is_none(), batch.next);
+                if topic == Topic::Orders && often && !batch.records.is_empty() {
+                    node.tell_orders(batch.next).await;
+                }
                 next = Some(batch.next);
                 if !batch.records.is_empty() {
                     node.pause(topic).await;
@@ -99,27 +129,57 @@
         self.table.borrow().members.len() as u32
     }
 
-    /// Tells other nodes that the table has records that concern them.
-    pub async fn tell_news(&self, nodes: impl IntoIterator<Item = NodeId>) {
-        let next = self.table.borrow().next;
-        self.tell_next(nodes, next).await;
-    }
-
-    /// Tells other nodes that the table has a record before `next` that concerns them.
-    pub async fn tell_next(&self, nodes: impl IntoIterator<Item = NodeId>, next: Offset) {
+    /// Tells other nodes of records that concern them.
+    pub async fn tell_news(&self, nodes: impl IntoIterator<Item = NodeId>, news: &News) {
+        let size: usize = news.draft.records.iter().map(size).sum();
+        let draft = if size <= NEWS_MAX { news.draft.clone() } else { Draft::default() };
+        let datagram = Datagram::News(News { next: news.next, draft });
         for node in nodes {
             let addr = self.table.borrow().members.get(&node).map(|m| m.addr);
             if let Some(addr) = addr {
-                self.send_datagram(addr, &Datagram::News { next }).await;
+                self.send_datagram(addr, &datagram).await;
             }
         }
     }
 
+    /// Takes records that were appended just where this node has read to. Returns false when the table
+    /// has more that this node does not know yet.
+    pub fn take_news(&self, news: &News) -> bool {
+        let known = self.table.borrow().next;
+        let records = news.draft.records_before(news.next);
+        let follows = records.first().is_some_and(|r| r.offset == known);
+        if follows && self.read.borrow().is_some() {
+            self.take_table(&records, false, news.next);
+        }
+        self.table.borrow().next >= news.next
+    }
+
+    /// Tells all nodes that operators have published something.
+    async fn tell_orders(&self, next: Offset) {
+        let me = self.name();
+        let others: Vec<SocketAddr> = {
+            let table = self.table.borrow();
+            let others = table.members.values().filter(|m| m.holder.node != me);
+            others.map(|m| m.addr).collect()
+        };
+        for addr in others {
+            self.send_datagram(addr, &Datagram::Orders { next }).await;
+        }
+    }
+
+    /// Returns when others have had newer orders than those before `from` for a while.
+    async fn orders_missed(&self, from: Offset) {
+        let mut told = self.orders_told.subscribe();
+        // An error would mean that the sender is gone, which is part of this node.
+        drop(told.wait_for(|told| *told > from).await);
+        sleep(ORDERS_LAG).await;
+    }
+
     async fn pause(&self, topic: Topic) {
         match topic {
             Topic::Orders => sleep(ORDERS_PACE).await,
             Topic::Table => {
-                sleep(PACE_MIN).await;
+                sleep(PACE_MIN.max(PACE_MIN_EACH * self.member_count())).await;
                 // A timeout is the usual case.
                 let pace = TABLE_PACE.max(TABLE_PACE_EACH * self.member_count());
                 let _ = timeout(pace, self.hurry.notified()).await;
@@ -128,14 +188,16 @@
     }
 }
 
-fn wait(topic: Topic) -> Duration {
-    let longest = match topic {
-        Topic::Orders => ORDERS_WAIT,
-        Topic::Table => TABLE_WAIT,
-    };
+fn spread(longest: Duration) -> Duration {
     longest.mul_f64(1.0 - WAIT_SPREAD * fastrand::f64())
 }
 
+/// About as large as a record is in a datagram, in bytes.
+fn size((key, value): &(String, Option<Bytes>)) -> usize {
+    const FRAMING: usize = 8;
+    key.len() + value.as_ref().map_or(0, Bytes::len) + FRAMING
+}
+
 impl Node {
     /// Takes records of a topic; `whole` when they are all there is.
     fn take(self: &Rc<Self>, topic: Topic, records: &[Record], whole: bool, next: Offset) {
@@ -162,9 +224,9 @@
                 }
             }
             // Not further than what was read in order: a conditional write must know all before it.
-            table.next = next;
+            table.next = table.next.max(next);
         }
-        self.read.send_replace(Some(next));
+        self.read.send_replace(Some(self.table.borrow().next));
         self.follow_table();
         self.announce.notify_one();
         self.keep.notify_one();
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -78,6 +78,8 @@
     pub aim_ms: u32,
     /// Milliseconds left until an answer is of no use.
     pub left_ms: u32,
+    /// How far the entry has read the table.
+    pub read: Offset,
 }
 
 /// What became of a request.
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -17,6 +17,7 @@
 use super::node::Node;
 use super::port::Sent;
 use crate::core::codes::Code;
+use crate::core::ids::Offset;
 use crate::gate::line::{Ask, Event, Ticket, Verdict};
 
 /// Time after which a server that leaves, or whose failure domain is taken out, is closed for
@@ -117,7 +118,7 @@
         let key = work.request.key.filter(|_| self.is_keyed());
         if let Some(key) = key {
             self.demand.borrow_mut().note(key, now);
-            self.wait_for_key(key, aim).await?;
+            self.wait_for_key(key, aim, work.read).await?;
         }
         let ask = Ask { sort: work.sort.clone(), rank: work.rank, aim, limit };
         let slot = self.take_slot(ask).await?;
@@ -179,7 +180,7 @@
     }
 
     /// Waits for a key that this node owns but whose grant is under way.
-    async fn wait_for_key(&self, key: u16, aim: Instant) -> Result<(), Outcome> {
+    async fn wait_for_key(&self, key: u16, aim: Instant, read: Offset) -> Result<(), Outcome> {
         let mut moves = self.held_moves.subscribe();
         let until = aim.min(Instant::now() + KEY_WAIT);
         loop {
@@ -196,8 +197,10 @@
                     return Err(not_run(Code::Moving, KEY_RETURN));
                 }
                 let room_ms = KEY_RETURN.as_millis() as u32;
-                // Whoever sent it here may know more than this node.
-                self.hurry_once();
+                // Whoever sent it here knows more than this node, or less.
+                if read > self.table.borrow().next {
+                    self.hurry_once();
+                }
                 let owner = self.other_owner(key);
                 return Err(Outcome::NotRun {
                     code: Code::NotOwner,
--- a/src/kelpwind/mesh/keeper.rs
+++ b/src/kelpwind/mesh/keeper.rs
@@ -10,6 +10,7 @@
 
 use tokio::time::timeout;
 
+use super::datagram::News;
 use super::node::Node;
 use super::port::{Grant, Granted, Session};
 use crate::core::ids::NodeId;
@@ -126,7 +127,7 @@
                 }
             }
         }
-        changed.then(|| Draft::keys(&service, &keys))
+        changed.then(|| Draft::keys(table, &service, &keys))
     }
 
     /// Sends the grants that are due.
@@ -222,7 +223,7 @@
         for span in spans {
             changed |= keys.give(*span, Some(&me), Some(to.clone()), None);
         }
-        changed.then(|| Draft::keys(&service, &keys))
+        changed.then(|| Draft::keys(table, &service, &keys))
     }
 
     /// Nothing listens at the server's address: its process has ended, and it holds nothing.
@@ -250,14 +251,14 @@
     }
 
     /// Tells all owners of the service's keys that the table has moved.
-    pub async fn tell_owners(&self) {
+    pub async fn tell_owners(&self, news: &News) {
         let me = self.name();
         let owners: BTreeSet<NodeId> = {
             let table = self.table.borrow();
             let owners = table.keys.values().flat_map(|k| k.owners());
             owners.map(|h| h.node.clone()).filter(|n| *n != me).collect()
         };
-        self.tell_news(owners).await;
+        self.tell_news(owners, news).await;
     }
 
     /// Who can get keys of the service, other than `except` and this node while it leaves.
--- a/src/kelpwind/mesh/lease.rs
+++ b/src/kelpwind/mesh/lease.rs
@@ -190,12 +190,16 @@
     fn take_datagram(&self, datagram: Datagram) -> Option<Datagram> {
         match datagram {
             Datagram::Lease(message) => self.answer(message).map(Datagram::Lease),
-            Datagram::News { next } => {
-                if self.table.borrow().next < next {
+            Datagram::News(news) => {
+                if !self.take_news(&news) {
                     self.hurry();
                 }
                 None
             }
+            Datagram::Orders { next } => {
+                self.orders_told.send_modify(|told| *told = next.max(*told));
+                None
+            }
             Datagram::HowBusy { question, work } => self.tell_busy(question, work),
             Datagram::Busy { question, server, work, slots } => {
                 self.told_busy(question, &server, work, slots);
@@ -297,7 +301,8 @@
         }
     }
 
-    /// Writes the record of a takeover: the lost holder's keys go to those that bear most.
+    /// Writes the records of a takeover: the lost holder's keys go to those that bear most, and its own
+    /// record goes.
     async fn revoke(&self, takeover: Takeover) {
         let lost = takeover.target.clone();
         let name = lost.to_string();
@@ -308,18 +313,13 @@
             }
             node.inherited(table, &lost)
         });
-        if written.await {
-            self.tell_owners().await;
+        if let Some(news) = written.await {
+            self.tell_owners(&news).await;
             spdlog::warn!("a lost holder's keys were taken over", kv: { holder = name.as_str() });
-            // Its keys are safe; only its record would mislead for a while.
-            self.commit("a lost node's record", |_, table| {
-                table.member(&lost).map(|m| Draft::gone(&m.holder.node))
-            })
-            .await;
         }
     }
 
-    /// The ownership record without a lost holder.
+    /// The records without a lost holder.
     fn inherited(&self, table: &Table, lost: &Holder) -> Option<Draft> {
         let (service, keys) = table.keys.iter().find(|(_, k)| k.owned_by(lost).next().is_some())?;
         let mut keys = keys.clone();
@@ -332,7 +332,7 @@
         for span in left {
             keys.give(span, Some(lost), None, None);
         }
-        Some(Draft::keys(service, &keys))
+        Some(Draft::keys(table, service, &keys).and(Draft::gone(&lost.node)))
     }
 }
 
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -87,7 +87,7 @@
                     }
                 }
             }
-            changed.then(|| Draft::keys(&service, &keys))
+            changed.then(|| Draft::keys(table, &service, &keys))
         });
         let written = if must {
             match timeout(LEAVE_TIMEOUT, written).await {
@@ -97,9 +97,11 @@
         } else {
             written.await
         };
-        self.tell_news(moves.iter().map(|(_, to)| to.holder.node.clone())).await;
+        if let Some(news) = &written {
+            self.tell_news(moves.iter().map(|(_, to)| to.holder.node.clone()), news).await;
+        }
         let count: u32 = moves.iter().map(|(s, _)| s.width()).sum();
-        spdlog::info!("keys were moved", kv: { keys = count, ranges = moves.len(), written });
+        spdlog::info!("keys were moved", kv: { keys = count, ranges = moves.len(), written = written.is_some() });
         for range in &mut self.held.borrow_mut().ranges {
             range.leaving = false;
             range.due = Moment::default();
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -73,6 +73,8 @@
     pub table: RefCell<Table>,
     /// How far the table has been read; `None` until it was read whole.
     pub read: watch::Sender<Option<Offset>>,
+    /// How far others have read the orders.
+    pub orders_told: watch::Sender<Offset>,
     /// Makes the next read of the table due.
     pub hurry: Notify,
     /// When this node last guessed that the table had moved.
--- a/src/kelpwind/mesh/plan.rs
+++ b/src/kelpwind/mesh/plan.rs
@@ -40,8 +40,10 @@
             continue;
         }
         if node.has_unowned() {
-            node.commit("keys without an owner", |node, table| node.divided(table)).await;
-            node.tell_owners().await;
+            let written = node.commit("keys without an owner", |node, table| node.divided(table));
+            if let Some(news) = written.await {
+                node.tell_owners(&news).await;
+            }
         }
         if node.should_join() {
             node.commit("ranges that are neighbours", |node, table| node.joined(table)).await;
@@ -91,7 +93,7 @@
         let Some(keys) = table.keys.get(&service) else {
             let shares: Vec<(Owner, f64)> =
                 heirs.iter().map(|h| (h.owner.clone(), h.capacity)).collect();
-            return Some(Draft::keys(&service, &Keys::divide(&shares)));
+            return Some(Draft::keys(table, &service, &Keys::divide(&shares)));
         };
         let mut keys = keys.clone();
         let free: Vec<Span> =
@@ -103,7 +105,7 @@
                 keys.give(span, holder.as_ref(), Some(to.clone()), None);
             }
         }
-        (!free.is_empty()).then(|| Draft::keys(&service, &keys))
+        (!free.is_empty()).then(|| Draft::keys(table, &service, &keys))
     }
 
     /// The moves that this node should make now.
@@ -172,7 +174,7 @@
     fn joined(&self, table: &Table) -> Option<Draft> {
         let service = self.service();
         let mut keys = table.keys.get(&service)?.clone();
-        keys.join(&self.me()).then(|| Draft::keys(&service, &keys))
+        keys.join(&self.me()).then(|| Draft::keys(table, &service, &keys))
     }
 
     /// Whether neighbouring ranges of this node should become one.
--- a/src/kelpwind/mesh/port.rs
+++ b/src/kelpwind/mesh/port.rs
@@ -64,7 +64,8 @@
     pub newest: Box<dyn Fn(Topic) -> Stored<Batch>>,
     /// Records from an offset on; waits up to the time given for the first one.
     pub read: Box<dyn Fn(Topic, Offset, Duration) -> Stored<Batch>>,
-    /// Appends to the table; with an offset, only if the log ends there. Returns the record's own.
+    /// Appends to the table, all or nothing; with an offset, only if the log ends there. Returns the
+    /// offset after the last record.
     pub append: Box<dyn Fn(Draft, Option<Offset>) -> Stored<Offset>>,
 }
 
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -8,6 +8,7 @@
 
 use tokio::time::{sleep, timeout};
 
+use super::datagram::News;
 use super::node::{Attached, Node};
 use super::port::{Report, Said};
 use crate::table::Draft;
@@ -190,17 +191,21 @@
             node.announce.notified().await;
             continue;
         }
-        match (node.platform.store.append)(Draft::member(&member), None).await {
-            Ok(offset) => {
+        let draft = Draft::member(&member);
+        match (node.platform.store.append)(draft.clone(), None).await {
+            Ok(next) => {
+                let news = News { next, draft };
+                let known = node.take_news(&news);
                 // Witnesses must know an incarnation before they can acknowledge it.
                 if node.is_keyed() {
-                    node.hurry();
+                    if !known {
+                        node.hurry();
+                    }
                     let witnesses = member.witnesses.iter().map(|p| p.holder.node.clone());
-                    let next = offset.next();
-                    node.tell_next(witnesses, next).await;
+                    node.tell_news(witnesses, &news).await;
                 }
                 let mut read = node.read.subscribe();
-                let echo = read.wait_for(|next| next.is_some_and(|next| next > offset));
+                let echo = read.wait_for(|read| read.is_some_and(|read| read >= next));
                 if timeout(ECHO_WAIT, echo).await.is_err() {
                     spdlog::warn!("the node's own record has not come back from the store");
                 }
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -16,7 +16,7 @@
 use super::port::{Place, Platform, Topic};
 use super::{balance, follow, gate, held, http, keeper, lease, plan, reports, serve};
 use crate::core::codes::Code;
-use crate::core::ids::{Holder, Incarnation};
+use crate::core::ids::{Holder, Incarnation, Offset};
 use crate::gate::line::Line;
 use crate::lease::clock;
 use crate::lease::message::Tag;
@@ -92,6 +92,7 @@
         out: RefCell::default(),
         table: RefCell::default(),
         read: watch::Sender::new(None),
+        orders_told: watch::Sender::new(Offset::default()),
         hurry: Notify::new(),
         hurried: Cell::new(None),
         server: RefCell::new(None),
--- a/src/kelpwind/table/keys.rs
+++ b/src/kelpwind/table/keys.rs
@@ -75,8 +75,18 @@
     pub handover: Option<String>,
 }
 
+impl Range {
+    /// Whether `next` are the keys after these, given to the same owner at the same time.
+    fn goes_on_in(&self, next: &Range) -> bool {
+        let neighbours = u32::from(self.span.last) + 1 == u32::from(next.span.first);
+        neighbours
+            && (&self.owner, self.token, &self.handover)
+                == (&next.owner, next.token, &next.handover)
+    }
+}
+
 /// All ranges of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Keys {
     /// The greatest token that was given.
     pub token: Token,
@@ -163,6 +173,28 @@
         given
     }
 
+    /// Puts `ranges`, which lie among the keys of `span`, in the place of what stands there.
+    pub fn replace(&mut self, span: Span, ranges: Vec<Range>) {
+        let mut all = Vec::with_capacity(self.ranges.len() + ranges.len() + 2);
+        for range in self.ranges.drain(..) {
+            if range.span.meet(span).is_none() {
+                all.push(range);
+                continue;
+            }
+            let rest = range.span.without(span);
+            all.extend(rest.into_iter().map(|span| Range { span, ..range.clone() }));
+        }
+        all.extend(ranges);
+        all.sort_by_key(|r| r.span);
+        for range in all {
+            match self.ranges.last_mut() {
+                Some(last) if last.goes_on_in(&range) => last.span.last = range.span.last,
+                _ => self.ranges.push(range),
+            }
+        }
+        self.token = self.ranges.iter().map(|r| r.token).max().unwrap_or_default();
+    }
+
     /// Makes neighbouring ranges of one holder one, under the greater of their tokens: both are above
     /// what any other server had for their keys, so the greater one is too. Returns whether anything
     /// has changed.
--- a/src/kelpwind/table/mod.rs
+++ b/src/kelpwind/table/mod.rs
@@ -1,23 +1,27 @@
 //! The table: what all nodes must agree on, kept as the newest record of each key in the store.
 //!
-//! Two sorts of records: one a node, written by that node alone ([`member`]), and one a service
-//! whose keys are divided, naming the owner of every key ([`keys`]). A reader needs no history: the
-//! newest record of each key is the whole truth, so nothing is lost when older ones expire.
+//! Two sorts of records: one a node, written by that node alone ([`member`]), and a fixed number for
+//! each service whose keys are divided, which together name the owner of every key ([`keys`],
+//! [`chunk`]). A reader needs no history: the newest record of each key is the whole truth, so nothing
+//! is lost when older ones expire.
 //!
-//! A node writes its own record without a condition. A record of ownership is written on the
+//! A node writes its own record without a condition. Records of ownership are written on the
 //! condition that the log ends where its author has read to, so that of two authors who decided on
 //! the same state only one is heard, and the other decides anew. [`Table`] is pure: records come
 //! in with their offsets.
 
+mod chunk;
 pub mod keys;
 pub mod member;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::core::ids::{Holder, NodeId, Offset, ServiceName};
 use crate::lease::message::Tag;
+use chunk::Chunk;
 use keys::Keys;
 use member::{Member, Watched};
 
@@ -37,29 +41,52 @@
     pub value: Option<Bytes>,
 }
 
-/// A record that a node wants to write.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Records that a node wants to write: all of them or none.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Draft {
-    /// The key.
-    pub key: String,
-    /// The value; `None` drops the key.
-    pub value: Option<Bytes>,
+    /// Keys and values, of which `None` drops the key.
+    pub records: Vec<(String, Option<Bytes>)>,
 }
 
 impl Draft {
     /// What a node says of itself.
     pub fn member(member: &Member) -> Draft {
-        Draft { key: member_key(&member.holder.node), value: Some(encode(member)) }
+        Draft { records: vec![(member_key(&member.holder.node), Some(encode(member)))] }
     }
 
     /// A node is gone for good.
     pub fn gone(node: &NodeId) -> Draft {
-        Draft { key: member_key(node), value: None }
+        Draft { records: vec![(member_key(node), None)] }
+    }
+
+    /// Who owns the keys of a service, as far as the table says otherwise.
+    pub fn keys(table: &Table, service: &ServiceName, keys: &Keys) -> Draft {
+        let known = table.keys.get(service);
+        let changed = |number| {
+            let span = chunk::span(number)?;
+            let chunk = Chunk::of(keys, span);
+            let same = known.is_some_and(|known| Chunk::of(known, span) == chunk);
+            (!same).then(|| (format!("{KEYS_PREFIX}{service}/{number}"), Some(encode(&chunk))))
+        };
+        Draft { records: chunk::numbers().filter_map(changed).collect() }
+    }
+
+    /// The records as they stand in the log before `next`.
+    pub fn records_before(&self, next: Offset) -> Vec<Record> {
+        let start = next.0.saturating_sub(self.records.len() as u64);
+        let numbered = (start..).zip(&self.records);
+        let record = |(offset, (key, value)): (u64, &(String, Option<Bytes>))| Record {
+            offset: Offset(offset),
+            key: key.clone(),
+            value: value.clone(),
+        };
+        numbered.map(record).collect()
     }
 
-    /// Who owns the keys of a service.
-    pub fn keys(service: &ServiceName, keys: &Keys) -> Draft {
-        Draft { key: format!("{KEYS_PREFIX}{service}"), value: Some(encode(keys)) }
+    /// The records of both.
+    pub fn and(mut self, other: Draft) -> Draft {
+        self.records.extend(other.records);
+        self
     }
 }
 
@@ -98,11 +125,24 @@
             return put(&mut self.members, name, record.value.as_ref());
         }
         if let Some(name) = record.key.strip_prefix(KEYS_PREFIX) {
-            return put(&mut self.keys, name, record.value.as_ref());
+            return self.put_chunk(name, record.value.as_ref()).is_some();
         }
         false
     }
 
+    /// Takes a record of ownership, named `SERVICE/NUMBER`; `None` when it cannot be read.
+    fn put_chunk(&mut self, name: &str, value: Option<&Bytes>) -> Option<()> {
+        let (service, number) = name.rsplit_once('/')?;
+        let service: ServiceName = service.parse().ok()?;
+        let span = chunk::span(number.parse().ok()?)?;
+        let ranges = match value {
+            Some(value) => serde_json::from_slice::<Chunk>(value).ok()?.ranges(span),
+            None => Vec::new(),
+        };
+        self.keys.entry(service).or_default().replace(span, ranges);
+        Some(())
+    }
+
     /// The member that is `holder` in the same incarnation.
     pub fn member(&self, holder: &Holder) -> Option<&Member> {
         self.members.get(&holder.node).filter(|m| m.holder == *holder)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,4 +20,5 @@
 mod placing;
 mod silent;
 mod support;
+mod table;
 mod together;
--- /dev/null
+++ b/tests/testsuite/table.rs
@@ -0,0 +1,128 @@
+//! The table's records of ownership: whatever order a reader gets them in, it ends with what the writer
+//! had, and a move is as small as what it moves.
+
+use kelpwind::core::ids::{Offset, ServiceName};
+use kelpwind::table::keys::{KEY_MAX, Keys, Owner, Range, Span};
+use kelpwind::table::member::Life;
+use kelpwind::table::{Draft, Record, Table};
+
+/// Owners of a service as large as those of the users' grown installations.
+const OWNERS: usize = 40;
+/// Largest write of a move of one range, in bytes: the record it is in, or two.
+const MOVE_MAX: usize = 4 << 10;
+
+fn service() -> ServiceName {
+    "books".parse().unwrap()
+}
+
+fn owner(number: usize) -> Owner {
+    let holder = format!("sidecar-zone-one-{number}.10.1.0.{number}/00000000000000aa");
+    let life = Life { id: format!("i-{number:010x}"), born: 1_777_449_006_728 };
+    Owner { holder: holder.parse().unwrap(), life }
+}
+
+fn size(draft: &Draft) -> usize {
+    draft.records.iter().map(|(k, v)| k.len() + v.as_ref().map_or(0, |v| v.len())).sum()
+}
+
+/// A log, and the table of whoever writes it.
+struct Log {
+    table: Table,
+    records: Vec<Record>,
+}
+
+impl Log {
+    fn new() -> Log {
+        let shares: Vec<_> = (0..OWNERS).map(|n| (owner(n), 1.0)).collect();
+        let mut log = Log { table: Table::default(), records: Vec::new() };
+        log.write(&Keys::divide(&shares));
+        log
+    }
+
+    fn keys(&self) -> Keys {
+        self.table.keys[&service()].clone()
+    }
+
+    fn write(&mut self, keys: &Keys) -> usize {
+        let draft = Draft::keys(&self.table, &service(), keys);
+        let next = Offset((self.records.len() + draft.records.len()) as u64);
+        for record in draft.records_before(next) {
+            assert!(self.table.apply(&record));
+            self.records.push(record);
+        }
+        size(&draft)
+    }
+
+    /// Moves a part of a random range to another owner.
+    fn move_some(&mut self, random: &mut fastrand::Rng) -> usize {
+        let mut keys = self.keys();
+        let range = keys.ranges[random.usize(..keys.ranges.len())].clone();
+        let width = random.u32(1..=range.span.width().min(600));
+        let span = Span { last: range.span.first + (width - 1) as u16, ..range.span };
+        let from = range.owner.unwrap().holder;
+        let handover = Some(format!("{:016x}", random.u64(..)));
+        assert!(keys.give(span, Some(&from), Some(owner(random.usize(..OWNERS))), handover));
+        let size = self.write(&keys);
+        assert_eq!(whole(&self.keys()), whole(&keys), "the table has what was written");
+        size
+    }
+}
+
+/// What is true of each key; how the keys are cut into ranges does not matter.
+fn whole(keys: &Keys) -> Vec<(Option<Owner>, u64, Option<String>)> {
+    let of = |range: &Range| (range.owner.clone(), range.token.0, range.handover.clone());
+    (0..=KEY_MAX).step_by(13).map(|key| of(keys.find(key).expect("each key has a range"))).collect()
+}
+
+#[test]
+fn a_move_writes_little_however_many_ranges_there_are() {
+    let mut log = Log::new();
+    let mut random = fastrand::Rng::with_seed(11);
+    let sizes: Vec<usize> = (0..400).map(|_| log.move_some(&mut random)).collect();
+    assert!(log.keys().ranges.len() > 200, "there are many ranges");
+    let most = sizes.iter().max().unwrap();
+    assert!(*most <= MOVE_MAX, "{most} bytes written for one move");
+}
+
+#[test]
+fn readers_who_get_the_records_in_parts_or_only_the_newest_end_with_the_same() {
+    let mut log = Log::new();
+    let mut random = fastrand::Rng::with_seed(12);
+    for _ in 0..60 {
+        log.move_some(&mut random);
+    }
+    let mut in_order = Table::default();
+    log.records.iter().for_each(|r| assert!(in_order.apply(r)));
+    assert_eq!(in_order.keys, log.table.keys);
+    // A whole reading gives the newest of each key in the order of the keys, and what follows it may
+    // begin before its end.
+    let mut newest = std::collections::BTreeMap::new();
+    log.records.iter().for_each(|r| drop(newest.insert(r.key.clone(), r.clone())));
+    let mut whole = Table::default();
+    newest.values().for_each(|r| assert!(whole.apply(r)));
+    log.records.iter().rev().take(20).rev().for_each(|r| assert!(whole.apply(r)));
+    assert_eq!(whole.keys, log.table.keys);
+}
+
+#[test]
+fn a_record_that_cannot_be_read_changes_nothing() {
+    let mut log = Log::new();
+    let before = log.keys();
+    let broken = ["keys/books/99", "keys/books", "keys/books/x", "keys/BOOKS!/1", "other/1"];
+    for key in broken {
+        let record = Record {
+            offset: Offset(1000),
+            key: key.to_owned(),
+            value: Some(r#"{"owners":[],"ranges":[]}"#.into()),
+        };
+        assert!(!log.table.apply(&record), "{key}");
+    }
+    let unknown_owner = r#"{"owners":[],"ranges":[[0,1023,3,9,null]]}"#;
+    let record = Record {
+        offset: Offset(1001),
+        key: "keys/books/0".to_owned(),
+        value: Some(unknown_owner.into()),
+    };
+    assert!(!log.table.apply(&record));
+    assert_eq!(log.keys(), before);
+}
--- a/tests/users/store.rs
+++ b/tests/users/store.rs
@@ -144,25 +144,30 @@
 
     async fn append(&self, topic: &str, request: &Whole) -> Reply {
         let mut raw = request.body().clone();
-        let size = raw.get_u32() as usize;
-        let mut record = raw.split_to(size);
-        let key_size = record.get_u8() as usize;
-        let key = String::from_utf8(record.split_to(key_size).to_vec()).expect("a text key");
-        let offset = {
+        let mut appended = Vec::new();
+        while !raw.is_empty() {
+            let size = raw.get_u32() as usize;
+            let mut record = raw.split_to(size);
+            let key_size = record.get_u8() as usize;
+            let key = String::from_utf8(record.split_to(key_size).to_vec()).expect("a text key");
+            appended.push((key, record));
+        }
+        let (offset, end) = {
             let mut topics = self.topics.lock();
             let records = topics.entry(topic.to_owned()).or_default();
             let at = query(request, "at").and_then(|v| v.parse::<usize>().ok());
             if at.is_some_and(|at| at != records.len()) {
                 return reply(412);
             }
-            records.push((key, record));
-            records.len() - 1
+            let offset = records.len();
+            records.extend(appended);
+            (offset, records.len())
         };
         self.moved.notify_waiters();
         if self.mute.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
         }
-        let body = serde_json::json!({"offset": offset, "end-offset": offset + 1}).to_string();
+        let body = serde_json::json!({"offset": offset, "end-offset": end}).to_string();
         Reply::new(Full::new(Bytes::from(body)))
     }
 }
