After a loss of many nodes, whoever writes first gives all restarted nodes their keys back

Change: a node that reclaims its keys does so for all nodes that are members in a later incarnation.

--- a/src/kelpwind/mesh/keeper.rs
+++ b/src/kelpwind/mesh/keeper.rs
@@ -98,33 +98,20 @@
         });
     }
 
-    /// The ownership record in which what a former run of this node owned is its own again. The same
-    /// life of the server keeps its token; another life holds nothing and gets a new one.
+    /// The ownership records in which what former runs of nodes owned is their own again: this node's
+    /// keys, and those of all nodes that are members in a later incarnation. After a loss of many nodes
+    /// at once, whoever is heard first so writes for all of them.
     fn reclaimed(&self, table: &Table) -> Option<Draft> {
-        let (me, life) = (self.me(), self.server_life()?);
+        let own = Owner { holder: self.me(), life: self.server_life()? };
         let service = self.service();
         let mut keys = table.keys.get(&service)?.clone();
-        let former: Vec<Owner> = keys
-            .ranges
-            .iter()
-            .filter_map(|r| r.owner.clone())
-            .filter(|o| o.holder.node == me.node && (o.holder != me || o.life != life))
-            .collect();
+        let owners: BTreeSet<Owner> = keys.ranges.iter().filter_map(|r| r.owner.clone()).collect();
         let mut changed = false;
-        for owner in former {
-            if owner.life == life {
-                changed |= keys.adopt(&owner, &me);
-            } else {
-                let to = Owner { holder: me.clone(), life: life.clone() };
-                let spans: Vec<Span> = keys
-                    .ranges
-                    .iter()
-                    .filter(|r| r.owner.as_ref() == Some(&owner))
-                    .map(|r| r.span)
-                    .collect();
-                for span in spans {
-                    changed |= keys.give(span, Some(&owner.holder), Some(to.clone()), None);
-                }
+        for owner in owners {
+            if owner.holder.node == own.holder.node {
+                changed |= owner != own && keys.pass_on(&owner, &own);
+            } else if let Some(successor) = successor(table, &owner) {
+                changed |= keys.pass_on(&owner, &successor);
             }
         }
         changed.then(|| Draft::keys(table, &service, &keys))
@@ -283,3 +270,12 @@
         .collect()
     }
 }
+
+/// The owner's node in a later incarnation, if it has a backend server. Only the node itself knows of a
+/// later life of its server before its record does.
+fn successor(table: &Table, owner: &Owner) -> Option<Owner> {
+    let member = table.members.get(&owner.holder.node)?;
+    let later = member.holder.inc != owner.holder.inc && member.takes_work();
+    let life = member.life().filter(|_| later)?.clone();
+    Some(Owner { holder: member.holder.clone(), life })
+}
--- a/src/kelpwind/table/keys.rs
+++ b/src/kelpwind/table/keys.rs
@@ -14,7 +14,7 @@
 pub const KEY_MAX: u16 = u16::MAX;
 
 /// A node and the life of its backend server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Owner {
     /// The node in its incarnation.
     pub holder: Holder,
@@ -219,16 +219,24 @@
         self.ranges.len() < before
     }
 
-    /// The node behind `old` goes on as `new` with the same server: its process has started again.
-    /// The server keeps the keys, so the token stays. Returns false when `old` owns nothing.
-    pub fn adopt(&mut self, old: &Owner, new: &Holder) -> bool {
-        let mut adopted = false;
-        for owner in self.ranges.iter_mut().filter_map(|r| r.owner.as_mut()) {
-            if owner == old {
-                owner.holder = new.clone();
-                adopted = true;
+    /// The node of `old` goes on as `new`, since its process has started again. The same life of the
+    /// server holds the keys still, so the token stays; another life holds nothing and gets the keys
+    /// under a new one. Returns false when `old` owns nothing.
+    pub fn pass_on(&mut self, old: &Owner, new: &Owner) -> bool {
+        let same_life = old.life == new.life;
+        let token = Token(self.token.0 + u64::from(!same_life));
+        let mut passed = false;
+        for range in self.ranges.iter_mut().filter(|r| r.owner.as_ref() == Some(old)) {
+            range.owner = Some(new.clone());
+            if !same_life {
+                range.token = token;
+                range.handover = None;
             }
+            passed = true;
+        }
+        if passed {
+            self.token = token;
         }
-        adopted
+        passed
     }
 }
