explain-request: one timeline of a request from the logs of the nodes; its three ways tested

Cause: docs/OPERATIONS.md told to grep the logs by hand, and its output was not checked by any test. Change: kelpwind explain-request joins the lines that name a request, and what the nodes that had it did around that time. Tests make the three failures of the page, find the cause as the page says, and show that requests go on while nobody reads the log (1,500 at the level debug). A line says that keys begin to move and whether they must; the entry writes each try at the level debug. Found by the third test: a gate asked for a key that is being moved refused at once (202, not the owner), and the entry asked again every 40 ms until it gave up. Now the gate waits for the move, then names the next owner, or says that the key moves (210).

--- a/crates/kelpwind-test-support/src/process.rs
+++ b/crates/kelpwind-test-support/src/process.rs
@@ -35,6 +35,18 @@
         Process { child, ready: ready.trim().to_owned() }
     }
 
+    /// Starts `program` without waiting for anything, its standard output going to `output`. A pipe is
+    /// never read.
+    ///
+    /// # Panics
+    /// When it cannot be started.
+    pub fn spawn(program: &str, args: &[&str], env: &[(&str, &str)], output: Stdio) -> Process {
+        let mut command = Command::new(program);
+        command.args(args).envs(env.iter().copied()).stdout(output).stdin(Stdio::null());
+        let child = command.stderr(Stdio::null()).spawn().expect("the program can be started");
+        Process { child, ready: String::new() }
+    }
+
     /// Its process number.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/src/bin/kelpwind/cli.rs
+++ b/src/bin/kelpwind/cli.rs
@@ -139,6 +139,14 @@
             optional --format FORMAT: Format
         }
 
+        /// Tells what became of a request, from the logs of the nodes.
+        cmd explain-request {
+            /// Name of the request, as the caller gave it.
+            required id: String
+            /// Files of log lines, one a node or collected with the node's name before each line.
+            repeated files: PathBuf
+        }
+
         /// Lists the numbered result codes.
         cmd codes {}
 
--- a/src/bin/kelpwind/commands/look.rs
+++ b/src/bin/kelpwind/commands/look.rs
@@ -1,10 +1,10 @@
-//! `kelpwind status`, `kelpwind dump` and `kelpwind explain`.
+//! `kelpwind status`, `kelpwind dump`, `kelpwind explain` and `kelpwind explain-request`.
 
 use kelpwind::ops;
 use kelpwind::util::error::Result;
 
 use super::nodes;
-use crate::cli::{Dump, Explain, Status};
+use crate::cli::{Dump, Explain, ExplainRequest, Status};
 
 pub(super) async fn status(flags: Status) -> Result<()> {
     let said = ops::status::status(&nodes(flags.node)?, flags.format.unwrap_or_default()).await?;
@@ -29,3 +29,8 @@
     print!("{}", ops::explain::explain(&nodes, &flags.service, &flags.key, format).await?);
     Ok(())
 }
+
+pub(super) fn explain_request(flags: &ExplainRequest) -> Result<()> {
+    print!("{}", ops::trace::explain_request(&flags.id, &flags.files)?);
+    Ok(())
+}
--- a/src/bin/kelpwind/commands/mod.rs
+++ b/src/bin/kelpwind/commands/mod.rs
@@ -29,6 +29,7 @@
         KelpwindCmd::Status(flags) => look::status(flags).await,
         KelpwindCmd::Dump(flags) => look::dump(flags).await,
         KelpwindCmd::Explain(flags) => look::explain(flags).await,
+        KelpwindCmd::ExplainRequest(flags) => look::explain_request(&flags),
         KelpwindCmd::Codes(_) => {
             print!("{}", codes());
             Ok(())
--- a/src/bin/kelpwind/main.rs
+++ b/src/bin/kelpwind/main.rs
@@ -18,8 +18,23 @@
 
 /// Words that a misspelt command may have meant.
 const COMMANDS: &[&str] = &[
-    "node", "dev", "config", "check", "diff", "publish", "show", "history", "drain", "undrain",
-    "status", "dump", "explain", "codes", "stand-in", "help",
+    "node",
+    "dev",
+    "config",
+    "check",
+    "diff",
+    "publish",
+    "show",
+    "history",
+    "drain",
+    "undrain",
+    "status",
+    "dump",
+    "explain",
+    "explain-request",
+    "codes",
+    "stand-in",
+    "help",
 ];
 
 fn main() -> ExitCode {
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -96,8 +96,8 @@
             self.metrics.failures.say(|left_out| {
                 spdlog::info!("entry: failed", kv: {
                     request = id.as_str(), code = failure.code.number(), why = failure.code.text(),
-                    route = way.route.name.as_str(), key = format!("{:?}", way.request.key),
-                    tried = format!("{:?}", way.tried), reached = way.reached, sending = way.sending,
+                    route = way.route.name.as_str(), key = way.key_text(),
+                    tried = way.tried_names(), reached = way.reached, sending = way.sending,
                     took_ms = arrived.elapsed().as_millis() as u64,
                     config = routes.version.0, table = self.table.borrow().next.0, left_out
                 });
@@ -188,10 +188,16 @@
                 Ok(chosen) => chosen,
                 Err(failure) => return way.give_up(failure),
             };
+            way.tried.push(chosen.member.holder.node.clone());
             way.sending = true;
             let outcome = self.send(&chosen, way).await;
             way.sending = false;
-            if let Some(result) = way.settle(&chosen, outcome, owner_until) {
+            spdlog::debug!("entry: tried", kv: {
+                request = way.request.id.as_str(), gate = chosen.member.holder.node.as_str(),
+                server = chosen.server.as_str(), key = way.key_text(), outcome = outcome.name(),
+                left_ms = way.left().as_millis() as u64, table = self.table.borrow().next.0
+            });
+            if let Some(result) = way.settle(outcome, owner_until) {
                 return result;
             }
             if way.request.key.is_some() && way.hint.is_none() {
@@ -287,14 +293,22 @@
         }
     }
 
+    /// The gates that were tried, in order, for a log line.
+    fn tried_names(&self) -> String {
+        self.tried.iter().map(NodeId::as_str).collect::<Vec<_>>().join(", ")
+    }
+
+    /// The key for a log line.
+    fn key_text(&self) -> String {
+        self.request.key.map_or_else(|| "none".to_owned(), |key| key.to_string())
+    }
+
     /// Takes what became of a try: the final result, or `None` when another try may follow.
     fn settle(
         &mut self,
-        chosen: &Chosen,
         outcome: Outcome,
         owner_until: Instant,
     ) -> Option<Result<Answer, Failure>> {
-        self.tried.push(chosen.member.holder.node.clone());
         match outcome {
             Outcome::Answer(answer) => {
                 self.reached += 1;
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -102,6 +102,17 @@
     Unknown(Code),
 }
 
+impl Outcome {
+    /// A word and the code or the status, for a log line.
+    pub fn name(&self) -> String {
+        match self {
+            Outcome::Answer(answer) => format!("answered {}", answer.status),
+            Outcome::NotRun { code, .. } => format!("not run {code}"),
+            Outcome::Unknown(code) => format!("unknown {code}"),
+        }
+    }
+}
+
 /// The owner of a key, as a gate knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct OwnerHint {
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -179,21 +179,22 @@
         Ok(())
     }
 
-    /// Waits for a key that this node owns but whose grant is under way.
+    /// Waits for a key that this node owns but whose grant is under way. One that is being moved is
+    /// waited for too: then this node knows its next owner.
     async fn wait_for_key(&self, key: u16, aim: Instant, read: Offset) -> Result<(), Outcome> {
         let mut moves = self.held_moves.subscribe();
         let until = aim.min(Instant::now() + KEY_WAIT);
         loop {
-            let (active, coming) = {
+            let (active, owned) = {
                 let held = self.held.borrow();
-                (held.is_active(key), held.is_coming(key))
+                (held.is_active(key), held.is_owned(key))
             };
             if active {
                 return Ok(());
             }
             let left = until.saturating_duration_since(Instant::now());
-            if !coming || timeout(left, moves.changed()).await.is_err() {
-                if coming {
+            if !owned || timeout(left, moves.changed()).await.is_err() {
+                if owned {
                     return Err(not_run(Code::Moving, KEY_RETURN));
                 }
                 let room_ms = KEY_RETURN.as_millis() as u32;
--- a/src/kelpwind/mesh/held.rs
+++ b/src/kelpwind/mesh/held.rs
@@ -56,9 +56,9 @@
         self.find(key).is_some_and(|r| !r.leaving && r.active.is_some_and(|until| now < until))
     }
 
-    /// Whether this node owns a key that its server does not surely hold yet.
-    pub fn is_coming(&self, key: u16) -> bool {
-        self.find(key).is_some_and(|r| !r.leaving)
+    /// Whether this node owns a key, also one that is being moved.
+    pub fn is_owned(&self, key: u16) -> bool {
+        self.find(key).is_some()
     }
 
     /// The number of keys that the server surely holds.
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -64,6 +64,9 @@
         if parts.is_empty() {
             return;
         }
+        let count: u32 = moves.iter().map(|(s, _)| s.width()).sum();
+        let must = self.must_leave();
+        spdlog::info!("keys begin to move", kv: { keys = count, ranges = moves.len(), must });
         self.tell_held();
         // A grant that is on its way would give back what the release takes.
         while self.held.borrow().is_granting() {
@@ -73,7 +76,6 @@
         let handovers = futures_util::future::join_all(releases).await;
         self.wait_for_expiry().await;
         let me = self.owner_of_record();
-        let must = self.must_leave();
         let written = self.commit("a planned move", |node, table| {
             let service = node.service();
             let mut keys = table.keys.get(&service)?.clone();
@@ -100,7 +102,6 @@
         if let Some(news) = &written {
             self.tell_news(moves.iter().map(|(_, to)| to.holder.node.clone()), news).await;
         }
-        let count: u32 = moves.iter().map(|(s, _)| s.width()).sum();
         spdlog::info!("keys were moved", kv: { keys = count, ranges = moves.len(), written = written.is_some() });
         for range in &mut self.held.borrow_mut().ranges {
             range.leaving = false;
--- a/src/kelpwind/ops/mod.rs
+++ b/src/kelpwind/ops/mod.rs
@@ -12,6 +12,7 @@
 pub mod show;
 pub mod stand_in;
 pub mod status;
+pub mod trace;
 
 use std::fmt;
 use std::str::FromStr;
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -4,6 +4,7 @@
 //! They are a test program of their own: beside the other tests of whole deployments, all would measure
 //! how busy the machine is.
 
+mod explaining;
 #[path = "../users/mod.rs"]
 mod users;
 
--- a/tests/users/fleet.rs
+++ b/tests/users/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
@@ -46,6 +47,7 @@
     pub ip: Ipv4Addr,
     manner: Manner,
     boot: PathBuf,
+    log: PathBuf,
     /// Its node; `None` while it is down.
     pub node: Option<Process>,
     /// Its server; `None` while it is down.
@@ -113,7 +115,8 @@
         self.proxy.open(link).await.expect("the proxy can listen");
         let boot = self.folder.join(format!("{ip}.conf"));
         std::fs::write(&boot, settings(ip, &manner)).expect("settings can be written");
-        let machine = Machine { ip, manner, boot, node: None, server: None };
+        let log = self.folder.join(format!("side-{}.{ip}.log", ip.octets()[3]));
+        let machine = Machine { ip, manner, boot, log, node: None, server: None };
         self.machines.push(machine);
         let last = self.machines.len() - 1;
         self.start_node(last);
@@ -149,9 +152,28 @@
     /// Starts the node of a machine.
     pub fn start_node(&mut self, machine: usize) {
         let machine = &mut self.machines[machine];
-        let boot = machine.boot.to_str().expect("a text path");
-        let env = [("KELPWIND_BOOT", boot), ("KELPWIND_LOG_LEVEL", "debug")];
-        machine.node = Some(Process::start(env!("CARGO_BIN_EXE_kelpwind"), &["node"], &env));
+        let log = std::fs::File::options().create(true).append(true).open(&machine.log);
+        let log = Stdio::from(log.expect("a log can be opened"));
+        machine.node = Some(spawn(machine, log));
+    }
+
+    /// Starts the node of a machine anew, with a standard output that nobody reads.
+    pub fn start_node_unread(&mut self, machine: usize) {
+        let machine = &mut self.machines[machine];
+        machine.node = None;
+        machine.node = Some(spawn(machine, Stdio::piped()));
+    }
+
+    /// What `kelpwind explain-request` tells of a request from the logs of all nodes; `None` when none
+    /// names it.
+    pub fn explain(&self, request: &str) -> Option<String> {
+        let logs = self.machines.iter().map(|m| m.log.as_os_str());
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_kelpwind"));
+        let output = command.arg("explain-request").arg(request).args(logs).output();
+        let output = output.expect("the program can be started");
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success() || error.contains("[404]"), "{error}");
+        output.status.success().then(|| String::from_utf8_lossy(&output.stdout).into_owned())
     }
 
     /// Starts the server of a machine.
@@ -198,6 +220,18 @@
         told
     }
 
+    /// Makes one request from a machine as a task of its own.
+    pub fn detached_call(
+        &self,
+        machine: usize,
+        service: &str,
+        key: u16,
+        once: bool,
+    ) -> tokio::task::JoinHandle<Told> {
+        let (ip, service) = (self.machines[machine].ip, service.to_owned());
+        tokio::spawn(async move { call(ip, &service, key, once).await })
+    }
+
     /// Starts callers on all machines that go on until the returned guard is dropped; each waits
     /// `gap` after an answer.
     pub fn callers(&self, services: &[&str], gap: Duration) -> Vec<tokio::task::JoinHandle<()>> {
@@ -284,6 +318,12 @@
     }
 }
 
+fn spawn(machine: &Machine, output: Stdio) -> Process {
+    let boot = machine.boot.to_str().expect("a text path");
+    let env = [("KELPWIND_BOOT", boot), ("KELPWIND_LOG_LEVEL", "debug")];
+    Process::spawn(env!("CARGO_BIN_EXE_kelpwind"), &["node"], &env, output)
+}
+
 fn settings(ip: Ipv4Addr, manner: &Manner) -> String {
     let Manner { service, zone, .. } = manner;
     format!(
