--- a/crates/kelpwind-stand-ins/src/backend.rs
+++ b/crates/kelpwind-stand-ins/src/backend.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method};
-use kelpwind_platform::{
+use kelpwind_wire::{
     Announcement, DEADLINE_HEADER, Execution, GRANT_HEADER, KEY_HEADER, LoadReport, REFUSED_HEADER,
     REQUEST_HEADER, TOKEN_HEADER,
 };
--- a/crates/kelpwind-stand-ins/src/log.rs
+++ b/crates/kelpwind-stand-ins/src/log.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use kelpwind_platform::{Appended, LogBatch, LogRecord};
+use kelpwind_wire::{Appended, LogBatch, LogRecord};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
--- a/crates/kelpwind-test-support/src/cluster.rs
+++ b/crates/kelpwind-test-support/src/cluster.rs
@@ -8,7 +8,7 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-use kelpwind_platform::Execution;
+use kelpwind_wire::Execution;
 use serde_json::{Value, json};
 
 use crate::history::Ran;
--- a/crates/kelpwind-test-support/src/history.rs
+++ b/crates/kelpwind-test-support/src/history.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use kelpwind_platform::Execution;
+use kelpwind_wire::Execution;
 
 use crate::workload::Asked;
 
--- a/crates/kelpwind-platform/src/lib.rs
+++ b/crates/kelpwind-wire/src/lib.rs
@@ -1,4 +1,4 @@
-//! Wire types of the platform's interfaces: the append-only log service, the backend servers and
+//! Wire types of the interfaces of own deployments: the log service, the backend servers and
 //! the headers that requests carry between them and the router.
 //!
 //! Both sides use these types: the router's clients, and the stand-ins that take the platform's
--- a/src/kelpwind/gate/backend.rs
+++ b/src/kelpwind/gate/backend.rs
@@ -8,7 +8,7 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
-use kelpwind_platform::{
+use kelpwind_wire::{
     DEADLINE_HEADER, GRANT_HEADER, GRANT_PATH, KEY_HEADER, REFUSED_HEADER, REQUEST_HEADER,
     TOKEN_HEADER,
 };
--- a/src/kelpwind/gate/pass.rs
+++ b/src/kelpwind/gate/pass.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::BoxFuture;
-use kelpwind_platform::Announcement;
+use kelpwind_wire::Announcement;
 use parking_lot::{Mutex, RwLock};
 use tokio::time::{timeout, timeout_at};
 
--- a/src/kelpwind/log/http.rs
+++ b/src/kelpwind/log/http.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use http::{Method, Request, StatusCode};
-use kelpwind_platform::{Appended, LogBatch};
+use kelpwind_wire::{Appended, LogBatch};
 use serde::de::DeserializeOwned;
 
 use super::client::{Batch, Log, Result};
--- a/src/kelpwind/node/admin.rs
+++ b/src/kelpwind/node/admin.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use jsonrpsee::server::{HttpBody, RpcModule};
 use jsonrpsee::types::ErrorObjectOwned;
-use kelpwind_platform::Announcement;
+use kelpwind_wire::Announcement;
 use serde::{Deserialize, Serialize};
 
 use super::Node;
--- a/src/kelpwind/node/membership.rs
+++ b/src/kelpwind/node/membership.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use kelpwind_platform::Announcement;
+use kelpwind_wire::Announcement;
 
 use super::Node;
 use super::directory::Directory;
--- a/src/kelpwind/ops/dev.rs
+++ b/src/kelpwind/ops/dev.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use http::Request;
 use jsonrpsee::rpc_params;
-use kelpwind_platform::{CODE_HEADER, OUTCOME_HEADER};
 use kelpwind_stand_ins::backend::{Backend, Options};
 use kelpwind_stand_ins::log::LogService;
+use kelpwind_wire::{CODE_HEADER, OUTCOME_HEADER};
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
 
--- a/src/kelpwind/route/request.rs
+++ b/src/kelpwind/route/request.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Method, Request, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use kelpwind_platform::DEADLINE_HEADER;
+use kelpwind_wire::DEADLINE_HEADER;
 
 use crate::core::call::{Attempt, Call, RequestId, SliceRef, TEXT_MAX};
 use crate::core::codes::Code;
--- a/src/kelpwind/route/wire.rs
+++ b/src/kelpwind/route/wire.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use kelpwind_platform::{CODE_HEADER, DEADLINE_HEADER, KEY_HEADER, REQUEST_HEADER, RETRY_HEADER};
+use kelpwind_wire::{CODE_HEADER, DEADLINE_HEADER, KEY_HEADER, REQUEST_HEADER, RETRY_HEADER};
 
 use crate::core::call::{Answer, Call, SliceRef};
 use crate::core::codes::Code;
@@ -110,7 +110,7 @@
     let headers = response.headers_mut();
     headers.insert(CODE_HEADER, HeaderValue::from(answer.code.number()));
     if let Ok(outcome) = answer.code.outcome().to_string().parse() {
-        headers.insert(kelpwind_platform::OUTCOME_HEADER, outcome);
+        headers.insert(kelpwind_wire::OUTCOME_HEADER, outcome);
     }
     if let Some(kind) = answer.kind {
         headers.insert(header::CONTENT_TYPE, kind);
