--- a/src/kelpwind/mesh/balance.rs
+++ b/src/kelpwind/mesh/balance.rs
@@ -1,7 +1,7 @@
 //! Moves keys from overloaded owners to others: gathers what [`crate::place::relief`] decides from.
 //!
-//! An owner asks only when it is overloaded, and only a few others drawn at random, so the messages
-//! do not grow with the number of owners. Who answers reckons for a while with what it was asked to
+//! An owner asks only when it is overloaded, and only as many others, drawn at random, as should be able
+//! to take what is too much, so the messages do not grow with the number of owners. Who answers reckons for a while with what it was asked to
 //! take, so that two overloaded owners do not both fill the same room.
 
 use std::collections::BTreeSet;
@@ -18,12 +18,11 @@
 
 /// Time between two looks at how busy this owner is.
 const LOOK: Duration = Duration::from_millis(300);
-/// Time after a move in which its effect is awaited.
-const SETTLE: Duration = Duration::from_millis(2000);
-/// Other owners that are asked at once.
-const ASKED_MAX: usize = 6;
+/// Time after the begin of a move in which its effect is awaited: entries send what they have under way
+/// to the former owner.
+const SETTLE: Duration = Duration::from_millis(600);
 /// Most ranges for each owner of a service, on average: each is a grant to renew.
-const RANGES_MAX: usize = 8;
+const RANGES_MAX: usize = 12;
 /// Time for answers: a round trip between failure domains and some slack.
 const ANSWER_WAIT: Duration = Duration::from_millis(40);
 /// Time for which room that was told to one is not told to the next.
@@ -62,7 +61,9 @@
         spdlog::info!("keys move to less busy owners", kv: {
             busy = me.part(), slots = me.slots, keys, ranges = moves.len()
         });
+        let spans: Vec<Span> = moves.iter().map(|(span, _)| *span).collect();
         if node.begin_moves(moves) {
+            spans.iter().for_each(|span| node.demand.borrow_mut().give_away(*span));
             sleep(SETTLE).await;
         }
     }
@@ -94,7 +95,7 @@
             pairs.filter_map(|o| Some((o.clone(), addr(&o.holder.node)?))).collect()
         };
         fastrand::shuffle(&mut asked);
-        asked.truncate(ASKED_MAX);
+        asked.truncate(relief::ask_count(me));
         let question = fastrand::u32(..);
         let owners = asked.iter().map(|(o, _)| o.clone()).collect();
         self.asked.replace(Asked { question, answers: Vec::new(), owners });
--- a/src/kelpwind/mesh/commit.rs
+++ b/src/kelpwind/mesh/commit.rs
@@ -14,6 +14,8 @@
 const NEWS_WAIT: Duration = Duration::from_millis(700);
 /// Pause after a conflict, longer with each: those who write at once must not do so in step.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(8);
+/// The same for each member: the more write at once, the longer until all have written.
+const CONFLICT_PAUSE_EACH: Duration = Duration::from_micros(400);
 /// Pause after the store took nothing.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Longest pause after the store took nothing many times.
@@ -60,7 +62,8 @@
                     self.hurry();
                     // A timeout only means that the next try conflicts again.
                     let _ = timeout(NEWS_WAIT, self.wait_for_table(at.next())).await;
-                    sleep(CONFLICT_PAUSE.mul_f64(fastrand::f64() * f64::from(failures + 1))).await;
+                    let pause = CONFLICT_PAUSE.max(CONFLICT_PAUSE_EACH * self.member_count());
+                    sleep(pause.mul_f64(fastrand::f64() * f64::from(failures + 1))).await;
                 }
                 Err(e) => {
                     let why = e.to_string();
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -12,17 +12,15 @@
 use tokio::time::timeout;
 
 use super::choice::Chosen;
-use super::frame::{Outcome, OwnerHint, Work};
+use super::frame::Outcome;
 use super::node::Node;
-use super::port::{Answer, Asked, Request};
+use super::port::{Answer, Asked};
+use super::way::{Failure, Way, not_run};
 use crate::core::codes::Code;
-use crate::core::ids::{NodeId, Offset, ServiceName};
+use crate::core::ids::ServiceName;
 use crate::core::routes::{Route, Routes};
 use crate::route::budget::{Budget, Share};
-use crate::route::comeback;
 
-/// Most gates that are asked for one request while none of them has run it.
-const GATES_MAX: usize = 3;
 /// Longest time that a request waits for its key to get another owner. A planned move takes tens of
 /// milliseconds; after a loss it takes longer, and callers are told to come back.
 const OWNER_WAIT: Duration = Duration::from_millis(400);
@@ -36,36 +34,6 @@
 /// Time before the caller's limit at which it is answered, so that the answer reaches it in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 
-/// A failure of the node's own, as the caller is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Failure {
-    /// Why.
-    pub code: Code,
-    /// When the caller may come back, if the request has not run.
-    pub retry: Option<Duration>,
-}
-
-/// A request on its way.
-struct Way {
-    route: Rc<Route>,
-    service: ServiceName,
-    request: Request,
-    aim: Instant,
-    limit: Instant,
-    budget: Rc<Budget>,
-    tried: Vec<NodeId>,
-    /// Servers that the request has reached.
-    reached: u32,
-    /// Whether a gate has it now.
-    sending: bool,
-    /// What the last gate that did not run it said.
-    refused: Option<Failure>,
-    /// Who owns the key, as the last gate said.
-    hint: Option<OwnerHint>,
-    /// What an earlier try left unknown, or failed with.
-    doubtful: Option<Result<Answer, Failure>>,
-}
-
 impl Node {
     /// Takes a request to its end. `body` is read before.
     pub async fn route(self: &Rc<Self>, asked: Asked) -> Result<Answer, Failure> {
@@ -272,109 +240,3 @@
         self.0.own_busy.set(self.0.own_busy.get() - 1);
     }
 }
-
-impl Way {
-    fn left(&self) -> Duration {
-        self.limit.saturating_duration_since(Instant::now())
-    }
-
-    fn work(&self, chosen: &Chosen, read: Offset) -> Work {
-        let now = Instant::now();
-        Work {
-            number: 0,
-            request: self.request.clone(),
-            server: chosen.server.clone(),
-            sort: self.route.name.clone(),
-            safe: self.route.is_idempotent(),
-            rank: self.route.rank,
-            aim_ms: self.aim.saturating_duration_since(now).as_millis() as u32,
-            left_ms: self.limit.saturating_duration_since(now).as_millis() as u32,
-            read,
-        }
-    }
-
-    /// The gates that were tried, in order, for a log line.
-    fn tried_names(&self) -> String {
-        self.tried.iter().map(NodeId::as_str).collect::<Vec<_>>().join(", ")
-    }
-
-    /// The key for a log line.
-    fn key_text(&self) -> String {
-        self.request.key.map_or_else(|| "none".to_owned(), |key| key.to_string())
-    }
-
-    /// Takes what became of a try: the final result, or `None` when another try may follow.
-    fn settle(
-        &mut self,
-        outcome: Outcome,
-        owner_until: Instant,
-    ) -> Option<Result<Answer, Failure>> {
-        match outcome {
-            Outcome::Answer(answer) => {
-                self.reached += 1;
-                if answer.status < 500 || !self.may_run_again() {
-                    return Some(Ok(answer));
-                }
-                self.doubtful = Some(Ok(answer));
-                None
-            }
-            Outcome::NotRun { code, room_ms, arrived, owner } => {
-                // An older hint than the last one would send the request in circles.
-                let newer =
-                    |h: &OwnerHint| self.hint.as_ref().is_none_or(|last| h.read > last.read);
-                self.hint = owner.filter(newer);
-                let room = Duration::from_millis(room_ms.into());
-                let failure = not_run(code, room, Some(self.left()), fastrand::f64());
-                self.refused = Some(failure);
-                if arrived {
-                    self.reached += 1;
-                    let may = self.reached < self.route.attempts && self.budget.pay();
-                    return if may { None } else { Some(self.give_up(failure)) };
-                }
-                let moved = matches!(
-                    code,
-                    Code::NotOwner
-                        | Code::Moving
-                        | Code::StaleRoute
-                        | Code::Draining
-                        | Code::NoTarget
-                );
-                let again = match self.request.key {
-                    Some(_) => moved && Instant::now() < owner_until,
-                    None => self.tried.len() < GATES_MAX,
-                };
-                if again { None } else { Some(self.give_up(failure)) }
-            }
-            Outcome::Unknown(code) => {
-                self.reached += 1;
-                self.hint = None;
-                let failure = Failure { code, retry: None };
-                if !self.may_run_again() {
-                    return Some(Err(failure));
-                }
-                self.doubtful = Some(Err(failure));
-                None
-            }
-        }
-    }
-
-    /// Whether the request may be sent to another server though one may have run it. Pays for it.
-    fn may_run_again(&self) -> bool {
-        self.route.is_idempotent() && self.reached < self.route.attempts && self.budget.pay()
-    }
-
-    /// The final result when no further try is possible. A later refusal does not undo an earlier
-    /// try that may have run.
-    fn give_up(&mut self, failure: Failure) -> Result<Answer, Failure> {
-        self.doubtful.take().unwrap_or(Err(self.refused.unwrap_or(failure)))
-    }
-}
-
-/// A failure that promises that the request has not run.
-fn not_run(code: Code, room: Duration, left: Option<Duration>, draw: f64) -> Failure {
-    let retry = match left {
-        Some(left) => comeback::after(room, left, draw),
-        None => room,
-    };
-    Failure { code, retry: Some(retry) }
-}
--- a/src/kelpwind/mesh/follow.rs
+++ b/src/kelpwind/mesh/follow.rs
@@ -1,23 +1,18 @@
-//! Follows the store: what operators order, and the table of the nodes.
+//! Follows the store: what operators order ([`super::orders`]), and the table of the nodes.
 //!
 //! Each topic is read whole once, then from where that ended on, each read waiting for the next
 //! record. What has been taken is never taken back: an older configuration is ignored, and while the
 //! store does not answer, what is known stays in force.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use tokio::time::{sleep, timeout};
 
-use super::datagram::{Datagram, News};
 use super::node::Node;
-use super::port::{Order, StoreError, Topic};
-use crate::core::ids::{NodeId, Offset};
-use crate::core::routes::Routes;
-use crate::net::datagram::DATAGRAM_MAX;
-use crate::table::{Draft, Record, Table};
+use super::port::{StoreError, Topic};
+use crate::core::ids::Offset;
+use crate::table::{Record, Table};
 
 /// Longest time that one read of the orders waits, at the few nodes that read often. A configuration
 /// must be in force 2 s after the store has acknowledged it, also where a read was missed by the store
@@ -29,8 +24,6 @@
 /// Nodes that read the orders often at any time, drawn anew for each read: enough that some of them are
 /// in touch with the store when others are not.
 const ORDERS_READERS: f64 = 6.0;
-/// Time after others were seen to have newer orders in which the own read may still bring them.
-const ORDERS_LAG: Duration = Duration::from_millis(200);
 /// Longest time that one read of the table waits; nothing there has such a bound.
 const TABLE_WAIT: Duration = Duration::from_secs(3);
 /// Time between two reads of a topic that moves: records that come close together are read with one
@@ -40,19 +33,17 @@
 /// The same for the table, at least.
 const TABLE_PACE: Duration = Duration::from_millis(1000);
 /// Time between two reads of the table for each member: the more nodes, the more records and readers.
-const TABLE_PACE_EACH: Duration = Duration::from_millis(25);
+const TABLE_PACE_EACH: Duration = Duration::from_millis(45);
 /// Least time between two reads of a topic that moves, also in a hurry.
 const PACE_MIN: Duration = Duration::from_millis(25);
 /// The same for each member: when many start at once, what they write is read in few calls.
-const PACE_MIN_EACH: Duration = Duration::from_millis(1);
+const PACE_MIN_EACH: Duration = Duration::from_millis(2);
 /// Least time between two hurried reads of those who guess that the table has moved.
 const HURRY_PACE: Duration = Duration::from_millis(400);
 /// The same for each member.
-const HURRY_PACE_EACH: Duration = Duration::from_millis(15);
+const HURRY_PACE_EACH: Duration = Duration::from_millis(20);
 /// Part of the wait that is drawn at random, so that nodes do not read in step.
 const WAIT_SPREAD: f64 = 0.2;
-/// Most bytes of records that are told in a datagram.
-const NEWS_MAX: usize = DATAGRAM_MAX - 256;
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// Longest pause after failed reads.
@@ -125,56 +116,11 @@
         }
     }
 
-    fn member_count(&self) -> u32 {
+    /// Nodes that are members.
+    pub fn member_count(&self) -> u32 {
         self.table.borrow().members.len() as u32
     }
 
-    /// Tells other nodes of records that concern them.
-    pub async fn tell_news(&self, nodes: impl IntoIterator<Item = NodeId>, news: &News) {
-        let size: usize = news.draft.records.iter().map(size).sum();
-        let draft = if size <= NEWS_MAX { news.draft.clone() } else { Draft::default() };
-        let datagram = Datagram::News(News { next: news.next, draft });
-        for node in nodes {
-            let addr = self.table.borrow().members.get(&node).map(|m| m.addr);
-            if let Some(addr) = addr {
-                self.send_datagram(addr, &datagram).await;
-            }
-        }
-    }
-
-    /// Takes records that were appended just where this node has read to. Returns false when the table
-    /// has more that this node does not know yet.
-    pub fn take_news(&self, news: &News) -> bool {
-        let known = self.table.borrow().next;
-        let records = news.draft.records_before(news.next);
-        let follows = records.first().is_some_and(|r| r.offset == known);
-        if follows && self.read.borrow().is_some() {
-            self.take_table(&records, false, news.next);
-        }
-        self.table.borrow().next >= news.next
-    }
-
-    /// Tells all nodes that operators have published something.
-    async fn tell_orders(&self, next: Offset) {
-        let me = self.name();
-        let others: Vec<SocketAddr> = {
-            let table = self.table.borrow();
-            let others = table.members.values().filter(|m| m.holder.node != me);
-            others.map(|m| m.addr).collect()
-        };
-        for addr in others {
-            self.send_datagram(addr, &Datagram::Orders { next }).await;
-        }
-    }
-
-    /// Returns when others have had newer orders than those before `from` for a while.
-    async fn orders_missed(&self, from: Offset) {
-        let mut told = self.orders_told.subscribe();
-        // An error would mean that the sender is gone, which is part of this node.
-        drop(told.wait_for(|told| *told > from).await);
-        sleep(ORDERS_LAG).await;
-    }
-
     async fn pause(&self, topic: Topic) {
         match topic {
             Topic::Orders => sleep(ORDERS_PACE).await,
@@ -192,12 +138,6 @@
     longest.mul_f64(1.0 - WAIT_SPREAD * fastrand::f64())
 }
 
-/// About as large as a record is in a datagram, in bytes.
-fn size((key, value): &(String, Option<Bytes>)) -> usize {
-    const FRAMING: usize = 8;
-    key.len() + value.as_ref().map_or(0, Bytes::len) + FRAMING
-}
-
 impl Node {
     /// Takes records of a topic; `whole` when they are all there is.
     fn take(self: &Rc<Self>, topic: Topic, records: &[Record], whole: bool, next: Offset) {
@@ -212,7 +152,7 @@
         }
     }
 
-    fn take_table(&self, records: &[Record], whole: bool, next: Offset) {
+    pub fn take_table(&self, records: &[Record], whole: bool, next: Offset) {
         {
             let mut table = self.table.borrow_mut();
             if whole {
@@ -231,56 +171,4 @@
         self.announce.notify_one();
         self.keep.notify_one();
     }
-
-    /// Takes back failure domains that a whole reading of the orders does not name.
-    fn forget_missing(self: &Rc<Self>, records: &[Record]) {
-        let named: Vec<_> = records
-            .iter()
-            .filter_map(|r| match (self.platform.order)(r) {
-                Ok(Order::TakenOut(domain, true)) => Some(domain),
-                _ => None,
-            })
-            .collect();
-        let gone: Vec<_> =
-            self.out.borrow().keys().filter(|d| !named.contains(d)).cloned().collect();
-        for domain in gone {
-            self.set_out(domain, false);
-        }
-    }
-
-    fn order(self: &Rc<Self>, record: &Record) {
-        match (self.platform.order)(record) {
-            Ok(Order::Routes(routes)) => self.configure(*routes),
-            Ok(Order::TakenOut(domain, out)) => self.set_out(domain, out),
-            Ok(Order::Other) => {}
-            Err(why) => {
-                spdlog::error!("an order could not be read", kv: { key = record.key.as_str(), offset = record.offset.0, why = why.as_str() });
-            }
-        }
-    }
-
-    fn configure(&self, routes: Routes) {
-        let before = self.routes().map(|r| r.version);
-        if before.is_some_and(|before| routes.version <= before) {
-            return;
-        }
-        let (version, count) = (routes.version.0, routes.all().count());
-        spdlog::info!("a configuration is in force", kv: { version, routes = count });
-        self.routes.replace(Some(Rc::new(routes)));
-        let rate = self.cold_rate();
-        self.line.borrow_mut().cold.set_rate(rate);
-        self.keep.notify_one();
-    }
-
-    fn set_out(self: &Rc<Self>, domain: crate::core::ids::DomainName, out: bool) {
-        let name = domain.to_string();
-        spdlog::info!("a failure domain changes", kv: { domain = name.as_str(), out });
-        let own = self.place.borrow().domain == domain;
-        if out {
-            self.out.borrow_mut().entry(domain).or_insert_with(Instant::now);
-        } else if self.out.borrow_mut().remove(&domain).is_some() && own {
-            self.expect_cold();
-        }
-        self.keep.notify_one();
-    }
 }
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -117,7 +117,9 @@
         self.check_server(&work.server)?;
         let key = work.request.key.filter(|_| self.is_keyed());
         if let Some(key) = key {
-            self.demand.borrow_mut().note(key, now);
+            if self.held.borrow().is_owned(key) {
+                self.demand.borrow_mut().note(key, now);
+            }
             self.wait_for_key(key, aim, work.read).await?;
         }
         let ask = Ask { sort: work.sort.clone(), rank: work.rank, aim, limit };
--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -17,9 +17,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use super::entry::Failure;
 use super::node::Node;
 use super::port::{Answer, Asked};
+use super::way::Failure;
 use crate::core::codes::{Code, Outcome};
 use crate::core::routes::Limits;
 
--- a/src/kelpwind/mesh/lease.rs
+++ b/src/kelpwind/mesh/lease.rs
@@ -1,15 +1,13 @@
-//! The lease of a node whose server holds keys: renewals, witnesses and takeovers.
+//! The lease of a node whose server holds keys: renewals and witnesses.
 //!
-//! The rules stand in [`crate::lease`]; this file carries their messages and writes their records.
+//! The rules stand in [`crate::lease`]; this file carries their messages. [`super::revoke`] takes over
+//! from a holder that has fallen silent.
 //! Only nodes that own keys renew, so a node whose service is not divided is a witness at most.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::sleep;
-
 use super::datagram::Datagram;
 use super::node::Node;
 use crate::core::ids::{Count, Holder, Offset, RecordId};
@@ -18,17 +16,11 @@
 use crate::lease::holder::Lease;
 use crate::lease::message::{Message, Tag};
 use crate::lease::set::{self, Need};
-use crate::lease::takeover::Takeover;
 use crate::lease::witness::Role;
-use crate::lease::{RANK_STEP, RENEW, SILENCE, majority};
-use crate::net::datagram::{self, DATAGRAM_MAX};
-use crate::place::spread;
-use crate::table::member::{Member, Watched};
-use crate::table::{Draft, Table};
+use crate::lease::{RENEW, majority};
+use crate::table::member::Member;
 use crate::util::timer::every;
 
-/// Time between two looks at the holders that this node witnesses.
-const WATCH_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two looks at the witness set.
 const CARE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after the first start of an installation in which nodes only gather: a witness set chosen
@@ -53,43 +45,6 @@
     }
 }
 
-/// Receives datagrams for as long as the process runs.
-pub(crate) async fn receive(node: Rc<Node>) {
-    let mut buffer = [0; DATAGRAM_MAX];
-    loop {
-        let (size, from) = match node.udp.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(e) => {
-                spdlog::warn!("failed to receive a datagram: {e}");
-                sleep(WATCH_INTERVAL).await;
-                continue;
-            }
-        };
-        match datagram::decode(&buffer[..size]) {
-            Ok(datagram) => {
-                if let Some(answer) = node.take_datagram(datagram) {
-                    node.send_datagram(from, &answer).await;
-                }
-            }
-            Err(e) => spdlog::warn!("a datagram could not be read: {e}"),
-        }
-    }
-}
-
-/// Looks for silent holders for as long as the process runs.
-pub(crate) async fn watch(node: Rc<Node>) {
-    let mut timer = every(WATCH_INTERVAL);
-    loop {
-        timer.tick().await;
-        if node.witness.borrow().watched().next().is_none() {
-            continue;
-        }
-        node.look_for_silence();
-        node.ask_for_promises().await;
-        finish_takeovers(&node);
-    }
-}
-
 /// Looks after the witness set for as long as the process runs.
 pub(crate) async fn care(node: Rc<Node>) {
     let mut timer = every(CARE_INTERVAL);
@@ -169,7 +124,7 @@
         true
     }
 
-    async fn send_to(&self, peer: &Peer, message: Message) {
+    pub async fn send_to(&self, peer: &Peer, message: Message) {
         if peer.holder.node == self.holder.borrow().node {
             if let Some(answer) = self.answer(message) {
                 self.answer(answer);
@@ -179,37 +134,8 @@
         self.send_datagram(peer.addr, &Datagram::Lease(message)).await;
     }
 
-    /// Sends a datagram; one that is lost is made up for by the next round.
-    pub async fn send_datagram(&self, addr: SocketAddr, datagram: &Datagram) {
-        if let Err(e) = self.udp.send_to(&datagram::encode(datagram), addr).await {
-            spdlog::debug!("a datagram was not sent: {e}");
-        }
-    }
-
-    /// Takes a datagram, and returns the answer to whoever sent it.
-    fn take_datagram(&self, datagram: Datagram) -> Option<Datagram> {
-        match datagram {
-            Datagram::Lease(message) => self.answer(message).map(Datagram::Lease),
-            Datagram::News(news) => {
-                if !self.take_news(&news) {
-                    self.hurry();
-                }
-                None
-            }
-            Datagram::Orders { next } => {
-                self.orders_told.send_modify(|told| *told = next.max(*told));
-                None
-            }
-            Datagram::HowBusy { question, work } => self.tell_busy(question, work),
-            Datagram::Busy { question, server, work, slots } => {
-                self.told_busy(question, &server, work, slots);
-                None
-            }
-        }
-    }
-
     /// Takes one message, and returns the answer to whoever sent it.
-    fn answer(&self, message: Message) -> Option<Message> {
+    pub fn answer(&self, message: Message) -> Option<Message> {
         let now = clock::now();
         let mine = Tag::from(self.holder.borrow().inc);
         match message {
@@ -264,80 +190,6 @@
         let same_place = peer.addr == self.place.borrow().listen.peers;
         (peer.holder.node == me.node && same_place).then_some(Role::Successor)
     }
-
-    fn look_for_silence(&self) {
-        let now = clock::now();
-        let me = self.me();
-        let watched = self.table.borrow().watched(&me.node);
-        let witness = self.witness.borrow();
-        let mut takeovers = self.takeovers.borrow_mut();
-        takeovers.retain(|tag, t| {
-            let same = watched.get(tag).is_some_and(|w| w.version == t.version);
-            same && witness.silence(*tag, now).is_some_and(|s| s >= SILENCE)
-        });
-        for (tag, watched) in &watched {
-            if watched.holder == me || takeovers.contains_key(tag) {
-                continue;
-            }
-            let patience = SILENCE + RANK_STEP * watched.rank;
-            if witness.silence(*tag, now).is_some_and(|s| s >= patience) {
-                let holder = watched.holder.to_string();
-                spdlog::warn!("a holder of keys is silent", kv: { holder = holder.as_str(), version = watched.version.0 });
-                self.metrics.takeovers.inc();
-                takeovers.insert(*tag, start(watched));
-            }
-        }
-    }
-
-    async fn ask_for_promises(&self) {
-        let now = clock::now();
-        let mine = Tag::from(self.holder.borrow().inc);
-        let mut questions = Vec::new();
-        for takeover in self.takeovers.borrow_mut().values_mut() {
-            questions.extend(takeover.questions(mine, now));
-        }
-        for (peer, message) in questions {
-            self.send_to(&peer, message).await;
-        }
-    }
-
-    /// Writes the records of a takeover: the lost holder's keys go to those that bear most, and its own
-    /// record goes.
-    async fn revoke(&self, takeover: Takeover) {
-        let lost = takeover.target.clone();
-        let name = lost.to_string();
-        let written = self.commit("takeover", |node, table| {
-            let member = table.member(&lost)?;
-            if member.version != takeover.version {
-                return None;
-            }
-            node.inherited(table, &lost)
-        });
-        if let Some(news) = written.await {
-            self.tell_owners(&news).await;
-            spdlog::warn!("a lost holder's keys were taken over", kv: { holder = name.as_str() });
-        }
-    }
-
-    /// The records without a lost holder.
-    fn inherited(&self, table: &Table, lost: &Holder) -> Option<Draft> {
-        let (service, keys) = table.keys.iter().find(|(_, k)| k.owned_by(lost).next().is_some())?;
-        let mut keys = keys.clone();
-        let spans: Vec<_> = keys.owned_by(lost).map(|r| r.span).collect();
-        let heirs = self.heirs(table, service, Some(lost));
-        for (span, to) in spread::spread(&spans, &heirs, spread::width) {
-            keys.give(span, Some(lost), Some(to), None);
-        }
-        let left: Vec<_> = keys.owned_by(lost).map(|r| r.span).collect();
-        for span in left {
-            keys.give(span, Some(lost), None, None);
-        }
-        Some(Draft::keys(table, service, &keys).and(Draft::gone(&lost.node)))
-    }
-}
-
-fn start(watched: &Watched) -> Takeover {
-    Takeover::new(watched.holder.clone(), watched.version, watched.set.clone())
 }
 
 /// A member as the choice of witnesses sees it.
@@ -355,17 +207,3 @@
         witnesses: member.witnesses.clone(),
     }
 }
-
-fn finish_takeovers(node: &Rc<Node>) {
-    let now = clock::now();
-    let mut ready = Vec::new();
-    for takeover in node.takeovers.borrow_mut().values_mut() {
-        if takeover.ready(now) && takeover.may_write(now) {
-            ready.push(takeover.clone());
-        }
-    }
-    for takeover in ready {
-        let node = node.clone();
-        tokio::task::spawn_local(async move { node.revoke(takeover).await });
-    }
-}
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -8,9 +8,9 @@
     TextEncoder,
 };
 
-use super::entry::Failure;
 use super::node::Node;
 use super::port::Answer;
+use super::way::Failure;
 use crate::core::codes::Code;
 use crate::core::ids::ServiceName;
 use crate::lease::clock;
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -5,9 +5,9 @@
 //! the request over a [`link`] to the [`gate`] beside that target, which alone reaches the server.
 //!
 //! * [`port`]: what a node needs of its platform, as plain structs of functions.
-//! * [`follow`]: the configuration and the table, from the store; [`commit`] writes to the table.
+//! * [`follow`]: the store; [`orders`] are in force, [`news`] spare reads, [`commit`] writes to the table.
 //! * [`reports`]: the backend server's reports, and the node's own record.
-//! * [`lease`], [`keeper`], [`plan`], [`balance`]: who owns which keys, and until when.
+//! * [`lease`], [`revoke`], [`keeper`], [`plan`], [`balance`]: who owns which keys, and until when.
 //! * [`start`]: starting, reloading and stopping.
 
 pub(crate) mod balance;
@@ -20,15 +20,20 @@
 pub(crate) mod gate;
 pub(crate) mod held;
 pub(crate) mod http;
+pub(crate) mod inbox;
 pub(crate) mod keeper;
 pub(crate) mod lease;
 pub(crate) mod link;
 pub(crate) mod metrics;
 pub(crate) mod moves;
+pub(crate) mod news;
 pub(crate) mod node;
+pub(crate) mod orders;
 pub(crate) mod outbox;
 pub(crate) mod plan;
 pub mod port;
 pub(crate) mod reports;
+pub(crate) mod revoke;
 pub(crate) mod serve;
 pub(crate) mod start;
+pub(crate) mod way;
--- /dev/null
+++ b/src/kelpwind/mesh/orders.rs
@@ -0,0 +1,64 @@
+//! What operators order, in force on this node.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use super::node::Node;
+use super::port::Order;
+use crate::core::ids::DomainName;
+use crate::core::routes::Routes;
+use crate::table::Record;
+
+impl Node {
+    /// Takes back failure domains that a whole reading of the orders does not name.
+    pub fn forget_missing(self: &Rc<Self>, records: &[Record]) {
+        let named: Vec<_> = records
+            .iter()
+            .filter_map(|r| match (self.platform.order)(r) {
+                Ok(Order::TakenOut(domain, true)) => Some(domain),
+                _ => None,
+            })
+            .collect();
+        let gone: Vec<_> =
+            self.out.borrow().keys().filter(|d| !named.contains(d)).cloned().collect();
+        for domain in gone {
+            self.set_out(domain, false);
+        }
+    }
+
+    pub fn order(self: &Rc<Self>, record: &Record) {
+        match (self.platform.order)(record) {
+            Ok(Order::Routes(routes)) => self.configure(*routes),
+            Ok(Order::TakenOut(domain, out)) => self.set_out(domain, out),
+            Ok(Order::Other) => {}
+            Err(why) => {
+                spdlog::error!("an order could not be read", kv: { key = record.key.as_str(), offset = record.offset.0, why = why.as_str() });
+            }
+        }
+    }
+
+    fn configure(&self, routes: Routes) {
+        let before = self.routes().map(|r| r.version);
+        if before.is_some_and(|before| routes.version <= before) {
+            return;
+        }
+        let (version, count) = (routes.version.0, routes.all().count());
+        spdlog::info!("a configuration is in force", kv: { version, routes = count });
+        self.routes.replace(Some(Rc::new(routes)));
+        let rate = self.cold_rate();
+        self.line.borrow_mut().cold.set_rate(rate);
+        self.keep.notify_one();
+    }
+
+    fn set_out(self: &Rc<Self>, domain: DomainName, out: bool) {
+        let name = domain.to_string();
+        spdlog::info!("a failure domain changes", kv: { domain = name.as_str(), out });
+        let own = self.place.borrow().domain == domain;
+        if out {
+            self.out.borrow_mut().entry(domain).or_insert_with(Instant::now);
+        } else if self.out.borrow_mut().remove(&domain).is_some() && own {
+            self.expect_cold();
+        }
+        self.keep.notify_one();
+    }
+}
--- /dev/null
+++ b/src/kelpwind/mesh/revoke.rs
@@ -0,0 +1,125 @@
+//! Takeovers: the keys of a holder that has fallen silent go to others.
+//!
+//! The rules stand in [`crate::lease::takeover`]; this file carries their questions and writes their
+//! records.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::node::Node;
+use crate::core::ids::Holder;
+use crate::lease::clock;
+use crate::lease::message::Tag;
+use crate::lease::takeover::Takeover;
+use crate::lease::{RANK_STEP, SILENCE};
+use crate::place::spread;
+use crate::table::member::Watched;
+use crate::table::{Draft, Table};
+use crate::util::timer::every;
+
+/// Time between two looks at the holders that this node witnesses.
+const WATCH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Looks for silent holders for as long as the process runs.
+pub(crate) async fn watch(node: Rc<Node>) {
+    let mut timer = every(WATCH_INTERVAL);
+    loop {
+        timer.tick().await;
+        if node.witness.borrow().watched().next().is_none() {
+            continue;
+        }
+        node.look_for_silence();
+        node.ask_for_promises().await;
+        finish_takeovers(&node);
+    }
+}
+
+impl Node {
+    fn look_for_silence(&self) {
+        let now = clock::now();
+        let me = self.me();
+        let watched = self.table.borrow().watched(&me.node);
+        let witness = self.witness.borrow();
+        let mut takeovers = self.takeovers.borrow_mut();
+        takeovers.retain(|tag, t| {
+            let same = watched.get(tag).is_some_and(|w| w.version == t.version);
+            same && witness.silence(*tag, now).is_some_and(|s| s >= SILENCE)
+        });
+        for (tag, watched) in &watched {
+            if watched.holder == me || takeovers.contains_key(tag) {
+                continue;
+            }
+            let patience = SILENCE + RANK_STEP * watched.rank;
+            if witness.silence(*tag, now).is_some_and(|s| s >= patience) {
+                let holder = watched.holder.to_string();
+                spdlog::warn!("a holder of keys is silent", kv: { holder = holder.as_str(), version = watched.version.0 });
+                self.metrics.takeovers.inc();
+                takeovers.insert(*tag, start(watched));
+            }
+        }
+    }
+
+    async fn ask_for_promises(&self) {
+        let now = clock::now();
+        let mine = Tag::from(self.holder.borrow().inc);
+        let mut questions = Vec::new();
+        for takeover in self.takeovers.borrow_mut().values_mut() {
+            questions.extend(takeover.questions(mine, now));
+        }
+        for (peer, message) in questions {
+            self.send_to(&peer, message).await;
+        }
+    }
+
+    /// Writes the records of a takeover: the lost holder's keys go to those that bear most, and its own
+    /// record goes.
+    async fn revoke(&self, takeover: Takeover) {
+        let lost = takeover.target.clone();
+        let name = lost.to_string();
+        let written = self.commit("takeover", |node, table| {
+            let member = table.member(&lost)?;
+            if member.version != takeover.version {
+                return None;
+            }
+            node.inherited(table, &lost)
+        });
+        if let Some(news) = written.await {
+            self.tell_owners(&news).await;
+            spdlog::warn!("a lost holder's keys were taken over", kv: { holder = name.as_str() });
+        }
+    }
+
+    /// The records without a lost holder.
+    fn inherited(&self, table: &Table, lost: &Holder) -> Option<Draft> {
+        let (service, keys) = table.keys.iter().find(|(_, k)| k.owned_by(lost).next().is_some())?;
+        let mut keys = keys.clone();
+        let spans: Vec<_> = keys.owned_by(lost).map(|r| r.span).collect();
+        let heirs = self.heirs(table, service, Some(lost));
+        for (span, to) in spread::spread(&spans, &heirs, spread::width) {
+            keys.give(span, Some(lost), Some(to), None);
+        }
+        let left: Vec<_> = keys.owned_by(lost).map(|r| r.span).collect();
+        for span in left {
+            keys.give(span, Some(lost), None, None);
+        }
+        Some(Draft::keys(table, service, &keys).and(Draft::gone(&lost.node)))
+    }
+}
+
+fn start(watched: &Watched) -> Takeover {
+    Takeover::new(watched.holder.clone(), watched.version, watched.set.clone())
+}
+
+fn finish_takeovers(node: &Rc<Node>) {
+    let now = clock::now();
+    let mut ready = Vec::new();
+    for takeover in node.takeovers.borrow_mut().values_mut() {
+        if takeover.ready(now) && takeover.may_write(now) {
+            ready.push(takeover.clone());
+        }
+    }
+    for takeover in ready {
+        let node = node.clone();
+        tokio::task::spawn_local(async move { node.revoke(takeover).await });
+    }
+}
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -14,7 +14,9 @@
 use super::metrics::Metrics;
 use super::node::Node;
 use super::port::{Place, Platform, Topic};
-use super::{balance, follow, gate, held, http, keeper, lease, plan, reports, serve};
+use super::{
+    balance, follow, gate, held, http, inbox, keeper, lease, plan, reports, revoke, serve,
+};
 use crate::core::codes::Code;
 use crate::core::ids::{Holder, Incarnation, Offset};
 use crate::gate::line::Line;
@@ -136,8 +138,8 @@
     spawn(Box::pin(plan::plan(node.clone())));
     spawn(Box::pin(balance::balance(node.clone())));
     spawn(Box::pin(lease::renew(node.clone())));
-    spawn(Box::pin(lease::receive(node.clone())));
-    spawn(Box::pin(lease::watch(node.clone())));
+    spawn(Box::pin(inbox::receive(node.clone())));
+    spawn(Box::pin(revoke::watch(node.clone())));
     spawn(Box::pin(lease::care(node.clone())));
     spawn(Box::pin(reload(node.clone(), hangup)));
 }
--- a/src/kelpwind/place/relief.rs
+++ b/src/kelpwind/place/relief.rs
@@ -20,11 +20,19 @@
 pub const BUSY: f64 = 0.9;
 /// How busy another may be made at most: it must not become the next that looks for relief.
 const FULL: f64 = 0.8;
+/// How much busier than all on average another may be made: load is cut at keys, so it never fits.
+const UNEVEN: f64 = 0.1;
 /// How much less busy than this owner another must be to be given keys: what is less is noise.
 const DIFFERENCE_MIN: f64 = 0.25;
 /// Least part of the capacity that is worth a move.
 const SHED_MIN: f64 = 0.1;
 
+/// Part of its capacity that an owner usually has room for: by it the number of those that are asked
+/// follows from what there is to give away.
+const ROOM_EACH: f64 = 0.2;
+/// Fewest and most owners that are asked at once: some have no room, and messages must stay few.
+const ASKED: std::ops::RangeInclusive<usize> = 12..=48;
+
 /// Most keys without requests that a span takes along on either side.
 const MARGIN: u16 = 64;
 
@@ -44,6 +52,12 @@
         self.requests.push_back((now, key));
     }
 
+    /// Keys are given away, and their requests with them: what is left counts at once, and need not be
+    /// counted anew.
+    pub fn give_away(&mut self, span: Span) {
+        self.requests.retain(|(_, key)| !span.contains(*key));
+    }
+
     /// Requests a second.
     pub fn rate(&mut self, now: Instant) -> f64 {
         self.forget(now);
@@ -83,24 +97,33 @@
     }
 }
 
+/// How many other owners are asked for room: enough to take all that is too much.
+pub fn ask_count(me: &Busy) -> usize {
+    let count = ((me.part() - FULL) / ROOM_EACH).ceil().max(0.0) as usize;
+    count.clamp(*ASKED.start(), *ASKED.end())
+}
+
 /// Spans that `me` should give away, and to whom. `spans` are its keys; `others` are those that
 /// answered when they were asked.
 pub fn relieve(me: &Busy, demand: &Demand, spans: &[Span], others: &[Busy]) -> Vec<(Span, Owner)> {
     let lighter = others.iter().filter(|o| o.part() + DIFFERENCE_MIN < me.part());
     let mut lighter: Vec<&Busy> = lighter.collect();
     lighter.sort_by(|a, b| a.part().total_cmp(&b.part()));
-    let level = common_level(me, &lighter).min(FULL);
+    let common = common_level(me, &lighter);
+    let level = (common + UNEVEN).min(FULL);
+    let mut rest = me.work - common * me.slots;
     let mut keys = demand.keys();
     let each = me.work / keys.len().max(1) as f64;
     let mut moves = Vec::new();
     let mut spans = spans.to_vec();
     for other in lighter {
-        let room = (level - other.part()) * other.slots;
+        let room = ((level - other.part()) * other.slots).min(rest);
         if room < SHED_MIN * other.slots {
             break;
         }
         let count = (room / each.max(f64::MIN_POSITIVE)) as usize;
         let Some((span, range)) = densest(&keys, &spans, count) else { break };
+        rest -= range.len() as f64 * each;
         keys.drain(range);
         spans = spans.into_iter().flat_map(|s| s.without(span)).collect();
         moves.push((span, other.owner.clone()));
--- a/tests/testsuite/placing.rs
+++ b/tests/testsuite/placing.rs
@@ -166,6 +166,41 @@
     assert!(moves[0].0.meet(moves[1].0).is_none());
 }
 
+/// 38 owners of six slots, half busy; two fifths of all requests turn to 200 neighbouring keys of one of
+/// them, who has eight times the work it can do then.
+#[test]
+fn a_spike_on_one_owner_is_spread_in_three_rounds() {
+    const OWNERS: usize = 38;
+    const SLOTS: f64 = 6.0;
+    let now = Instant::now();
+    let mut random = fastrand::Rng::with_seed(9);
+    let mut demand = Demand::default();
+    for i in 0..600 {
+        let key = if i % 20 > 0 { 5000 + random.u16(..200) } else { 4000 + random.u16(..1700) };
+        demand.note(key, now);
+    }
+    let each = 48.0 / 600.0;
+    let named = |n: usize, work: f64| Busy { owner: owner(&format!("n{n}")), work, slots: SLOTS };
+    let mut others: Vec<Busy> = (1..OWNERS).map(|n| named(n, SLOTS / 2.0)).collect();
+    let mut spans = vec![Span { first: 4000, last: 5700 }];
+    let mut work = 48.0;
+    for _ in 0..3 {
+        let me = named(0, work);
+        random.shuffle(&mut others);
+        let asked: Vec<Busy> = others.iter().take(relief::ask_count(&me)).cloned().collect();
+        for (span, to) in relief::relieve(&me, &demand, &spans, &asked) {
+            let before = demand.rate(now);
+            demand.give_away(span);
+            let moved = (before - demand.rate(now)) * 1.5 * each;
+            work -= moved;
+            others.iter_mut().find(|o| o.owner == to).unwrap().work += moved;
+            spans = spans.into_iter().flat_map(|s| s.without(span)).collect();
+        }
+    }
+    assert!(work / SLOTS < relief::BUSY, "{} of its capacity is still asked of it", work / SLOTS);
+    assert!(others.iter().all(|o| o.part() < relief::BUSY), "no other is overloaded by it");
+}
+
 #[test]
 fn a_single_hot_key_is_not_thrown_from_one_owner_to_the_next() {
     let now = Instant::now();
