Restarted nodes serve at once; keys of lost former runs are divided; some read the orders often, surely

A node that was to stop lost power, started again without a backend server and was removed 1.5 s later. Its keys belonged to its former incarnation, which no witness watches and which is no orphan as the node was a member: 800 requests in 10 s refused, and for ever. Such keys are divided after 4.5 s now. 2. After a loss of power 1,870 requests were refused (211) because entries named the former life of the server for up to a read of the table (4 s). Entries name the service now; the gate knows its server. 3. A node that starts again knew its server only by its next report, up to 1.5 s. It asks by name now. Any new run raises the tokens of its keys. 4. Roles of readers of the orders were drawn for each read, so those who read often were crowded out: after a silent outage of 8 s a configuration came 2.8 s after its acknowledgement. table/pace.rs has the paces, roles are kept for 15 s, and up to 24 nodes all read often as before. Tests: a node whose server falls silent serves after its restart (failed before: nobody could); paces at 14 to 2,700 nodes.

--- a/src/kelpwind/mesh/choice.rs
+++ b/src/kelpwind/mesh/choice.rs
@@ -2,6 +2,7 @@
 //! [`crate::route::choose`].
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::frame::OwnerHint;
@@ -60,19 +61,18 @@
     }
 }
 
-/// A gate that was chosen, and the name of the server behind it.
+/// A gate that was chosen.
 #[derive(Clone, Debug)]
 pub(crate) struct Chosen {
-    /// The gate's member record.
-    pub member: Member,
-    /// Name of the backend server.
-    pub server: String,
+    /// Its node.
+    pub node: NodeId,
+    /// Its address.
+    pub addr: SocketAddr,
 }
 
 impl Chosen {
-    fn of(member: &Member) -> Option<Chosen> {
-        let server = member.server.as_ref()?.life.id.clone();
-        Some(Chosen { member: member.clone(), server })
+    fn of(member: &Member) -> Chosen {
+        Chosen { node: member.holder.node.clone(), addr: member.addr }
     }
 }
 
@@ -95,7 +95,7 @@
             .map(|m| self.view(m, &route.name, usual, m.domain == place.domain))
             .collect();
         let chosen = choose::choose(&views, usual, |_| fastrand::u32(..))?;
-        Chosen::of(members[chosen])
+        Some(Chosen::of(members[chosen]))
     }
 
     /// Whether a gate has said itself that it is about to stop.
@@ -129,16 +129,14 @@
 
     /// The gate that another gate has named as a key's owner; `None` while it is not a known member.
     pub fn hinted(&self, hint: &OwnerHint) -> Option<Chosen> {
-        let member = self.table.borrow().members.get(&hint.node)?.clone();
-        Some(Chosen { member, server: hint.server.clone() })
+        self.table.borrow().members.get(&hint.node).map(Chosen::of)
     }
 
     /// The gate of a key's owner; `None` while nobody owns it.
     pub fn owner(&self, service: &ServiceName, key: u16) -> Option<Chosen> {
         let table = self.table.borrow();
         let owner = table.keys.get(service)?.find(key)?.owner.as_ref()?;
-        let member = table.members.get(&owner.holder.node)?;
-        Some(Chosen { member: member.clone(), server: owner.life.id.clone() })
+        table.members.get(&owner.holder.node).map(Chosen::of)
     }
 
     /// Notes what a gate said with an answer.
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -156,13 +156,13 @@
                 Ok(chosen) => chosen,
                 Err(failure) => return way.give_up(failure),
             };
-            way.tried.push(chosen.member.holder.node.clone());
+            way.tried.push(chosen.node.clone());
             way.sending = true;
             let outcome = self.send(&chosen, way).await;
             way.sending = false;
             spdlog::debug!("entry: tried", kv: {
-                request = way.request.id.as_str(), gate = chosen.member.holder.node.as_str(),
-                server = chosen.server.as_str(), key = way.key_text(), outcome = outcome.name(),
+                request = way.request.id.as_str(), gate = chosen.node.as_str(),
+                key = way.key_text(), outcome = outcome.name(),
                 left_ms = way.left().as_millis() as u64, table = self.table.borrow().next.0
             });
             if let Some(result) = way.settle(outcome, owner_until) {
@@ -198,15 +198,15 @@
     }
 
     async fn send(self: &Rc<Self>, chosen: &Chosen, way: &Way) -> Outcome {
-        let work = way.work(chosen, self.table.borrow().next);
-        let gate = &chosen.member.holder.node;
+        let work = way.work(self.table.borrow().next);
+        let gate = &chosen.node;
         let (outcome, service_ms) = if *gate == self.holder.borrow().node {
             let _own = Busy::on(self);
             let sent = std::cell::Cell::new(false);
             let (outcome, report) = self.run(work, &sent).await;
             (outcome, report.service_ms)
         } else {
-            let link = self.link(&chosen.member);
+            let link = self.link(&chosen.node, chosen.addr);
             let outcome = link.send(work).await;
             (outcome, link.report.get().0.service_ms)
         };
--- a/src/kelpwind/mesh/follow.rs
+++ b/src/kelpwind/mesh/follow.rs
@@ -12,49 +12,31 @@
 use super::node::Node;
 use super::port::{StoreError, Topic};
 use crate::core::ids::Offset;
+use crate::table::pace::{self, Reader};
 use crate::table::{Record, Table};
 
-/// Longest time that one read of the orders waits, at the few nodes that read often. A configuration
-/// must be in force 2 s after the store has acknowledged it, also where a read was missed by the store
-/// or its connection is silent.
-const ORDERS_WAIT: Duration = Duration::from_millis(1500);
-/// The same at all other nodes: the store answers them as soon, and if it does not, those who read often
-/// tell them what they have missed.
-const ORDERS_WAIT_LONG: Duration = Duration::from_secs(8);
-/// Nodes that read the orders often at any time, drawn anew for each read: enough that some of them are
-/// in touch with the store when others are not.
-const ORDERS_READERS: f64 = 6.0;
 /// Longest time that one read of the table waits; nothing there has such a bound.
 const TABLE_WAIT: Duration = Duration::from_secs(3);
-/// Time between two reads of a topic that moves: records that come close together are read with one
-/// call, since each call of each node is paid for. Orders have 2 s to be in force; who must know of a
-/// change of the table sooner is told by whoever made it ([`Node::hurry`]).
+/// Time between two reads of orders that move: records that come close together are read with one call,
+/// and there are 2 s to be in force.
 const ORDERS_PACE: Duration = Duration::from_millis(300);
-/// The same for the table, at least.
-const TABLE_PACE: Duration = Duration::from_millis(1000);
-/// Time between two reads of the table for each member: the more nodes, the more records and readers.
-const TABLE_PACE_EACH: Duration = Duration::from_millis(45);
-/// Least time between two reads of a topic that moves, also in a hurry.
-const PACE_MIN: Duration = Duration::from_millis(25);
-/// The same for each member: when many start at once, what they write is read in few calls.
-const PACE_MIN_EACH: Duration = Duration::from_millis(2);
-/// Least time between two hurried reads of those who guess that the table has moved.
-const HURRY_PACE: Duration = Duration::from_millis(400);
-/// The same for each member.
-const HURRY_PACE_EACH: Duration = Duration::from_millis(20);
 /// Part of the wait that is drawn at random, so that nodes do not read in step.
 const WAIT_SPREAD: f64 = 0.2;
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
-/// Longest pause after failed reads.
-const RETRY_PAUSE_MAX: Duration = Duration::from_millis(600);
+/// Longest pause after failed reads: nodes must read again well within 3 s of an outage's end.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
 
 /// Follows one topic for as long as the process runs.
 pub(crate) async fn follow(node: Rc<Node>, topic: Topic) {
     let mut next: Option<Offset> = None;
     let mut failures = 0_u32;
+    let mut role = (Reader::Often, Instant::now());
     loop {
-        let often = fastrand::f64() * f64::from(node.member_count()) < ORDERS_READERS;
+        if role.1.elapsed() >= Reader::term() || next.is_none() {
+            role = (Reader::drawn(node.member_count(), fastrand::f64()), Instant::now());
+        }
+        let reader = role.0;
         let read = match (next, topic) {
             (None, _) => (node.platform.store.newest)(topic).await,
             (Some(_), Topic::Table) => {
@@ -62,9 +44,8 @@
                 (node.platform.store.read)(topic, from, spread(TABLE_WAIT)).await
             }
             (Some(from), Topic::Orders) => {
-                let wait = spread(if often { ORDERS_WAIT } else { ORDERS_WAIT_LONG });
                 tokio::select! {
-                    read = (node.platform.store.read)(topic, from, wait) => read,
+                    read = (node.platform.store.read)(topic, from, spread(reader.wait())) => read,
                     () = node.orders_missed(from) => continue,
                 }
             }
@@ -76,7 +57,7 @@
                 }
                 failures = 0;
                 node.take(topic, &batch.records, next.is_none(), batch.next);
-                if topic == Topic::Orders && often && !batch.records.is_empty() {
+                if topic == Topic::Orders && reader == Reader::Often && !batch.records.is_empty() {
                     node.tell_orders(batch.next).await;
                 }
                 next = Some(batch.next);
@@ -109,7 +90,7 @@
 
     /// The same for those who guess that the table has moved: not again within the pace.
     pub fn hurry_once(&self) {
-        let pace = HURRY_PACE.max(HURRY_PACE_EACH * self.member_count());
+        let pace = pace::guess(self.member_count());
         if self.hurried.get().is_none_or(|at| at.elapsed() >= pace) {
             self.hurried.set(Some(Instant::now()));
             self.hurry();
@@ -125,9 +106,9 @@
         match topic {
             Topic::Orders => sleep(ORDERS_PACE).await,
             Topic::Table => {
-                sleep(PACE_MIN.max(PACE_MIN_EACH * self.member_count())).await;
+                sleep(pace::gather(self.member_count())).await;
                 // A timeout is the usual case.
-                let pace = TABLE_PACE.max(TABLE_PACE_EACH * self.member_count());
+                let pace = pace::table(self.member_count());
                 let _ = timeout(pace, self.hurry.notified()).await;
             }
         }
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -11,7 +11,7 @@
 
 use super::port::{Answer, Request};
 use crate::core::codes::Code;
-use crate::core::ids::{NodeId, Offset};
+use crate::core::ids::{NodeId, Offset, ServiceName};
 
 /// Largest frame, in bytes: the largest body that callers may send, and room for its head.
 pub(crate) const FRAME_MAX: usize = 65 << 20;
@@ -66,8 +66,9 @@
     pub number: u64,
     /// The request.
     pub request: Request,
-    /// Name of the backend server that is meant.
-    pub server: String,
+    /// The service that is meant. Which life of its backend server runs the request is for the gate to
+    /// know: the entry may not have heard yet that there is another.
+    pub service: ServiceName,
     /// Sort of the request, by which durations are estimated.
     pub sort: String,
     /// Whether it may run more than once.
@@ -118,8 +119,6 @@
 pub(crate) struct OwnerHint {
     /// Its node.
     pub node: NodeId,
-    /// Name of the backend server beside it.
-    pub server: String,
     /// How far the gate has read the table.
     pub read: Offset,
 }
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -17,7 +17,7 @@
 use super::node::Node;
 use super::port::Sent;
 use crate::core::codes::Code;
-use crate::core::ids::Offset;
+use crate::core::ids::{Offset, ServiceName};
 use crate::gate::line::{Ask, Event, Ticket, Verdict};
 
 /// Time after which a server that leaves, or whose failure domain is taken out, is closed for
@@ -114,7 +114,7 @@
         let now = Instant::now();
         let limit = now + Duration::from_millis(work.left_ms.into());
         let aim = now + Duration::from_millis(work.aim_ms.into());
-        self.check_server(&work.server)?;
+        self.check_server(&work.service)?;
         let key = work.request.key.filter(|_| self.is_keyed());
         if let Some(key) = key {
             if self.held.borrow().is_owned(key) {
@@ -125,7 +125,7 @@
         let ask = Ask { sort: work.sort.clone(), rank: work.rank, aim, limit };
         let slot = self.take_slot(ask).await?;
         // The request may have waited; what was checked before may hold no longer.
-        self.check_server(&work.server)?;
+        let server = self.check_server(&work.service)?;
         if let Some(key) = key
             && !self.held.borrow().is_active(key)
         {
@@ -133,7 +133,7 @@
         }
         sent.set(true);
         let began = Instant::now();
-        let result = (self.platform.backend.send)(&work.request, &work.server, limit).await;
+        let result = (self.platform.backend.send)(&work.request, &server, limit).await;
         Ok(self.judge(result, &slot, began))
     }
 
@@ -160,16 +160,16 @@
         }
     }
 
-    /// Whether the server that is meant is there and takes work.
-    fn check_server(&self, meant: &str) -> Result<(), Outcome> {
+    /// The name of the server, if it belongs to the service that is meant and takes work.
+    fn check_server(&self, meant: &ServiceName) -> Result<String, Outcome> {
+        let place = self.place.borrow();
+        if place.service != *meant {
+            return Err(not_run(Code::StaleRoute, KEY_RETURN));
+        }
         let server = self.server.borrow();
         let Some(server) = server.as_ref() else {
             return Err(not_run(Code::NoTarget, SERVER_RETURN));
         };
-        if server.report.life.id != meant {
-            return Err(not_run(Code::StaleRoute, KEY_RETURN));
-        }
-        let place = self.place.borrow();
         let out = self.out.borrow().get(&place.domain).copied();
         let closed = [server.leaving, out].into_iter().flatten();
         let stopping = self.stopping_for();
@@ -178,7 +178,7 @@
         if closed.into_iter().any(|since| since.elapsed() >= NOTICE) || stopping >= notice {
             return Err(not_run(Code::Draining, KEY_RETURN));
         }
-        Ok(())
+        Ok(server.report.life.id.clone())
     }
 
     /// Waits for a key that this node owns but whose grant is under way. One that is being moved is
@@ -219,9 +219,9 @@
     fn other_owner(&self, key: u16) -> Option<OwnerHint> {
         let service = self.service();
         let chosen = self.owner(&service, key)?;
-        let node = chosen.member.holder.node;
+        let node = chosen.node;
         let read = self.table.borrow().next;
-        (node != self.name()).then_some(OwnerHint { node, server: chosen.server, read })
+        (node != self.name()).then_some(OwnerHint { node, read })
     }
 
     async fn take_slot(&self, ask: Ask) -> Result<Slot<'_>, Outcome> {
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! * [`port`]: what a node needs of its platform, as plain structs of functions.
 //! * [`follow`]: the store; [`orders`] are in force, [`news`] spare reads, [`commit`] writes to the table.
-//! * [`reports`]: the backend server's reports, and the node's own record.
+//! * [`reports`], [`recall`]: the backend server's reports, and the node's own record.
 //! * [`lease`], [`revoke`], [`keeper`], [`plan`], [`balance`]: who owns which keys, and until when.
 //! * [`start`]: starting, reloading and stopping.
 
@@ -32,6 +32,7 @@
 pub(crate) mod outbox;
 pub(crate) mod plan;
 pub mod port;
+pub(crate) mod recall;
 pub(crate) mod reports;
 pub(crate) mod revoke;
 pub(crate) mod serve;
--- a/src/kelpwind/mesh/news.rs
+++ b/src/kelpwind/mesh/news.rs
@@ -13,7 +13,7 @@
 use crate::table::Draft;
 
 /// Time after others were seen to have newer orders in which the own read may still bring them.
-const ORDERS_LAG: Duration = Duration::from_millis(200);
+const ORDERS_LAG: Duration = Duration::from_millis(100);
 /// Most bytes of records that are told in a datagram.
 const NEWS_MAX: usize = DATAGRAM_MAX - 256;
 
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -4,6 +4,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -67,6 +68,8 @@
     pub started: Instant,
     /// The configuration; `None` until one is known.
     pub routes: RefCell<Option<Rc<Routes>>>,
+    /// Turns true with the first configuration.
+    pub configured: watch::Sender<bool>,
     /// Failure domains that are taken out, and since when.
     pub out: RefCell<HashMap<DomainName, Instant>>,
     /// The table.
@@ -208,17 +211,16 @@
     }
 
     /// The link to a member's gate; a member at another address than before gets a new one.
-    pub fn link(&self, member: &Member) -> Rc<Link> {
+    pub fn link(&self, node: &NodeId, addr: SocketAddr) -> Rc<Link> {
         let mut links = self.links.borrow_mut();
-        if let Some(link) = links.get(&member.holder.node) {
-            if link.addr == member.addr {
+        if let Some(link) = links.get(node) {
+            if link.addr == addr {
                 return link.clone();
             }
             link.retire();
         }
-        let node = member.holder.node.clone();
-        let link = Link::new(&self.name(), node.clone(), member.addr);
-        links.insert(node, link.clone());
+        let link = Link::new(&self.name(), node.clone(), addr);
+        links.insert(node.clone(), link.clone());
         link
     }
 
--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -45,6 +45,7 @@
         let (version, count) = (routes.version.0, routes.all().count());
         spdlog::info!("a configuration is in force", kv: { version, routes = count });
         self.routes.replace(Some(Rc::new(routes)));
+        self.configured.send_replace(true);
         let rate = self.cold_rate();
         self.line.borrow_mut().cold.set_rate(rate);
         self.keep.notify_one();
--- a/src/kelpwind/mesh/plan.rs
+++ b/src/kelpwind/mesh/plan.rs
@@ -23,6 +23,9 @@
 const REPORT_WAIT: Duration = Duration::from_millis(2500);
 /// Time after which the grants of an owner that is no member any more have run out.
 const ORPHAN_WAIT: Duration = Duration::from_millis(1600);
+/// The same for an owner whose node is a member in a later incarnation, which takes its keys back, or gives
+/// them away itself when it has no backend server, unless it is lost before it can.
+const RESTART_WAIT: Duration = Duration::from_millis(4500);
 /// Neighbouring ranges of one owner from which on a record that joins them is worth its call.
 const JOINTS_MIN: usize = 3;
 
@@ -62,14 +65,14 @@
         heirs.first().is_some_and(|h| h.owner.holder == self.me())
     }
 
-    /// Notes since when owners are members no more. The record of a member is dropped only when its
-    /// lease can never be renewed again, or by itself when it stops; what it granted runs out within
-    /// a lease.
+    /// Notes since when owners are members no more. The record of a member is dropped, or replaced by a
+    /// later incarnation's, only when its lease can never be renewed again, or by itself when it stops;
+    /// what it granted runs out within a lease.
     fn note_orphans(&self) {
         let table = self.table.borrow();
         let mut orphans = self.orphans.borrow_mut();
         let owners = table.keys.values().flat_map(|k| k.owners());
-        let lost: Vec<&Holder> = owners.filter(|h| !table.members.contains_key(&h.node)).collect();
+        let lost: Vec<&Holder> = owners.filter(|h| table.member(h).is_none()).collect();
         orphans.retain(|holder, _| lost.contains(&holder));
         for holder in lost {
             orphans.entry(holder.clone()).or_insert_with(Instant::now);
@@ -79,8 +82,10 @@
     /// Whether nobody can serve the keys of a range, and nobody will.
     fn is_unowned(&self, range: &Range) -> bool {
         let Some(owner) = &range.owner else { return true };
+        let restarted = self.table.borrow().members.contains_key(&owner.holder.node);
+        let wait = if restarted { RESTART_WAIT } else { ORPHAN_WAIT };
         let orphans = self.orphans.borrow();
-        orphans.get(&owner.holder).is_some_and(|since| since.elapsed() >= ORPHAN_WAIT)
+        orphans.get(&owner.holder).is_some_and(|since| since.elapsed() >= wait)
     }
 
     /// The ownership record in which every key has an owner.
--- a/src/kelpwind/mesh/port.rs
+++ b/src/kelpwind/mesh/port.rs
@@ -218,6 +218,10 @@
 /// A server's answer about its health.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Health {
+    /// Its name.
+    pub id: Option<String>,
+    /// Whether it thinks itself fit for work and does not leave.
+    pub fit: bool,
     /// How much longer it is cold.
     pub cold: Option<Duration>,
 }
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -11,6 +11,7 @@
 use super::datagram::News;
 use super::node::{Attached, Node};
 use super::port::{Report, Said};
+use super::recall;
 use crate::table::Draft;
 use crate::table::member::Member;
 
@@ -81,7 +82,7 @@
         }
     }
 
-    fn note_cold(&self, report: &Report, same: bool, now: Instant) {
+    pub fn note_cold(&self, report: &Report, same: bool, now: Instant) {
         let until = (!report.cold.is_zero()).then(|| now + report.cold);
         let mut line = self.line.borrow_mut();
         match until {
@@ -178,6 +179,7 @@
 
 /// Writes this node's record whenever it differs from what the table has.
 pub(crate) async fn announce(node: Rc<Node>) {
+    recall::recall(&node).await;
     loop {
         sleep(GATHER).await;
         if node.read.borrow().is_none() {
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -91,6 +91,7 @@
         holder: RefCell::new(holder),
         started: Instant::now(),
         routes: RefCell::new(None),
+        configured: watch::Sender::new(false),
         out: RefCell::default(),
         table: RefCell::default(),
         read: watch::Sender::new(None),
--- a/src/kelpwind/mesh/way.rs
+++ b/src/kelpwind/mesh/way.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::choice::Chosen;
 use super::frame::{Outcome, OwnerHint, Work};
 use super::port::{Answer, Request};
 use crate::core::codes::Code;
@@ -50,12 +49,12 @@
         self.limit.saturating_duration_since(Instant::now())
     }
 
-    pub fn work(&self, chosen: &Chosen, read: Offset) -> Work {
+    pub fn work(&self, read: Offset) -> Work {
         let now = Instant::now();
         Work {
             number: 0,
             request: self.request.clone(),
-            server: chosen.server.clone(),
+            service: self.service.clone(),
             sort: self.route.name.clone(),
             safe: self.route.is_idempotent(),
             rank: self.route.rank,
--- a/src/kelpwind/table/keys.rs
+++ b/src/kelpwind/table/keys.rs
@@ -219,19 +219,16 @@
         self.ranges.len() < before
     }
 
-    /// The node of `old` goes on as `new`, since its process has started again. The same life of the
-    /// server holds the keys still, so the token stays; another life holds nothing and gets the keys
-    /// under a new one. Returns false when `old` owns nothing.
+    /// The node of `old` goes on as `new`, since its process or its server has started again. The keys get
+    /// a new token in any case: a new run cannot know whether it is the same life that listens there.
+    /// Returns false when `old` owns nothing.
     pub fn pass_on(&mut self, old: &Owner, new: &Owner) -> bool {
-        let same_life = old.life == new.life;
-        let token = Token(self.token.0 + u64::from(!same_life));
+        let token = Token(self.token.0 + 1);
         let mut passed = false;
         for range in self.ranges.iter_mut().filter(|r| r.owner.as_ref() == Some(old)) {
             range.owner = Some(new.clone());
-            if !same_life {
-                range.token = token;
-                range.handover = None;
-            }
+            range.token = token;
+            range.handover = None;
             passed = true;
         }
         if passed {
--- a/src/kelpwind/table/mod.rs
+++ b/src/kelpwind/table/mod.rs
@@ -13,6 +13,7 @@
 mod chunk;
 pub mod keys;
 pub mod member;
+pub mod pace;
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -73,6 +73,18 @@
     assert_kept(&fleet);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_again_serves_before_its_server_reports() {
+    let mut fleet = Fleet::start(&[("books", 1)], WORK).await;
+    fleet.machines[0].server.as_ref().unwrap().fall_silent();
+    fleet.machines[0].node = None;
+    fleet.start_node(0);
+    for key in [0, 30_000, 65_535] {
+        until_served(&fleet, 0, key).await;
+    }
+    assert_kept(&fleet);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_whose_record_was_lost_for_a_while_answers_no_request_with_an_older_one_s_answer() {
     /// Time in which entries drop their links to a node that is a member no more.
--- a/tests/testsuite/table.rs
+++ b/tests/testsuite/table.rs
@@ -4,7 +4,9 @@
 use kelpwind::core::ids::{Offset, ServiceName};
 use kelpwind::table::keys::{KEY_MAX, Keys, Owner, Range, Span};
 use kelpwind::table::member::Life;
+use kelpwind::table::pace::{self, Reader};
 use kelpwind::table::{Draft, Record, Table};
+use rstest::rstest;
 
 /// Owners of a service as large as those of the users' grown installations.
 const OWNERS: usize = 40;
@@ -126,3 +128,37 @@
     assert!(!log.table.apply(&record));
     assert_eq!(log.keys(), before);
 }
+
+/// Reads a second of all nodes together while the table moves, against what the users' stores bear.
+#[rstest]
+#[case(14, 2_000.0)]
+#[case(88, 6_000.0)]
+#[case(300, 6_000.0)]
+#[case(2_700, 6_000.0)]
+fn reads_of_all_nodes_stay_within_what_the_store_bears(#[case] nodes: u32, #[case] most: f64) {
+    let table = f64::from(nodes) / pace::table(nodes).as_secs_f64();
+    let often = readers(nodes, 0.5 / f64::from(nodes));
+    let seldom = f64::from(nodes) - often;
+    let orders =
+        often / Reader::Often.wait().as_secs_f64() + seldom / Reader::Seldom.wait().as_secs_f64();
+    assert!(table + orders < most / 5.0, "{table} and {orders} reads a second");
+}
+
+/// Nodes that read often, their draws spread evenly from `first`.
+fn readers(nodes: u32, first: f64) -> f64 {
+    let draw = |i: u32| first + f64::from(i) / f64::from(nodes);
+    let often = (0..nodes).filter(|i| Reader::drawn(nodes, draw(*i)) == Reader::Often);
+    often.count() as f64
+}
+
+#[test]
+fn there_are_always_some_who_read_the_orders_often() {
+    let mut random = fastrand::Rng::with_seed(13);
+    for nodes in [1, 13, 24, 25, 88, 300, 2_700] {
+        let fewest = (0..200).map(|_| {
+            (0..nodes).filter(|_| Reader::drawn(nodes, random.f64()) == Reader::Often).count()
+        });
+        let fewest = fewest.min().unwrap();
+        assert!(fewest >= nodes.min(2) as usize, "{fewest} of {nodes}");
+    }
+}
--- a/tests/users/server.rs
+++ b/tests/users/server.rs
@@ -79,6 +79,7 @@
     seen: Mutex<BTreeMap<u16, u64>>,
     running: Mutex<u32>,
     draining: Mutex<bool>,
+    mute: Mutex<bool>,
     tasks: Mutex<Vec<AbortHandle>>,
 }
 
@@ -108,6 +109,7 @@
             seen: Mutex::default(),
             running: Mutex::new(0),
             draining: Mutex::new(false),
+            mute: Mutex::new(false),
             tasks: Mutex::default(),
         });
         let served = server.clone();
@@ -137,11 +139,19 @@
         *self.draining.lock() = true;
     }
 
+    /// It reports no more.
+    pub fn fall_silent(&self) {
+        *self.mute.lock() = true;
+    }
+
     async fn report(&self, node: SocketAddr) {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let born = since.as_millis() as u64;
         tokio::time::sleep(self.manner.unannounced).await;
         for sequence in 1.. {
+            if *self.mute.lock() {
+                return;
+            }
             let Manner { service, zone, slots, .. } = &self.manner;
             let state = if *self.draining.lock() { "draining" } else { "ready" };
             let body = serde_json::json!({
@@ -161,7 +171,12 @@
         match request.uri().path() {
             "/-/grant" => self.grant(&request),
             "/-/release" => self.release(&request).await,
-            "/healthz" => reply(200),
+            "/healthz" => {
+                let mut healthy = reply(200);
+                let id = self.id.parse().expect("a header value");
+                healthy.headers_mut().insert("x-instance-id", id);
+                healthy
+            }
             _ => self.run(request).await,
         }
     }
