--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -85,6 +85,22 @@
     assert_kept(&fleet);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_of_a_node_that_started_again_and_was_lost_find_another_owner() {
+    /// Long enough to be a member in the new incarnation, and too short to give its keys away.
+    const LIFE: Duration = Duration::from_millis(700);
+    let mut fleet = Fleet::start(SERVICES, WORK).await;
+    fleet.machines[0].node = None;
+    fleet.machines[0].server.take().unwrap().crash();
+    fleet.start_node(0);
+    tokio::time::sleep(LIFE).await;
+    fleet.machines[0].node = None;
+    for key in [0, 10_000, 30_000, 50_000, 65_535] {
+        until_served(&fleet, 1, key).await;
+    }
+    assert_kept(&fleet);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_whose_record_was_lost_for_a_while_answers_no_request_with_an_older_one_s_answer() {
     /// Time in which entries drop their links to a node that is a member no more.
