--- a/benches/report/main.rs
+++ b/benches/report/main.rs
@@ -8,9 +8,11 @@
 mod failover;
 mod handover;
 mod load;
+mod model;
 mod overload;
 mod placement;
 mod plot;
+mod policies;
 mod proc;
 mod state;
 mod stragglers;
@@ -21,9 +23,10 @@
 /// The program under measurement.
 pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_kelpwind");
 
-const PARTS: [&str; 8] = [
+const PARTS: [&str; 9] = [
     "state",
     "placement",
+    "policies",
     "control",
     "failover",
     "handover",
@@ -45,6 +48,7 @@
         match part {
             "state" => state::measure(&mut report),
             "placement" => placement::measure(&mut report),
+            "policies" => policies::measure(&mut report),
             "control" => runtime.block_on(control::measure(&mut report)),
             "failover" => runtime.block_on(failover::measure(&mut report)),
             "handover" => runtime.block_on(handover::measure(&mut report)),
