--- a/src/kelpwind/mesh/follow.rs
+++ b/src/kelpwind/mesh/follow.rs
@@ -31,12 +31,13 @@
 pub(crate) async fn follow(node: Rc<Node>, topic: Topic) {
     let mut next: Option<Offset> = None;
     let mut failures = 0_u32;
-    let mut role = (Reader::Often, Instant::now());
+    let (mut draw, mut drawn) = (fastrand::f64(), Instant::now());
     loop {
-        if role.1.elapsed() >= Reader::term() || next.is_none() {
-            role = (Reader::drawn(node.member_count(), fastrand::f64()), Instant::now());
+        if drawn.elapsed() >= Reader::term() {
+            (draw, drawn) = (fastrand::f64(), Instant::now());
         }
-        let reader = role.0;
+        // The draw is kept, the role follows the members as they become known.
+        let reader = Reader::drawn(node.member_count(), draw);
         let read = match (next, topic) {
             (None, _) => (node.platform.store.newest)(topic).await,
             (Some(_), Topic::Table) => {
