--- a/tests/testsuite/lease_model.rs
+++ b/tests/testsuite/lease_model.rs
@@ -287,36 +287,47 @@
     assert!(reached.values().all(|n| *n >= 10), "{reached:?}");
 }
 
+const FROZEN: Tag = Tag(7);
+
+fn at(millis: u64) -> Moment {
+    Moment::from_micros(millis * 1000)
+}
+
+/// A witness that has acknowledged a holder at 100 ms, and whether its table names the holder.
+fn witness_of_one() -> (Witness, impl Fn(&mut Witness, bool, u64)) {
+    let follow = |witness: &mut Witness, listed: bool, millis: u64| {
+        let members: BTreeSet<Tag> = listed.then_some(FROZEN).into_iter().collect();
+        witness.follow(&members, &members, at(millis));
+    };
+    let mut witness = Witness::new(Tag(1), at(0));
+    follow(&mut witness, true, 0);
+    witness.renewal(FROZEN, Seq(1), Offset(0), at(100));
+    (witness, follow)
+}
+
+/// Milliseconds for which the acknowledgement still binds, as a promise at `millis` says.
+fn remaining(witness: &mut Witness, millis: u64) -> u32 {
+    let promise = witness.ask(FROZEN, Version(0), Tag(1), Role::Itself, at(millis));
+    let Some(Message::Promise { remaining, .. }) = promise else { panic!("{promise:?}") };
+    remaining
+}
+
 /// A holder is frozen, its keys are taken over and its record is dropped; it writes the record once more.
 #[test]
 fn a_promise_outlives_the_record_of_its_holder() {
-    let holder = Tag(7);
-    let (none, listed) = (BTreeSet::new(), BTreeSet::from([holder]));
-    let at = |millis: u64| Moment::from_micros(millis * 1000);
-    let mut witness = Witness::new(Tag(1), at(0));
-    witness.follow(&listed, &listed, at(0));
-    witness.renewal(holder, Seq(1), Offset(0), at(100));
-    let promise = witness.ask(holder, Version(0), Tag(1), Role::Itself, at(1000));
-    let Some(Message::Promise { remaining, .. }) = promise else { panic!("{promise:?}") };
-    assert_eq!(remaining, 300, "the acknowledgement binds until 1,300 ms");
-    witness.follow(&none, &none, at(1400));
-    witness.follow(&listed, &listed, at(1500));
-    let answer = witness.renewal(holder, Seq(2), Offset(0), at(1600));
+    let (mut witness, follow) = witness_of_one();
+    assert_eq!(remaining(&mut witness, 1000), 300, "it binds until 1,300 ms");
+    follow(&mut witness, false, 1400);
+    follow(&mut witness, true, 1500);
+    let answer = witness.renewal(FROZEN, Seq(2), Offset(0), at(1600));
     assert!(matches!(answer, Message::Refuse { .. }), "{answer:?}");
 }
 
 /// A record may be gone for a moment; what was acknowledged before binds all the same.
 #[test]
 fn an_acknowledgement_binds_though_the_record_was_gone_in_between() {
-    let holder = Tag(7);
-    let (none, listed) = (BTreeSet::new(), BTreeSet::from([holder]));
-    let at = |millis: u64| Moment::from_micros(millis * 1000);
-    let mut witness = Witness::new(Tag(1), at(0));
-    witness.follow(&listed, &listed, at(0));
-    witness.renewal(holder, Seq(1), Offset(0), at(100));
-    witness.follow(&none, &none, at(150));
-    witness.follow(&listed, &listed, at(200));
-    let promise = witness.ask(holder, Version(0), Tag(1), Role::Itself, at(1100));
-    let Some(Message::Promise { remaining, .. }) = promise else { panic!("{promise:?}") };
-    assert_eq!(remaining, 200, "the acknowledgement binds until 1,300 ms");
+    let (mut witness, follow) = witness_of_one();
+    follow(&mut witness, false, 150);
+    follow(&mut witness, true, 200);
+    assert_eq!(remaining(&mut witness, 1100), 200, "it binds until 1,300 ms");
 }
