A grant that found no connection was not sent, and is sent with the next look

Read while landing: where no connection was to be had the grant counted as one that may be carried out, so a move would wait for it; nothing was sent.

--- a/src/kelpwind/mesh/follow.rs
+++ b/src/kelpwind/mesh/follow.rs
@@ -134,6 +134,7 @@
         }
     }
 
+    /// Takes records of the table up to `next`, and all that follows from them.
     pub fn take_table(&self, records: &[Record], whole: bool, next: Offset) {
         {
             let mut table = self.table.borrow_mut();
--- a/src/kelpwind/mesh/keeper.rs
+++ b/src/kelpwind/mesh/keeper.rs
@@ -208,7 +208,10 @@
                     self.raise("a higher token", vec![span]);
                 }
             }
-            Granted::Unsent => self.keep.notify_one(),
+            // Sent with the next look: at once, a lack of connections would spin.
+            Granted::Unsent => {
+                spdlog::debug!("a grant was not sent", kv: { first = span.first, token = token.0 });
+            }
             Granted::Dead => self.server_is_dead(),
         }
     }
--- a/src/kelpwind/mesh/port.rs
+++ b/src/kelpwind/mesh/port.rs
@@ -200,7 +200,7 @@
     Outdated,
     /// Nothing listens at the server's address: no server lives there.
     Dead,
-    /// Nothing was sent: the session had ended, or too little time was left.
+    /// Nothing was sent: the session had ended, too little time was left, or no connection was to be had.
     Unsent,
     /// No answer, or none that can be read: it may be carried out.
     Unknown,
