Tokens of a service's keys are derived; what witnesses do often needs no set of all members

Found on reading the whole change: Keys kept the greatest token beside ranges that have it; give() cut a range by hand where Span::without does; Keys, Range and Span could be serialised though only chunks are; chunks were listed by number and then looked up by number. A witness gathered all members and owners in a set for each renewal (17 a second), and all sets it watches 20 times a second, to find that nobody is silent; news that do not follow were copied to see that. No change of behaviour: the greatest token is always that of a range, since each new one is above all others.

--- a/src/kelpwind/mesh/lease.rs
+++ b/src/kelpwind/mesh/lease.rs
@@ -1,8 +1,8 @@
 //! The lease of a node whose server holds keys: renewals and witnesses.
 //!
 //! The rules stand in [`crate::lease`]; this file carries their messages. [`super::revoke`] takes over
-//! from a holder that has fallen silent.
-//! Only nodes that own keys renew, so a node whose service is not divided is a witness at most.
+//! from a holder that has fallen silent. Only nodes that own keys renew, so a node whose service is not
+//! divided is a witness at most.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -10,7 +10,7 @@
 
 use super::datagram::Datagram;
 use super::node::Node;
-use crate::core::ids::{Count, Holder, Offset, RecordId};
+use crate::core::ids::{Count, Holder, RecordId};
 use crate::core::record::{self, Peer};
 use crate::lease::clock;
 use crate::lease::holder::Lease;
@@ -124,6 +124,7 @@
         true
     }
 
+    /// Sends a message to a witness or a holder, which may be this node.
     pub async fn send_to(&self, peer: &Peer, message: Message) {
         if peer.holder.node == self.holder.borrow().node {
             if let Some(answer) = self.answer(message) {
@@ -140,8 +141,10 @@
         let mine = Tag::from(self.holder.borrow().inc);
         match message {
             Message::Renew { holder, witness, seq, next: _ } => {
-                let member = self.table.borrow().tags().contains(&holder);
-                let read: Offset = self.table.borrow().next;
+                let (member, read) = {
+                    let table = self.table.borrow();
+                    (table.knows(holder), table.next)
+                };
                 let mut memory = self.witness.borrow_mut();
                 memory.heard(holder, now);
                 // A holder whose keys were taken over learns so from the refusals.
--- a/src/kelpwind/mesh/news.rs
+++ b/src/kelpwind/mesh/news.rs
@@ -34,11 +34,9 @@
     /// Takes records that were appended just where this node has read to. Returns false when the table
     /// has more that this node does not know yet.
     pub fn take_news(&self, news: &News) -> bool {
-        let known = self.table.borrow().next;
-        let records = news.draft.records_before(news.next);
-        let follows = records.first().is_some_and(|r| r.offset == known);
-        if follows && self.read.borrow().is_some() {
-            self.take_table(&records, false, news.next);
+        let follows = news.draft.start(news.next) == self.table.borrow().next;
+        if follows && !news.draft.records.is_empty() && self.read.borrow().is_some() {
+            self.take_table(&news.draft.records_before(news.next), false, news.next);
         }
         self.table.borrow().next >= news.next
     }
--- a/src/kelpwind/mesh/revoke.rs
+++ b/src/kelpwind/mesh/revoke.rs
@@ -38,12 +38,17 @@
     fn look_for_silence(&self) {
         let now = clock::now();
         let me = self.me();
-        let watched = self.table.borrow().watched(&me.node);
         let witness = self.witness.borrow();
         let mut takeovers = self.takeovers.borrow_mut();
+        let is_silent = |tag| witness.silence(tag, now).is_some_and(|s| s >= SILENCE);
+        // The usual case, which is to cost little.
+        if takeovers.is_empty() && !witness.watched().any(is_silent) {
+            return;
+        }
+        let watched = self.table.borrow().watched(&me.node);
         takeovers.retain(|tag, t| {
             let same = watched.get(tag).is_some_and(|w| w.version == t.version);
-            same && witness.silence(*tag, now).is_some_and(|s| s >= SILENCE)
+            same && is_silent(*tag)
         });
         for (tag, watched) in &watched {
             if watched.holder == me || takeovers.contains_key(tag) {
--- a/src/kelpwind/table/chunk.rs
+++ b/src/kelpwind/table/chunk.rs
@@ -5,8 +5,6 @@
 //! that reads it. So a record holds the ranges of [`WIDTH`] keys, and a move writes the records that it
 //! touches, all of them with one call. Owners are named once a record.
 
-use std::ops::RangeInclusive;
-
 use serde::{Deserialize, Serialize};
 
 use super::keys::{KEY_MAX, Keys, Owner, Range, Span};
@@ -86,13 +84,13 @@
     }
 }
 
-/// The keys of the record of this number.
+/// The keys of the record of this number; `None` for one that does not exist.
 pub(super) fn span(number: u32) -> Option<Span> {
     let first = number.checked_mul(WIDTH).filter(|_| number < COUNT)?;
     Some(Span { first: first as u16, last: (first + WIDTH - 1) as u16 })
 }
 
-/// Numbers of all records.
-pub(super) fn numbers() -> RangeInclusive<u32> {
-    0..=COUNT - 1
+/// The numbers of all records, and their keys.
+pub(super) fn all() -> impl Iterator<Item = (u32, Span)> {
+    (0..).map_while(|number| Some((number, span(number)?)))
 }
--- a/src/kelpwind/table/keys.rs
+++ b/src/kelpwind/table/keys.rs
@@ -2,8 +2,8 @@
 //!
 //! Keys are numbers from 0 to 65535, divided into ranges without gaps. Each range has at most one
 //! owner: a node in one incarnation and one life of the backend server beside it, with the fencing
-//! token under which it got the keys. Tokens come from one counter of the record, so that each is
-//! above all that any server ever had.
+//! token under which it got the keys. A new token is above all in the records, and so above all that
+//! any server ever had: whoever gives keys away leaves them under a new one.
 
 use serde::{Deserialize, Serialize};
 
@@ -23,7 +23,7 @@
 }
 
 /// Keys from `first` to `last`, both included.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Span {
     /// The first key.
     pub first: u16,
@@ -32,9 +32,6 @@
 }
 
 impl Span {
-    /// All keys.
-    pub const ALL: Span = Span { first: 0, last: KEY_MAX };
-
     /// Whether the key is among them.
     pub fn contains(self, key: u16) -> bool {
         (self.first..=self.last).contains(&key)
@@ -63,7 +60,7 @@
 }
 
 /// A range of keys and its owner.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Range {
     /// The keys.
     pub span: Span,
@@ -86,10 +83,8 @@
 }
 
 /// All ranges of a service.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Keys {
-    /// The greatest token that was given.
-    pub token: Token,
     /// The ranges, in order and without gaps.
     pub ranges: Vec<Range>,
 }
@@ -98,7 +93,7 @@
     /// All keys, divided evenly by `shares` among the owners. There must be an owner.
     pub fn divide(owners: &[(Owner, f64)]) -> Keys {
         let total: f64 = owners.iter().map(|(_, share)| share.max(0.0)).sum();
-        let mut keys = Keys { token: Token(0), ranges: Vec::new() };
+        let mut keys = Keys::default();
         let mut first = 0_u32;
         let mut sum = 0.0;
         for (i, (owner, share)) in owners.iter().enumerate() {
@@ -111,15 +106,19 @@
             if end <= first {
                 continue;
             }
-            keys.token = Token(keys.token.0 + 1);
             let span = Span { first: first as u16, last: (end - 1) as u16 };
-            let owner = Some(owner.clone());
-            keys.ranges.push(Range { span, owner, token: keys.token, handover: None });
+            let (owner, token) = (Some(owner.clone()), Token(keys.ranges.len() as u64 + 1));
+            keys.ranges.push(Range { span, owner, token, handover: None });
             first = end;
         }
         keys
     }
 
+    /// A token above all that were given.
+    fn next_token(&self) -> Token {
+        Token(self.ranges.iter().map(|r| r.token.0).max().unwrap_or(0) + 1)
+    }
+
     /// The range that a key is in.
     pub fn find(&self, key: u16) -> Option<&Range> {
         let after = self.ranges.partition_point(|r| r.span.last < key);
@@ -145,7 +144,7 @@
         to: Option<Owner>,
         handover: Option<String>,
     ) -> bool {
-        let token = Token(self.token.0 + 1);
+        let token = self.next_token();
         let mut given = false;
         let mut ranges = Vec::with_capacity(self.ranges.len() + 2);
         for range in self.ranges.drain(..) {
@@ -155,21 +154,12 @@
                 continue;
             };
             given = true;
-            if range.span.first < part.first {
-                let before = Span { first: range.span.first, last: part.first - 1 };
-                ranges.push(Range { span: before, ..range.clone() });
-            }
-            let after = (part.last < range.span.last)
-                .then(|| Span { first: part.last + 1, last: range.span.last });
+            let rest = range.span.without(part);
+            ranges.extend(rest.into_iter().map(|span| Range { span, ..range.clone() }));
             ranges.push(Range { span: part, owner: to.clone(), token, handover: handover.clone() });
-            if let Some(after) = after {
-                ranges.push(Range { span: after, ..range });
-            }
         }
+        ranges.sort_by_key(|r| r.span);
         self.ranges = ranges;
-        if given {
-            self.token = token;
-        }
         given
     }
 
@@ -192,7 +182,6 @@
                 _ => self.ranges.push(range),
             }
         }
-        self.token = self.ranges.iter().map(|r| r.token).max().unwrap_or_default();
     }
 
     /// Makes neighbouring ranges of one holder one, under the greater of their tokens: both are above
@@ -223,7 +212,7 @@
     /// a new token in any case: a new run cannot know whether it is the same life that listens there.
     /// Returns false when `old` owns nothing.
     pub fn pass_on(&mut self, old: &Owner, new: &Owner) -> bool {
-        let token = Token(self.token.0 + 1);
+        let token = self.next_token();
         let mut passed = false;
         for range in self.ranges.iter_mut().filter(|r| r.owner.as_ref() == Some(old)) {
             range.owner = Some(new.clone());
@@ -231,9 +220,6 @@
             range.handover = None;
             passed = true;
         }
-        if passed {
-            self.token = token;
-        }
         passed
     }
 }
--- a/src/kelpwind/table/mod.rs
+++ b/src/kelpwind/table/mod.rs
@@ -63,19 +63,22 @@
     /// Who owns the keys of a service, as far as the table says otherwise.
     pub fn keys(table: &Table, service: &ServiceName, keys: &Keys) -> Draft {
         let known = table.keys.get(service);
-        let changed = |number| {
-            let span = chunk::span(number)?;
+        let changed = |(number, span)| {
             let chunk = Chunk::of(keys, span);
             let same = known.is_some_and(|known| Chunk::of(known, span) == chunk);
             (!same).then(|| (format!("{KEYS_PREFIX}{service}/{number}"), Some(encode(&chunk))))
         };
-        Draft { records: chunk::numbers().filter_map(changed).collect() }
+        Draft { records: chunk::all().filter_map(changed).collect() }
+    }
+
+    /// Where the records begin that stand in the log before `next`.
+    pub fn start(&self, next: Offset) -> Offset {
+        Offset(next.0.saturating_sub(self.records.len() as u64))
     }
 
     /// The records as they stand in the log before `next`.
     pub fn records_before(&self, next: Offset) -> Vec<Record> {
-        let start = next.0.saturating_sub(self.records.len() as u64);
-        let numbered = (start..).zip(&self.records);
+        let numbered = (self.start(next).0..).zip(&self.records);
         let record = |(offset, (key, value)): (u64, &(String, Option<Bytes>))| Record {
             offset: Offset(offset),
             key: key.clone(),
@@ -154,6 +157,13 @@
         self.members.values().filter(move |m| m.service == *service)
     }
 
+    /// Whether an incarnation is one of [`Table::tags`].
+    pub fn knows(&self, tag: Tag) -> bool {
+        let is = |holder: &Holder| Tag::from(holder.inc) == tag;
+        let owned = || self.keys.values().flat_map(|k| k.owners()).any(is);
+        self.members.values().any(|m| is(&m.holder)) || owned()
+    }
+
     /// Incarnations of all members, and those of former ones that still own keys.
     pub fn tags(&self) -> BTreeSet<Tag> {
         let owners = self.keys.values().flat_map(|k| k.owners());
