One way to change a node's keys, to attach its server, to refuse; orders are decoded once

Found on reading the whole change: - moving keys and rewriting their records each marked the node as moving, spawned a task and woke the keeper; change_keys does so for both; - a report, and the server that a restarted node recalls, were each taken in three steps; attach does so; - a refusal that never reached the server was built in the gate, in the link and by hand; - on a whole reading each order was decoded twice; - Line::wait had no caller; the hello frame named its sender, whom no gate asked for; a set of all members was gathered each second where the table has them by name; - tests of the mesh spelled out the same five keys six times. No change of behaviour; assertions of the tests are as before.

--- a/src/kelpwind/gate/line.rs
+++ b/src/kelpwind/gate/line.rs
@@ -145,12 +145,6 @@
         Duration::from_secs_f64(self.mean * self.pace)
     }
 
-    /// Time until a request that arrives now would start.
-    pub fn wait(&self) -> Duration {
-        let ahead: f64 = self.waiting.iter().map(|w| self.guess(&w.ask)).sum();
-        Duration::from_secs_f64(self.until_free() + ahead / f64::from(self.slots))
-    }
-
     /// A request asks for a slot.
     pub fn offer(&mut self, ask: Ask, now: Instant) -> Verdict {
         self.note_offered(&ask, now);
--- a/src/kelpwind/mesh/balance.rs
+++ b/src/kelpwind/mesh/balance.rs
@@ -1,8 +1,9 @@
 //! Moves keys from overloaded owners to others: gathers what [`crate::place::relief`] decides from.
 //!
 //! An owner asks only when it is overloaded, and only as many others, drawn at random, as should be able
-//! to take what is too much, so the messages do not grow with the number of owners. Who answers reckons for a while with what it was asked to
-//! take, so that two overloaded owners do not both fill the same room.
+//! to take what is too much, so the messages do not grow with the number of owners. Who answers reckons
+//! for a while with what it was asked to take, so that two overloaded owners do not both fill the same
+//! room.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
--- a/src/kelpwind/mesh/follow.rs
+++ b/src/kelpwind/mesh/follow.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::node::Node;
-use super::port::{StoreError, Topic};
+use super::port::{Order, StoreError, Topic};
 use crate::core::ids::Offset;
 use crate::table::pace::{self, Reader};
 use crate::table::{Record, Table};
@@ -77,7 +77,7 @@
                 }
                 failures += 1;
                 let most = match topic {
-                    Topic::Orders => pace::orders_retry(reader),
+                    Topic::Orders => reader.retry(),
                     Topic::Table => pace::table_retry(node.member_count()),
                 };
                 let pause = (RETRY_PAUSE * failures.min(RETRY_STEPS)).min(most);
@@ -129,10 +129,12 @@
     fn take(self: &Rc<Self>, topic: Topic, records: &[Record], whole: bool, next: Offset) {
         match topic {
             Topic::Orders => {
+                let orders: Vec<Order> =
+                    records.iter().filter_map(|r| self.read_order(r)).collect();
                 if whole {
-                    self.forget_missing(records);
+                    self.forget_missing(&orders);
                 }
-                records.iter().for_each(|r| self.order(r));
+                orders.into_iter().for_each(|order| self.obey(order));
             }
             Topic::Table => self.take_table(records, whole, next),
         }
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -5,6 +5,8 @@
 //! the gate runs a number once and answers it as often as it is asked. So a broken connection costs
 //! no request, and one that may not be repeated is not.
 
+use std::time::Duration;
+
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt};
@@ -19,11 +21,9 @@
 /// What an entry sends.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Up {
-    /// The first frame: which node is calling, and whom it means to reach.
+    /// The first frame: whom it means to reach.
     Hello {
-        /// Name of the calling node.
-        node: String,
-        /// Its session: requests are numbered within it, over any number of connections.
+        /// The entry's session: requests are numbered within it, over any number of connections.
         session: u64,
         /// Name of the node it means to reach.
         to: String,
@@ -104,6 +104,12 @@
 }
 
 impl Outcome {
+    /// A request that never reached the backend server; there should be room after `room`.
+    pub fn not_run(code: Code, room: Duration) -> Outcome {
+        let room_ms = room.as_millis() as u32;
+        Outcome::NotRun { code, room_ms, arrived: false, owner: None }
+    }
+
     /// A word and the code or the status, for a log line.
     pub fn name(&self) -> String {
         match self {
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -40,10 +40,6 @@
 /// Who waits in the line, told to start or after what time to come back.
 pub(crate) type Tickets = RefCell<HashMap<Ticket, oneshot::Sender<Result<(), Duration>>>>;
 
-fn not_run(code: Code, room: Duration) -> Outcome {
-    Outcome::NotRun { code, room_ms: room.as_millis() as u32, arrived: false, owner: None }
-}
-
 /// A place in the line that is given up when the request is cancelled.
 struct Place<'a> {
     node: &'a Node,
@@ -83,11 +79,7 @@
     pub async fn run(self: &Rc<Self>, work: Work, sent: &Cell<bool>) -> (Outcome, Report) {
         let sort = work.sort.clone();
         let id = work.request.id.clone();
-        let outcome = self.try_run(work, sent).await;
-        let outcome = match outcome {
-            Ok(outcome) => outcome,
-            Err(refused) => refused,
-        };
+        let outcome = self.try_run(work, sent).await.unwrap_or_else(|refused| refused);
         if let Outcome::NotRun { code, room_ms, .. } = &outcome {
             self.metrics.gate_refused(*code);
             self.metrics.refusals.say(|left_out| {
@@ -129,7 +121,7 @@
         if let Some(key) = key
             && !self.held.borrow().is_active(key)
         {
-            return Err(not_run(Code::Moving, KEY_RETURN));
+            return Err(Outcome::not_run(Code::Moving, KEY_RETURN));
         }
         sent.set(true);
         let began = Instant::now();
@@ -164,11 +156,11 @@
     fn check_server(&self, meant: &ServiceName) -> Result<String, Outcome> {
         let place = self.place.borrow();
         if place.service != *meant {
-            return Err(not_run(Code::StaleRoute, KEY_RETURN));
+            return Err(Outcome::not_run(Code::StaleRoute, KEY_RETURN));
         }
         let server = self.server.borrow();
         let Some(server) = server.as_ref() else {
-            return Err(not_run(Code::NoTarget, SERVER_RETURN));
+            return Err(Outcome::not_run(Code::NoTarget, SERVER_RETURN));
         };
         let out = self.out.borrow().get(&place.domain).copied();
         let closed = [server.leaving, out].into_iter().flatten();
@@ -176,7 +168,7 @@
         // Keys stay with this node until they are handed over, which may need a store that is down.
         let notice = if self.is_keyed() { place.bounds.grace / 2 } else { STOP_NOTICE };
         if closed.into_iter().any(|since| since.elapsed() >= NOTICE) || stopping >= notice {
-            return Err(not_run(Code::Draining, KEY_RETURN));
+            return Err(Outcome::not_run(Code::Draining, KEY_RETURN));
         }
         Ok(server.report.life.id.clone())
     }
@@ -197,7 +189,7 @@
             let left = until.saturating_duration_since(Instant::now());
             if !owned || timeout(left, moves.changed()).await.is_err() {
                 if owned {
-                    return Err(not_run(Code::Moving, KEY_RETURN));
+                    return Err(Outcome::not_run(Code::Moving, KEY_RETURN));
                 }
                 let room_ms = KEY_RETURN.as_millis() as u32;
                 // Whoever sent it here knows more than this node, or less.
@@ -229,7 +221,7 @@
         let verdict = self.line.borrow_mut().offer(ask, Instant::now());
         match verdict {
             Verdict::Run => {}
-            Verdict::Refuse(room) => return Err(not_run(self.busy_code(), room)),
+            Verdict::Refuse(room) => return Err(Outcome::not_run(self.busy_code(), room)),
             Verdict::Wait(ticket) => {
                 let (told, start) = oneshot::channel();
                 self.tickets.borrow_mut().insert(ticket, told);
@@ -237,12 +229,12 @@
                 let mut place = Place { node: self, ticket, start };
                 let until = limit.checked_sub(REFUSE_MARGIN).unwrap_or(limit);
                 let Ok(started) = timeout_at(until.into(), &mut place.start).await else {
-                    return Err(not_run(self.busy_code(), SERVER_RETURN));
+                    return Err(Outcome::not_run(self.busy_code(), SERVER_RETURN));
                 };
                 match started {
                     Ok(Ok(())) => {}
-                    Ok(Err(room)) => return Err(not_run(self.busy_code(), room)),
-                    Err(_) => return Err(not_run(Code::Draining, KEY_RETURN)),
+                    Ok(Err(room)) => return Err(Outcome::not_run(self.busy_code(), room)),
+                    Err(_) => return Err(Outcome::not_run(Code::Draining, KEY_RETURN)),
                 }
             }
         }
--- a/src/kelpwind/mesh/keeper.rs
+++ b/src/kelpwind/mesh/keeper.rs
@@ -77,26 +77,16 @@
 
     /// Writes that what a former run owned is this one's. Renewals go on meanwhile.
     fn reclaim(self: &Rc<Self>) {
-        self.rewrite("keys of a former run", Node::reclaimed);
+        self.change_keys(async |node| {
+            node.commit("keys of a former run", Node::reclaimed).await;
+        });
     }
 
     /// Writes that this node has spans of its keys under higher tokens, which any life of the server
     /// may be granted.
     fn raise(self: &Rc<Self>, what: &'static str, spans: Vec<Span>) {
-        self.rewrite(what, move |node, table| node.raised(table, &spans));
-    }
-
-    fn rewrite(
-        self: &Rc<Self>,
-        what: &'static str,
-        decide: impl Fn(&Node, &Table) -> Option<Draft> + 'static,
-    ) {
-        self.held.borrow_mut().moving = true;
-        let node = self.clone();
-        tokio::task::spawn_local(async move {
-            node.commit(what, decide).await;
-            node.held.borrow_mut().moving = false;
-            node.keep.notify_one();
+        self.change_keys(async move |node| {
+            node.commit(what, |node, table| node.raised(table, &spans)).await;
         });
     }
 
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -94,13 +94,12 @@
     /// A link that opens its connection with the first request. Its session is its own: a link that
     /// replaces another to the same gate counts its requests anew, and must not be given the answers
     /// that the gate keeps for the other.
-    pub fn new(me: &NodeId, node: NodeId, addr: SocketAddr) -> Rc<Link> {
-        let (me, to) = (me.to_string(), node.to_string());
-        let session = fastrand::u64(..);
+    pub fn new(node: NodeId, addr: SocketAddr) -> Rc<Link> {
+        let (session, to) = (fastrand::u64(..), node.to_string());
         let link = Rc::new(Link {
             node,
             addr,
-            hello: frame::encode(&Up::Hello { node: me, session, to }),
+            hello: frame::encode(&Up::Hello { session, to }),
             pending: RefCell::default(),
             next: Cell::new(1),
             outbox: RefCell::default(),
@@ -336,6 +335,5 @@
 
 /// A request that never left.
 fn unsent() -> Outcome {
-    let room_ms = UNREACHABLE_RETURN.as_millis() as u32;
-    Outcome::NotRun { code: Code::Unreachable, room_ms, arrived: false, owner: None }
+    Outcome::not_run(Code::Unreachable, UNREACHABLE_RETURN)
 }
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -31,7 +31,7 @@
     /// Starts the moves that are due: all keys when this node or its server leaves, or its failure
     /// domain is taken out; some when another target has none.
     pub fn plan_moves(self: &Rc<Self>) {
-        if self.held.borrow().moving || self.read.borrow().is_none() {
+        if self.is_moving() || self.read.borrow().is_none() {
             return;
         }
         let moves = self.due_moves();
@@ -48,14 +48,20 @@
         if moves.is_empty() || self.is_moving() {
             return false;
         }
+        self.change_keys(async move |node| node.move_keys(moves).await);
+        true
+    }
+
+    /// Runs what changes who owns this node's keys, or their tokens. One such change is made at a time:
+    /// callers see to it that no other is.
+    pub fn change_keys(self: &Rc<Self>, change: impl AsyncFnOnce(&Node) + 'static) {
         self.held.borrow_mut().moving = true;
         let node = self.clone();
         tokio::task::spawn_local(async move {
-            node.move_keys(moves).await;
+            change(&node).await;
             node.held.borrow_mut().moving = false;
             node.keep.notify_one();
         });
-        true
     }
 
     /// Moves keys to their next owners.
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -3,7 +3,7 @@
 //! All of a node runs on one thread, so its state is plain cells; no borrow is held over a wait.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -205,7 +205,7 @@
         spdlog::warn!("the node goes on under a new incarnation", kv: { why, old = old.as_str(), fresh = fresh.as_str() });
         self.lease.replace(None);
         let born = clock::now();
-        self.witness.replace(Witness::new(Tag(self.holder.borrow().inc.0), born));
+        self.witness.replace(Witness::new(Tag::from(self.holder.borrow().inc), born));
         self.announce.notify_one();
         self.keep.notify_one();
     }
@@ -219,7 +219,7 @@
             }
             link.retire();
         }
-        let link = Link::new(&self.name(), node.clone(), addr);
+        let link = Link::new(node.clone(), addr);
         links.insert(node.clone(), link.clone());
         link
     }
@@ -227,9 +227,8 @@
     /// Drops links to nodes that are members no more.
     pub fn prune_links(&self) {
         let table = self.table.borrow();
-        let names: BTreeSet<&NodeId> = table.members.keys().collect();
         self.links.borrow_mut().retain(|name, link| {
-            let known = names.contains(name);
+            let known = table.members.contains_key(name);
             if !known {
                 link.retire();
             }
--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -10,30 +10,34 @@
 use crate::table::Record;
 
 impl Node {
-    /// Takes back failure domains that a whole reading of the orders does not name.
-    pub fn forget_missing(self: &Rc<Self>, records: &[Record]) {
-        let named: Vec<_> = records
-            .iter()
-            .filter_map(|r| match (self.platform.order)(r) {
-                Ok(Order::TakenOut(domain, true)) => Some(domain),
-                _ => None,
-            })
-            .collect();
-        let gone: Vec<_> =
-            self.out.borrow().keys().filter(|d| !named.contains(d)).cloned().collect();
+    /// What a record orders; `None` for one that cannot be read.
+    pub fn read_order(&self, record: &Record) -> Option<Order> {
+        match (self.platform.order)(record) {
+            Ok(order) => Some(order),
+            Err(why) => {
+                spdlog::error!("an order could not be read", kv: { key = record.key.as_str(), offset = record.offset.0, why = why.as_str() });
+                None
+            }
+        }
+    }
+
+    /// Takes back failure domains that `orders`, a whole reading, does not name.
+    pub fn forget_missing(self: &Rc<Self>, orders: &[Order]) {
+        let is_named = |domain: &DomainName| {
+            orders.iter().any(|o| matches!(o, Order::TakenOut(named, true) if named == domain))
+        };
+        let gone: Vec<_> = self.out.borrow().keys().filter(|d| !is_named(d)).cloned().collect();
         for domain in gone {
             self.set_out(domain, false);
         }
     }
 
-    pub fn order(self: &Rc<Self>, record: &Record) {
-        match (self.platform.order)(record) {
-            Ok(Order::Routes(routes)) => self.configure(*routes),
-            Ok(Order::TakenOut(domain, out)) => self.set_out(domain, out),
-            Ok(Order::Other) => {}
-            Err(why) => {
-                spdlog::error!("an order could not be read", kv: { key = record.key.as_str(), offset = record.offset.0, why = why.as_str() });
-            }
+    /// Puts an order in force.
+    pub fn obey(self: &Rc<Self>, order: Order) {
+        match order {
+            Order::Routes(routes) => self.configure(*routes),
+            Order::TakenOut(domain, out) => self.set_out(domain, out),
+            Order::Other => {}
         }
     }
 
--- a/src/kelpwind/mesh/recall.rs
+++ b/src/kelpwind/mesh/recall.rs
@@ -7,11 +7,11 @@
 //! new run ([`crate::table::keys::Keys::pass_on`]).
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::time::timeout;
 
-use super::node::{Attached, Node};
+use super::node::Node;
 use super::port::Report;
 use crate::table::member::Server;
 
@@ -65,10 +65,7 @@
             draining: false,
             cold,
         };
-        let now = Instant::now();
-        self.note_cold(&report, false, now);
-        self.line.borrow_mut().resize(report.slots.0);
-        self.server.replace(Some(Attached { report, heard: now, leaving: None }));
+        self.attach(report, false, None);
         self.keep.notify_one();
     }
 }
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -73,23 +73,26 @@
                 id, born, draining, slots = report.slots.0, number = report.number
             });
         }
-        self.note_cold(&report, same, now);
-        self.line.borrow_mut().resize(report.slots.0);
-        self.server.replace(Some(Attached { report, heard: now, leaving }));
+        self.attach(report, same, leaving);
         if changed {
             self.announce.notify_one();
             self.keep.notify_one();
         }
     }
 
-    pub fn note_cold(&self, report: &Report, same: bool, now: Instant) {
-        let until = (!report.cold.is_zero()).then(|| now + report.cold);
+    /// Takes a report as the newest of the backend server; `same` when the life was known before.
+    pub fn attach(&self, report: Report, same: bool, leaving: Option<Instant>) {
+        let heard = Instant::now();
+        let until = (!report.cold.is_zero()).then(|| heard + report.cold);
         let mut line = self.line.borrow_mut();
+        line.resize(report.slots.0);
         match until {
             Some(until) => line.cold.set(Some(until)),
             None if !same => line.cold.set(None),
             None => {}
         }
+        drop(line);
+        self.server.replace(Some(Attached { report, heard, leaving }));
     }
 
     /// The server may have been emptied, and then it is cold: it gets little until it has told.
--- a/src/kelpwind/mesh/serve.rs
+++ b/src/kelpwind/mesh/serve.rs
@@ -70,7 +70,7 @@
     let (mut reader, writer) = stream.into_split();
     let mut buffer = BytesMut::new();
     let hello = timeout(HELLO_TIMEOUT, frame::next(&mut reader, &mut buffer)).await;
-    let Ok(Some(Up::Hello { session: id, to, .. })) = hello else { return };
+    let Ok(Some(Up::Hello { session: id, to })) = hello else { return };
     if to != node.name().as_str() {
         return;
     }
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -51,7 +51,7 @@
     let peers = listen::listen(listen.peers).await?;
     let metrics = listen::listen(listen.metrics).await?;
     let udp = udp(listen.peers).await?;
-    let terminate = on(SignalKind::terminate())?;
+    let mut terminate = on(SignalKind::terminate())?;
     let reload = on(SignalKind::hangup())?;
     let node = Rc::new(build(place, platform, udp));
     let (name, run) = (node.name().to_string(), node.run);
@@ -60,7 +60,6 @@
     spawn_loops(&node, reload);
     spawn_listeners(&node, &closing, [callers, ready, from_server, metrics]);
     tokio::task::spawn_local(serve::accept(node.clone(), peers));
-    let mut terminate = terminate;
     terminate.recv().await;
     stop(&node, &closed).await;
     spdlog::info!("the node has stopped", kv: { name = name.as_str() });
--- a/src/kelpwind/table/pace.rs
+++ b/src/kelpwind/table/pace.rs
@@ -19,8 +19,9 @@
 const READERS: f64 = 12.0;
 /// Members up to which all read often: what would be spared is little.
 const ALL_READ: u32 = 24;
-/// Longest pause after failed reads of the orders, at nodes that read often and at the others.
+/// Longest pause after failed reads of the orders, at nodes that read often.
 const RETRY_OFTEN: Duration = Duration::from_millis(400);
+/// The same at all other nodes.
 const RETRY_SELDOM: Duration = Duration::from_millis(1500);
 /// Least and longest time between two reads of a table that moves.
 const TABLE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(4));
@@ -66,14 +67,14 @@
             Reader::Seldom => ORDERS_WAIT_LONG,
         }
     }
-}
 
-/// Longest pause of a reader of the orders after reads that failed: those who read often must have read
-/// again well within 3 s of an outage's end; they tell the others.
-pub fn orders_retry(reader: Reader) -> Duration {
-    match reader {
-        Reader::Often => RETRY_OFTEN,
-        Reader::Seldom => RETRY_SELDOM,
+    /// Longest pause after reads that failed: those who read often must have read again well within 3 s
+    /// of an outage's end; they tell the others.
+    pub fn retry(self) -> Duration {
+        match self {
+            Reader::Often => RETRY_OFTEN,
+            Reader::Seldom => RETRY_SELDOM,
+        }
     }
 }
 
--- a/src/kelpwind/util/logging.rs
+++ b/src/kelpwind/util/logging.rs
@@ -1,4 +1,4 @@
-//! The program's log: lines on standard error, for changes of state only.
+//! The program's log: lines of text on standard error, or of JSON on standard output.
 
 use std::num::NonZero;
 use std::sync::Arc;
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -27,6 +27,13 @@
     began.elapsed()
 }
 
+/// Waits until keys of the whole range are served to callers on a machine.
+async fn until_all_served(fleet: &Fleet, machine: usize) {
+    for key in [0, 10_000, 30_000, 50_000, 65_535] {
+        until_served(fleet, machine, key).await;
+    }
+}
+
 fn assert_kept(fleet: &Fleet) {
     let broken = fleet.check();
     assert!(broken.is_empty(), "{} broken, the first: {}", broken.len(), broken[0]);
@@ -51,9 +58,7 @@
     let callers = fleet.callers(&["books"], Duration::from_millis(10));
     fleet.machines[0].node = None;
     fleet.machines[0].server.take().unwrap().crash();
-    for key in [0, 10_000, 30_000, 50_000, 65_535] {
-        until_served(&fleet, 1, key).await;
-    }
+    until_all_served(&fleet, 1).await;
     callers.iter().for_each(|c| c.abort());
     assert_kept(&fleet);
 }
@@ -66,9 +71,7 @@
         fleet.machines[machine].node = None;
         fleet.start_node(machine);
     }
-    for key in [0, 10_000, 30_000, 50_000, 65_535] {
-        until_served(&fleet, 3, key).await;
-    }
+    until_all_served(&fleet, 3).await;
     callers.iter().for_each(|c| c.abort());
     assert_kept(&fleet);
 }
@@ -95,9 +98,7 @@
     fleet.start_node(0);
     tokio::time::sleep(LIFE).await;
     fleet.machines[0].node = None;
-    for key in [0, 10_000, 30_000, 50_000, 65_535] {
-        until_served(&fleet, 1, key).await;
-    }
+    until_all_served(&fleet, 1).await;
     assert_kept(&fleet);
 }
 
@@ -130,9 +131,7 @@
         fleet.start_server_unannounced(machine, Duration::from_millis(700)).await;
         tokio::time::sleep(Duration::from_millis(350)).await;
     }
-    for key in [0, 10_000, 30_000, 50_000, 65_535] {
-        until_served(&fleet, 3, key).await;
-    }
+    until_all_served(&fleet, 3).await;
     callers.iter().for_each(|c| c.abort());
     assert_kept(&fleet);
 }
@@ -163,9 +162,7 @@
     }
     fleet.machines[0].server.as_ref().unwrap().drain();
     tokio::time::sleep(Duration::from_secs(2)).await;
-    for key in [0, 10_000, 30_000, 50_000, 65_535] {
-        until_served(&fleet, 3, key).await;
-    }
+    until_all_served(&fleet, 3).await;
     fleet.set_faults(0, Faults::default());
     assert_kept(&fleet);
 }
@@ -195,9 +192,7 @@
     fleet.machines[1].server.as_ref().unwrap().drain();
     tokio::time::sleep(Duration::from_secs(3)).await;
     fleet.store.set_mute(false);
-    for key in [0, 10_000, 30_000, 50_000, 65_535] {
-        until_served(&fleet, 3, key).await;
-    }
+    until_all_served(&fleet, 3).await;
     assert_kept(&fleet);
 }
 
--- a/tests/testsuite/table.rs
+++ b/tests/testsuite/table.rs
@@ -168,7 +168,7 @@
 fn an_outage_of_the_store_is_not_met_with_more_calls_by_more_nodes() {
     let calls = |nodes: u32| {
         let often = readers(nodes, 0.5 / f64::from(nodes));
-        let pause = |reader| pace::orders_retry(reader).as_secs_f64();
+        let pause = |reader: Reader| reader.retry().as_secs_f64();
         often / pause(Reader::Often)
             + (f64::from(nodes) - often) / pause(Reader::Seldom)
             + f64::from(nodes) / pace::table_retry(nodes).as_secs_f64()
