Log and count requests without a route and abandoned reads of the orders

The incident's hypotheses differ in whether a node finishes reading a configuration, but its logs could not show that: a read of the orders that the node gives up left no trace, and a request refused before a route was chosen was neither counted nor logged.

Now both have a rate-limited line with the versions and offsets that decided it, and counters: kelpwind_unrouted_requests_total, kelpwind_store_reads_total (done, failed, abandoned), and gauges of how far the node has read the orders and how far others have announced them. No decision changes.

--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -38,21 +38,13 @@
     /// Routes a request and returns its final result. `call` already has its body.
     pub async fn route(self: &Rc<Self>, call: CallerRequest) -> Result<Answer, Failure> {
         let arrived = Instant::now();
-        let Some(routes) = self.routes() else {
-            return Err(not_run(
-                Code::NoConfig,
-                TARGET_RETRY_AFTER,
-                call.remaining,
-                fastrand::f64(),
-            ));
-        };
-        let Some(route) = routes.find(&call.host, &call.path).cloned() else {
-            return Err(Failure { code: Code::UnknownService, retry_after: None });
+        let (routes, route, service) = match self.find_route(&call) {
+            Ok(found) => found,
+            Err(failure) => {
+                self.record_unrouted(&call, failure);
+                return Err(failure);
+            }
         };
-        let service = self.pick_service(&route);
-        if routes.is_keyed(&service) && call.request.key.is_none() {
-            return Err(Failure { code: Code::KeyMissing, retry_after: None });
-        }
         let mut state = self.start_request(&routes, route, service, call, arrived);
         let id = state.request.id.clone();
         let left = state.deadline.saturating_duration_since(arrived).saturating_sub(ANSWER_MARGIN);
@@ -79,6 +71,39 @@
         result
     }
 
+    /// Finds the route of a request and picks one of its services.
+    fn find_route(
+        &self,
+        call: &CallerRequest,
+    ) -> Result<(Rc<Routes>, Rc<Route>, ServiceName), Failure> {
+        let Some(routes) = self.routes() else {
+            let draw = fastrand::f64();
+            return Err(not_run(Code::NoConfig, TARGET_RETRY_AFTER, call.remaining, draw));
+        };
+        let Some(route) = routes.find(&call.host, &call.path).cloned() else {
+            return Err(Failure { code: Code::UnknownService, retry_after: None });
+        };
+        let service = self.pick_service(&route);
+        if routes.is_keyed(&service) && call.request.key.is_none() {
+            return Err(Failure { code: Code::KeyMissing, retry_after: None });
+        }
+        Ok((routes, route, service))
+    }
+
+    /// Counts and logs a request that failed before a route was chosen.
+    pub fn record_unrouted(&self, call: &CallerRequest, failure: Failure) {
+        self.metrics.count_unrouted(failure.code);
+        self.metrics.failure_log.write(|left_out| {
+            spdlog::info!("entry: not routed", kv: {
+                request = call.request.id.as_str(), code = failure.code.number(), why = failure.code.text(),
+                host = call.host.as_str(), path = call.path.as_str(),
+                config = self.routes().map_or(0, |r| r.version.0),
+                orders = self.orders_offset.get().map_or(0, |next| next.0),
+                announced = self.orders_published.borrow().0, left_out
+            });
+        });
+    }
+
     fn start_request(
         &self,
         routes: &Routes,
--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -140,25 +140,34 @@
     let (parts, body) = request.into_parts();
     let mut call = match (node.platform.decode_request)(&parts) {
         Ok(call) => call,
-        Err(code) => return failure_reply(Failure { code, retry_after: None }),
+        Err(code) => {
+            node.metrics.count_unrouted(code);
+            return failure_reply(Failure { code, retry_after: None });
+        }
     };
     let limit = node.routes().map_or(Limits::default(), |r| r.limits).body_bytes;
     let within = call.remaining.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
     match timeout(within, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => call.request.body = body.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            return failure_reply(Failure { code: Code::BodyTooLarge, retry_after: None });
+            return reject_unrouted(&node, &call, Code::BodyTooLarge);
         }
         Ok(Err(e)) => {
             spdlog::debug!("failed to read the body of a caller's request: {e}");
-            return failure_reply(Failure { code: Code::BadRequest, retry_after: None });
+            return reject_unrouted(&node, &call, Code::BadRequest);
         }
-        Err(_) => return failure_reply(Failure { code: Code::DeadlinePast, retry_after: None }),
+        Err(_) => return reject_unrouted(&node, &call, Code::DeadlinePast),
     }
     call.remaining = call.remaining.map(|left| left.saturating_sub(arrived.elapsed()));
     answer(&node, call).await
 }
 
+fn reject_unrouted(node: &Node, call: &CallerRequest, code: Code) -> Reply {
+    let failure = Failure { code, retry_after: None };
+    node.record_unrouted(call, failure);
+    failure_reply(failure)
+}
+
 async fn answer(node: &Rc<Node>, call: CallerRequest) -> Reply {
     let echo = call.echo.clone();
     match node.route(call).await {
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -9,7 +9,7 @@
 };
 
 use super::node::Node;
-use super::platform_api::Answer;
+use super::platform_api::{Answer, Topic};
 use super::request_state::Failure;
 use crate::core::codes::Code;
 use crate::core::ids::ServiceName;
@@ -55,6 +55,8 @@
     requests: IntCounterVec,
     latency: HistogramVec,
     refusals_total: IntCounterVec,
+    unrouted: IntCounterVec,
+    store_reads: IntCounterVec,
     /// Counts the takeovers that this node has started.
     pub takeovers: IntCounter,
     running: IntGauge,
@@ -62,11 +64,36 @@
     keys: IntGauge,
     lease: IntGauge,
     config: IntGauge,
+    orders: IntGauge,
+    announced: IntGauge,
     offset: IntGauge,
     /// Limits log lines about requests that failed at the entry.
     pub failure_log: RateLimitedLog,
     /// Limits log lines about requests that the gate refused.
     pub refusal_log: RateLimitedLog,
+    /// Limits log lines about reads of the store that were abandoned.
+    pub read_log: RateLimitedLog,
+}
+
+/// How a read of the store ended; the value of a metric's label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReadResult {
+    /// The store answered.
+    Done,
+    /// The call failed.
+    Failed,
+    /// The node gave the read up before its answer was complete.
+    Abandoned,
+}
+
+impl ReadResult {
+    fn label(self) -> &'static str {
+        match self {
+            ReadResult::Done => "done",
+            ReadResult::Failed => "failed",
+            ReadResult::Abandoned => "abandoned",
+        }
+    }
 }
 
 impl Default for Metrics {
@@ -93,6 +120,16 @@
                 "Requests that this node's gate refused, by result code.",
                 &["code"],
             ),
+            unrouted: counters(
+                "kelpwind_unrouted_requests_total",
+                "Callers' requests that failed before a route was chosen, by result code.",
+                &["code"],
+            ),
+            store_reads: counters(
+                "kelpwind_store_reads_total",
+                "Reads of the store by topic and result.",
+                &["topic", "result"],
+            ),
             takeovers: register(
                 &registry,
                 IntCounter::new("kelpwind_takeovers_total", "Takeovers started."),
@@ -102,9 +139,15 @@
             keys: gauge("kelpwind_keys_held", "Keys that the backend server holds."),
             lease: gauge("kelpwind_lease_left_milliseconds", "Time left of the lease."),
             config: gauge("kelpwind_config_version", "Version of the configuration in force."),
+            orders: gauge("kelpwind_orders_offset", "Offset of the next record of the orders."),
+            announced: gauge(
+                "kelpwind_orders_announced_offset",
+                "Offset up to which other nodes have announced orders.",
+            ),
             offset: gauge("kelpwind_table_offset", "Offset of the next record of the table."),
             failure_log: RateLimitedLog::default(),
             refusal_log: RateLimitedLog::default(),
+            read_log: RateLimitedLog::default(),
             registry,
         }
     }
@@ -123,6 +166,16 @@
         self.latency.with_label_values(&[service.as_str()]).observe(took.as_secs_f64());
     }
 
+    /// Counts a caller's request that failed before a route was chosen.
+    pub fn count_unrouted(&self, code: Code) {
+        self.unrouted.with_label_values(&[&code.number().to_string()]).inc();
+    }
+
+    /// Counts a read of the store.
+    pub fn count_read(&self, topic: Topic, result: ReadResult) {
+        self.store_reads.with_label_values(&[topic.name(), result.label()]).inc();
+    }
+
     /// Counts a request that the gate refused.
     pub fn count_refusal(&self, code: Code) {
         self.refusals_total.with_label_values(&[&code.number().to_string()]).inc();
@@ -144,6 +197,8 @@
             self.lease.borrow().as_ref().and_then(|l| l.expires_at()).map(|ends| ends.since(now));
         metrics.lease.set(left.map_or(0, |l| l.as_millis() as i64));
         metrics.config.set(self.routes().map_or(0, |r| r.version.0 as i64));
+        metrics.orders.set(self.orders_offset.get().map_or(0, |next| next.0 as i64));
+        metrics.announced.set(self.orders_published.borrow().0 as i64);
         metrics.offset.set(self.table.borrow().next.0 as i64);
         let mut text = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&metrics.registry.gather(), &mut text) {
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -76,6 +76,8 @@
     pub table: RefCell<Table>,
     /// Offset up to which the table has been read; `None` until the first full read.
     pub table_offset: watch::Sender<Option<Offset>>,
+    /// Offset up to which this node has read the operators' topic; `None` until the first full read.
+    pub orders_offset: Cell<Option<Offset>>,
     /// Offset up to which other nodes have read the operators' topic.
     pub orders_published: watch::Sender<Offset>,
     /// Triggers the next read of the table.
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -33,6 +33,16 @@
     Table,
 }
 
+impl Topic {
+    /// Name of the topic in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Topic::Orders => "orders",
+            Topic::Table => "table",
+        }
+    }
+}
+
 /// A call to the store that failed.
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum StoreError {
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -97,6 +97,7 @@
         drained_domains: RefCell::default(),
         table: RefCell::default(),
         table_offset: watch::Sender::new(None),
+        orders_offset: Cell::new(None),
         orders_published: watch::Sender::new(Offset::default()),
         table_read_due: Notify::new(),
         table_read_requested: Cell::new(None),
--- a/src/kelpwind/mesh/store_watch.rs
+++ b/src/kelpwind/mesh/store_watch.rs
@@ -10,6 +10,7 @@
 
 use tokio::time::{sleep, timeout};
 
+use super::metrics::ReadResult;
 use super::node::Node;
 use super::platform_api::{OperatorOrder, StoreError, Topic};
 use crate::core::ids::Offset;
@@ -50,10 +51,15 @@
             (Some(from), Topic::Orders) => {
                 tokio::select! {
                     read = (node.platform.store.read)(topic, from, with_jitter(role.max_wait())) => read,
-                    () = node.wait_for_missed_orders(from) => continue,
+                    () = node.wait_for_missed_orders(from) => {
+                        node.record_abandoned_read(from);
+                        continue;
+                    }
                 }
             }
         };
+        let result = if read.is_ok() { ReadResult::Done } else { ReadResult::Failed };
+        node.metrics.count_read(topic, result);
         match read {
             Ok(batch) => {
                 if failures > 0 {
@@ -66,6 +72,9 @@
                     node.notify_orders_published(batch.next).await;
                 }
                 next = Some(batch.next);
+                if topic == Topic::Orders {
+                    node.orders_offset.set(next);
+                }
                 if !batch.records.is_empty() {
                     node.pause_before_read(topic).await;
                 }
@@ -113,6 +122,17 @@
         self.table.borrow().members.len() as u32
     }
 
+    /// Counts and logs a read of the orders from `from` that was given up before its answer was
+    /// complete.
+    fn record_abandoned_read(&self, from: Offset) {
+        self.metrics.count_read(Topic::Orders, ReadResult::Abandoned);
+        let announced = self.orders_published.borrow().0;
+        let config = self.routes().map_or(0, |r| r.version.0);
+        self.metrics.read_log.write(|left_out| {
+            spdlog::info!("a read of the orders is abandoned", kv: { from = from.0, announced, config, left_out });
+        });
+    }
+
     /// Pauses after a read that returned records.
     async fn pause_before_read(&self, topic: Topic) {
         match topic {
