Never give up a read of the orders whose answer is arriving

Cause: as soon as another node announced newer orders, a node gave its own read 100 ms, then dropped it with its connection and asked again, and the announcement stayed ahead of it, so this went on until an answer happened to arrive whole within 100 ms. A record of 95 KB takes 76 ms of an idle link of 10 Mbit/s, one of 275 KB takes 220 ms. Every other announcement of a store that answers slowly had the same effect.

Evidence: in the incident's records each of the twelve nodes that lagged had such a link and made ten reads a second, at 0.9 to 1.2 MB/s in all, none of which failed; after 64 s, with records of 275 KB, 54 of 63 nodes never got the configuration.

Change: a read whose answer has begun to arrive is never replaced. One that is still waiting 300 ms after the announcement, perhaps on a connection that has gone silent, is replaced once by a read that does not wait, and that one is not replaced by announcements at all. An announced offset for which the store has been asked is not asked for again, so an announcement that the store never confirms causes no endless loop either.

--- a/src/kelpwind/mesh/store_watch.rs
+++ b/src/kelpwind/mesh/store_watch.rs
@@ -2,8 +2,13 @@
 //! nodes.
 //!
 //! Each topic is first read as a whole. Each further read starts where the last one ended, and
-//! waits for the next record. State is never rolled back: an older configuration is ignored, and
-//! while the store does not answer, the last known state stays in force.
+//! waits for the next record. When another node announces orders that this node's read has not
+//! returned, the read may be waiting on a broken connection, so it is replaced once by one that
+//! does not wait. A read whose answer has begun to arrive is never replaced: over a slow link, an
+//! answer that is given up and requested again may never be received whole.
+//!
+//! State is never rolled back: an older configuration is ignored, and while the store does not
+//! answer, the last known state stays in force.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -35,6 +40,8 @@
     let mut next: Option<Offset> = None;
     let mut failures = 0_u32;
     let (mut draw, mut drawn_at) = (fastrand::f64(), Instant::now());
+    // Announced offset up to which the store has been asked for orders.
+    let mut checked = Offset::default();
     loop {
         if drawn_at.elapsed() >= ReadRole::duration() {
             (draw, drawn_at) = (fastrand::f64(), Instant::now());
@@ -42,6 +49,7 @@
         // The role changes with the number of known members; the draw is kept for
         // `ReadRole::duration`.
         let role = ReadRole::assign(node.member_count(), draw);
+        let announced = *node.orders_published.borrow();
         let read = match (next, topic) {
             (None, _) => (node.platform.store.newest)(topic).await,
             (Some(_), Topic::Table) => {
@@ -50,10 +58,14 @@
                 (node.platform.store.read)(request).await
             }
             (Some(from), Topic::Orders) => {
-                let request = ReadRequest::new(topic, from, with_jitter(role.max_wait()));
+                let known = from.max(checked);
+                let wait =
+                    if announced > known { Duration::ZERO } else { with_jitter(role.max_wait()) };
+                let request = ReadRequest::new(topic, from, wait);
+                let answering = request.answering.clone();
                 tokio::select! {
                     read = (node.platform.store.read)(request) => read,
-                    () = node.wait_for_missed_orders(from) => {
+                    () = node.wait_for_missed_orders(known, &answering), if !wait.is_zero() => {
                         node.record_abandoned_read(from);
                         continue;
                     }
@@ -76,6 +88,7 @@
                 next = Some(batch.next);
                 if topic == Topic::Orders {
                     node.orders_offset.set(next);
+                    checked = checked.max(announced);
                 }
                 if !batch.records.is_empty() {
                     node.pause_before_read(topic).await;
--- a/src/kelpwind/mesh/table_updates.rs
+++ b/src/kelpwind/mesh/table_updates.rs
@@ -1,6 +1,7 @@
 //! Notifications between nodes about new records in the store, so that each node needs to read the
 //! store less often.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,9 +14,9 @@
 use crate::net::datagram::DATAGRAM_BYTES_MAX;
 use crate::table::WriteBatch;
 
-/// Time to wait, after another node announced newer orders, for this node's own read to return
-/// them.
-const ORDERS_READ_WAIT: Duration = Duration::from_millis(100);
+/// Time to wait, after another node announced newer orders, for the answer to this node's own read
+/// to begin.
+const ORDERS_READ_WAIT: Duration = Duration::from_millis(300);
 /// Maximum size of the records in a datagram, which leaves room for its other fields.
 const RECORDS_BYTES_MAX: usize = DATAGRAM_BYTES_MAX - 256;
 
@@ -62,12 +63,16 @@
         }
     }
 
-    /// Returns [`ORDERS_READ_WAIT`] after another node announced orders from offset `from` on.
-    pub async fn wait_for_missed_orders(&self, from: Offset) {
+    /// Returns [`ORDERS_READ_WAIT`] after another node announced orders from offset `from` on,
+    /// unless `answering` shows that this node's own read is returning them.
+    pub async fn wait_for_missed_orders(&self, from: Offset, answering: &Cell<bool>) {
         let mut announced = self.orders_published.subscribe();
         // `wait_for` fails only if the sender is dropped, and `self` owns the sender.
         drop(announced.wait_for(|next| *next > from).await);
         sleep(ORDERS_READ_WAIT).await;
+        if answering.get() {
+            std::future::pending().await
+        }
     }
 }
 
