Refuse a request as invalid only under a configuration known to be current

Cause: the entry took its present configuration for the newest one, whatever it knew.

Change: a node keeps how far it has read the orders, how far they are known to reach, and when the store last confirmed that they end there (core/freshness.rs, pure). The three answers are given only while that confirmation is at most 2 s old, the time within which a configuration must be in force everywhere, and nothing newer is known. Otherwise the request waits up to 400 ms while the store is asked, and is then served if a newer configuration allows it, refused as before if there is none, or answered 503 (code 212, not run, with Retry-After). While reads fail it gets the 503 at once. Nodes that read frequently always have a recent confirmation; another one makes at most one more read in 2 s, and only while such requests come.

Not tested: the 413.

--- a/src/kelpwind/core/mod.rs
+++ b/src/kelpwind/core/mod.rs
@@ -1,11 +1,12 @@
 //! Domain types that the other modules build on: identifiers, result codes, configuration objects,
-//! routes, log records, the replicated state and state charts. This module does no I/O and reads no
+//! routes, log records, the replicated state and its freshness, and state charts. This module does no I/O and reads no
 //! clock.
 
 pub mod call;
 pub mod chart;
 pub mod codes;
 pub mod config;
+pub mod freshness;
 pub mod ids;
 mod packed_slices;
 pub mod record;
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -13,6 +13,7 @@
 
 use super::frame::Outcome;
 use super::node::Node;
+use super::orders::Confirmation;
 use super::platform_api::{Answer, CallerRequest};
 use super::request_state::{Failure, RequestState, not_run};
 use super::selection::GateAddr;
@@ -29,7 +30,7 @@
 const OWNER_WAIT_RATIO: f64 = 0.6;
 /// Retry-after of a key without an owner: a lost owner is replaced within 2 s.
 const OWNER_RETRY_AFTER: Duration = Duration::from_millis(700);
-/// Retry-after of a service without a usable target, and of a node without a configuration.
+/// Retry-after of a service without a usable target, and of a node without a current configuration.
 const TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time before the caller's deadline at which it is answered, so that the answer arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
@@ -38,7 +39,7 @@
     /// Routes a request and returns its final result. `call` already has its body.
     pub async fn route(self: &Rc<Self>, call: CallerRequest) -> Result<Answer, Failure> {
         let arrived = Instant::now();
-        let (routes, route, service) = match self.find_route(&call) {
+        let (routes, route, service) = match self.find_route(&call).await {
             Ok(found) => found,
             Err(failure) => {
                 self.record_unrouted(&call, failure);
@@ -71,35 +72,59 @@
         result
     }
 
-    /// Finds the route of a request and picks one of its services.
-    fn find_route(
+    /// Finds the route of a request and picks one of its services. Rejects the request as invalid
+    /// only if no newer configuration can allow it.
+    async fn find_route(
         &self,
         call: &CallerRequest,
     ) -> Result<(Rc<Routes>, Rc<Route>, ServiceName), Failure> {
-        let Some(routes) = self.routes() else {
-            let draw = fastrand::f64();
-            return Err(not_run(Code::NoConfig, TARGET_RETRY_AFTER, call.remaining, draw));
-        };
-        let Some(route) = routes.find(&call.host, &call.path).cloned() else {
-            return Err(Failure { code: Code::UnknownService, retry_after: None });
-        };
-        let service = self.pick_service(&route);
+        loop {
+            let Some(routes) = self.routes() else {
+                let draw = fastrand::f64();
+                return Err(not_run(Code::NoConfig, TARGET_RETRY_AFTER, call.remaining, draw));
+            };
+            let invalid = match self.look_up(&routes, call) {
+                Ok((route, service)) => return Ok((routes, route, service)),
+                Err(code) => code,
+            };
+            match self.confirm_config(routes.version).await {
+                Confirmation::Newest => return Err(Failure { code: invalid, retry_after: None }),
+                Confirmation::Replaced => {}
+                Confirmation::Unknown => return Err(self.stale_config(call)),
+            }
+        }
+    }
+
+    /// Looks up the route of a request and picks one of its services.
+    fn look_up(
+        &self,
+        routes: &Routes,
+        call: &CallerRequest,
+    ) -> Result<(Rc<Route>, ServiceName), Code> {
+        let route = routes.find(&call.host, &call.path).ok_or(Code::UnknownService)?;
+        let service = self.pick_service(route);
         if routes.is_keyed(&service) && call.request.key.is_none() {
-            return Err(Failure { code: Code::KeyMissing, retry_after: None });
+            return Err(Code::KeyMissing);
         }
-        Ok((routes, route, service))
+        Ok((route.clone(), service))
+    }
+
+    /// The failure of a request that may be valid under a newer configuration.
+    pub fn stale_config(&self, call: &CallerRequest) -> Failure {
+        not_run(Code::StaleConfig, TARGET_RETRY_AFTER, call.remaining, fastrand::f64())
     }
 
     /// Counts and logs a request that failed before a route was chosen.
     pub fn record_unrouted(&self, call: &CallerRequest, failure: Failure) {
         self.metrics.count_unrouted(failure.code);
+        let orders = *self.orders_freshness.borrow();
         self.metrics.failure_log.write(|left_out| {
             spdlog::info!("entry: not routed", kv: {
                 request = call.request.id.as_str(), code = failure.code.number(), why = failure.code.text(),
                 host = call.host.as_str(), path = call.path.as_str(),
                 config = self.routes().map_or(0, |r| r.version.0),
-                orders = self.orders_offset.get().map_or(0, |next| next.0),
-                announced = self.orders_published.borrow().0, left_out
+                orders = orders.next().0, orders_end = orders.end().0,
+                confirmed_ms = orders.age(Instant::now()).map_or(-1, |age| age.as_millis() as i64), left_out
             });
         });
     }
--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -19,9 +19,11 @@
 use tokio::time::{sleep, timeout};
 
 use super::node::Node;
+use super::orders::Confirmation;
 use super::platform_api::{Answer, CallerRequest};
 use super::request_state::Failure;
 use crate::core::codes::{Code, Outcome};
+use crate::core::ids::Revision;
 use crate::core::routes::Limits;
 
 /// Header with the numbered result code of a failure that the node itself reports.
@@ -145,25 +147,35 @@
             return failure_reply(Failure { code, retry_after: None });
         }
     };
-    let limit = node.routes().map_or(Limits::default(), |r| r.limits).body_bytes;
+    let routes = node.routes();
+    let limit = routes.as_ref().map_or(Limits::default(), |r| r.limits).body_bytes;
     let within = call.remaining.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
     match timeout(within, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => call.request.body = body.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            return reject_unrouted(&node, &call, Code::BodyTooLarge);
+            let version = routes.map_or_else(Revision::default, |r| r.version);
+            let failure = match node.confirm_config(version).await {
+                Confirmation::Newest => Failure { code: Code::BodyTooLarge, retry_after: None },
+                // The body has been discarded, so the caller must send it again.
+                Confirmation::Replaced | Confirmation::Unknown => node.stale_config(&call),
+            };
+            return reject_unrouted(&node, &call, failure);
         }
         Ok(Err(e)) => {
             spdlog::debug!("failed to read the body of a caller's request: {e}");
-            return reject_unrouted(&node, &call, Code::BadRequest);
+            let failure = Failure { code: Code::BadRequest, retry_after: None };
+            return reject_unrouted(&node, &call, failure);
+        }
+        Err(_) => {
+            let failure = Failure { code: Code::DeadlinePast, retry_after: None };
+            return reject_unrouted(&node, &call, failure);
         }
-        Err(_) => return reject_unrouted(&node, &call, Code::DeadlinePast),
     }
     call.remaining = call.remaining.map(|left| left.saturating_sub(arrived.elapsed()));
     answer(&node, call).await
 }
 
-fn reject_unrouted(node: &Node, call: &CallerRequest, code: Code) -> Reply {
-    let failure = Failure { code, retry_after: None };
+fn reject_unrouted(node: &Node, call: &CallerRequest, failure: Failure) -> Reply {
     node.record_unrouted(call, failure);
     failure_reply(failure)
 }
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -65,7 +65,7 @@
     lease: IntGauge,
     config: IntGauge,
     orders: IntGauge,
-    announced: IntGauge,
+    orders_end: IntGauge,
     offset: IntGauge,
     /// Limits log lines about requests that failed at the entry.
     pub failure_log: RateLimitedLog,
@@ -140,9 +140,9 @@
             lease: gauge("kelpwind_lease_left_milliseconds", "Time left of the lease."),
             config: gauge("kelpwind_config_version", "Version of the configuration in force."),
             orders: gauge("kelpwind_orders_offset", "Offset of the next record of the orders."),
-            announced: gauge(
-                "kelpwind_orders_announced_offset",
-                "Offset up to which other nodes have announced orders.",
+            orders_end: gauge(
+                "kelpwind_orders_end_offset",
+                "Highest offset that the orders are known to have reached.",
             ),
             offset: gauge("kelpwind_table_offset", "Offset of the next record of the table."),
             failure_log: RateLimitedLog::default(),
@@ -197,8 +197,9 @@
             self.lease.borrow().as_ref().and_then(|l| l.expires_at()).map(|ends| ends.since(now));
         metrics.lease.set(left.map_or(0, |l| l.as_millis() as i64));
         metrics.config.set(self.routes().map_or(0, |r| r.version.0 as i64));
-        metrics.orders.set(self.orders_offset.get().map_or(0, |next| next.0 as i64));
-        metrics.announced.set(self.orders_published.borrow().0 as i64);
+        let orders = *self.orders_freshness.borrow();
+        metrics.orders.set(orders.next().0 as i64);
+        metrics.orders_end.set(orders.end().0 as i64);
         metrics.offset.set(self.table.borrow().next.0 as i64);
         let mut text = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&metrics.registry.gather(), &mut text) {
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -19,6 +19,7 @@
 use super::metrics::Metrics;
 use super::platform_api::{NodeSettings, Platform, ServerReport};
 use super::serve::Sessions;
+use crate::core::freshness::Freshness;
 use crate::core::ids::{DomainName, Holder, Incarnation, NodeId, Offset, ServiceName};
 use crate::core::routes::Routes;
 use crate::gate::queue::RequestQueue;
@@ -76,10 +77,11 @@
     pub table: RefCell<Table>,
     /// Offset up to which the table has been read; `None` until the first full read.
     pub table_offset: watch::Sender<Option<Offset>>,
-    /// Offset up to which this node has read the operators' topic; `None` until the first full read.
-    pub orders_offset: Cell<Option<Offset>>,
-    /// Offset up to which other nodes have read the operators' topic.
-    pub orders_published: watch::Sender<Offset>,
+    /// How far this and other nodes have read the operators' topic, and how recent this node's copy
+    /// is.
+    pub orders_freshness: watch::Sender<Freshness>,
+    /// Makes the store confirm at once whether there are newer orders.
+    pub orders_check: Notify,
     /// Triggers the next read of the table.
     pub table_read_due: Notify,
     /// When a read was last requested on the assumption that the table had changed.
--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -1,15 +1,56 @@
 //! Applies operators' orders to this node: the configuration, and failure domains that are drained.
+//!
+//! Callers may use a new configuration as soon as the store has acknowledged it, before this node
+//! has read it. So a request that the present configuration does not allow is rejected as invalid
+//! only after the store has confirmed that there is no newer one ([`Node::confirm_config`]).
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use tokio::time::timeout;
 
 use super::node::Node;
 use super::platform_api::OperatorOrder;
-use crate::core::ids::DomainName;
+use crate::core::freshness::Freshness;
+use crate::core::ids::{DomainName, Revision};
 use crate::core::routes::Routes;
 use crate::table::Record;
 
+/// Longest time that a request waits until the store has confirmed the configuration. The store
+/// usually answers in milliseconds.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Whether a configuration is the newest one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Confirmation {
+    /// The store has confirmed that there is no newer one.
+    Newest,
+    /// A newer one is in force now.
+    Replaced,
+    /// The store does not confirm it.
+    Unknown,
+}
+
 impl Node {
+    /// Finds out whether the configuration with this version is the newest one. Asks the store
+    /// unless it has confirmed so lately.
+    pub async fn confirm_config(&self, version: Revision) -> Confirmation {
+        let settled = |f: &Freshness| f.is_current(Instant::now()) || f.is_failing();
+        let mut freshness = self.orders_freshness.subscribe();
+        if !settled(&freshness.borrow()) {
+            self.orders_check.notify_one();
+            // A timeout is no error: the store has not confirmed the configuration.
+            drop(timeout(CONFIRM_TIMEOUT, freshness.wait_for(settled)).await);
+        }
+        if self.routes().is_some_and(|r| r.version > version) {
+            return Confirmation::Replaced;
+        }
+        if freshness.borrow().is_current(Instant::now()) {
+            return Confirmation::Newest;
+        }
+        Confirmation::Unknown
+    }
+
     /// Decodes a record of the orders topic. A record that cannot be decoded is logged and skipped.
     pub fn decode_order(&self, record: &Record) -> Option<OperatorOrder> {
         match (self.platform.decode_order)(record) {
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -19,7 +19,7 @@
     udp,
 };
 use crate::core::codes::Code;
-use crate::core::ids::{Holder, Incarnation, Offset};
+use crate::core::ids::{Holder, Incarnation};
 use crate::gate::queue::RequestQueue;
 use crate::lease::clock;
 use crate::lease::message::IncarnationId;
@@ -97,8 +97,8 @@
         drained_domains: RefCell::default(),
         table: RefCell::default(),
         table_offset: watch::Sender::new(None),
-        orders_offset: Cell::new(None),
-        orders_published: watch::Sender::new(Offset::default()),
+        orders_freshness: watch::Sender::default(),
+        orders_check: Notify::new(),
         table_read_due: Notify::new(),
         table_read_requested: Cell::new(None),
         server: RefCell::new(None),
--- a/src/kelpwind/mesh/store_watch.rs
+++ b/src/kelpwind/mesh/store_watch.rs
@@ -4,7 +4,8 @@
 //! Each topic is first read as a whole. Each further read starts where the last one ended, and
 //! waits for the next record. When another node announces orders that this node's read has not
 //! returned, the read may be waiting on a broken connection, so it is replaced once by one that
-//! does not wait. A read whose answer has begun to arrive is never replaced: over a slow link, an
+//! does not wait. So is a read that waits when a request may be valid under orders that this node
+//! has not read. A read whose answer has begun to arrive is never replaced: over a slow link, an
 //! answer that is given up and requested again may never be received whole.
 //!
 //! State is never rolled back: an older configuration is ignored, and while the store does not
@@ -17,7 +18,8 @@
 
 use super::metrics::ReadResult;
 use super::node::Node;
-use super::platform_api::{OperatorOrder, ReadRequest, StoreError, Topic};
+use super::platform_api::{Batch, OperatorOrder, ReadRequest, StoreError, Topic};
+use crate::core::freshness::Freshness;
 use crate::core::ids::Offset;
 use crate::table::polling::{self, ReadRole};
 use crate::table::{Record, Table};
@@ -40,8 +42,7 @@
     let mut next: Option<Offset> = None;
     let mut failures = 0_u32;
     let (mut draw, mut drawn_at) = (fastrand::f64(), Instant::now());
-    // Announced offset up to which the store has been asked for orders.
-    let mut checked = Offset::default();
+    let mut orders = OrdersReader::default();
     loop {
         if drawn_at.elapsed() >= ReadRole::duration() {
             (draw, drawn_at) = (fastrand::f64(), Instant::now());
@@ -49,28 +50,15 @@
         // The role changes with the number of known members; the draw is kept for
         // `ReadRole::duration`.
         let role = ReadRole::assign(node.member_count(), draw);
-        let announced = *node.orders_published.borrow();
-        let read = match (next, topic) {
-            (None, _) => (node.platform.store.newest)(topic).await,
+        let sent = Instant::now();
+        let (read, at) = match (next, topic) {
+            (None, _) => ((node.platform.store.newest)(topic).await, sent),
             (Some(_), Topic::Table) => {
                 let from = node.table.borrow().next;
                 let request = ReadRequest::new(topic, from, with_jitter(TABLE_READ_WAIT));
-                (node.platform.store.read)(request).await
-            }
-            (Some(from), Topic::Orders) => {
-                let known = from.max(checked);
-                let wait =
-                    if announced > known { Duration::ZERO } else { with_jitter(role.max_wait()) };
-                let request = ReadRequest::new(topic, from, wait);
-                let answering = request.answering.clone();
-                tokio::select! {
-                    read = (node.platform.store.read)(request) => read,
-                    () = node.wait_for_missed_orders(known, &answering), if !wait.is_zero() => {
-                        node.record_abandoned_read(from);
-                        continue;
-                    }
-                }
+                ((node.platform.store.read)(request).await, sent)
             }
+            (Some(from), Topic::Orders) => orders.read(&node, from, role).await,
         };
         let result = if read.is_ok() { ReadResult::Done } else { ReadResult::Failed };
         node.metrics.count_read(topic, result);
@@ -81,15 +69,15 @@
                 }
                 failures = 0;
                 node.apply_records(topic, &batch.records, next.is_none(), batch.next);
+                if topic == Topic::Orders {
+                    let record = |f: &mut Freshness| f.record_read(batch.next, batch.end, at);
+                    node.orders_freshness.send_modify(record);
+                }
                 if topic == Topic::Orders && role == ReadRole::Frequent && !batch.records.is_empty()
                 {
                     node.notify_orders_published(batch.next).await;
                 }
                 next = Some(batch.next);
-                if topic == Topic::Orders {
-                    node.orders_offset.set(next);
-                    checked = checked.max(announced);
-                }
                 if !batch.records.is_empty() {
                     node.pause_before_read(topic).await;
                 }
@@ -104,6 +92,9 @@
                     spdlog::warn!("the store does not answer", kv: { topic = format!("{topic:?}"), why = why.as_str() });
                 }
                 failures += 1;
+                if topic == Topic::Orders {
+                    node.orders_freshness.send_modify(Freshness::record_failure);
+                }
                 let longest = match topic {
                     Topic::Orders => role.max_retry_pause(),
                     Topic::Table => polling::max_table_retry_pause(node.member_count()),
@@ -115,6 +106,53 @@
     }
 }
 
+/// Reads the orders, and replaces a read that waits when there may be newer ones.
+#[derive(Default)]
+struct OrdersReader {
+    /// End of the topic, according to other nodes, after which the store has been asked.
+    checked: Offset,
+}
+
+impl OrdersReader {
+    /// Reads the orders from `from` on. Also returns a time at which the store had no records
+    /// beyond the answer.
+    async fn read(
+        &mut self,
+        node: &Node,
+        from: Offset,
+        role: ReadRole,
+    ) -> (Result<Batch, StoreError>, Instant) {
+        let mut check_due = false;
+        loop {
+            let end = node.orders_freshness.borrow().end();
+            let known = from.max(self.checked);
+            let at_once = check_due || end > known;
+            let wait = if at_once { Duration::ZERO } else { with_jitter(role.max_wait()) };
+            let request = ReadRequest::new(Topic::Orders, from, wait);
+            let answering = request.answering.clone();
+            let sent = Instant::now();
+            tokio::select! {
+                read = (node.platform.store.read)(request) => {
+                    // The store has waited in vain before it returns no records.
+                    let waited = read.as_ref().is_ok_and(|batch| batch.records.is_empty());
+                    let at = if waited { (sent + wait).min(Instant::now()) } else { sent };
+                    if read.is_ok() {
+                        self.checked = self.checked.max(end);
+                    }
+                    return (read, at);
+                }
+                () = node.wait_for_missed_orders(known, &answering), if !at_once => {
+                    node.record_abandoned_read(from, "other nodes have newer orders");
+                }
+                () = node.wait_for_check(&answering), if !at_once => {
+                    node.record_abandoned_read(from, "a request may be valid under newer orders");
+                    check_due = true;
+                }
+            }
+        }
+    }
+}
+
 impl Node {
     /// Makes the next read of the table due at once, because this node needs a record that was just
     /// written.
@@ -139,12 +177,12 @@
 
     /// Counts and logs a read of the orders from `from` that was given up before its answer was
     /// complete.
-    fn record_abandoned_read(&self, from: Offset) {
+    fn record_abandoned_read(&self, from: Offset, why: &str) {
         self.metrics.count_read(Topic::Orders, ReadResult::Abandoned);
-        let announced = self.orders_published.borrow().0;
+        let end = self.orders_freshness.borrow().end().0;
         let config = self.routes().map_or(0, |r| r.version.0);
         self.metrics.read_log.write(|left_out| {
-            spdlog::info!("a read of the orders is abandoned", kv: { from = from.0, announced, config, left_out });
+            spdlog::info!("a read of the orders is abandoned", kv: { why, from = from.0, end, config, left_out });
         });
     }
 
--- a/src/kelpwind/mesh/table_updates.rs
+++ b/src/kelpwind/mesh/table_updates.rs
@@ -66,13 +66,25 @@
     /// Returns [`ORDERS_READ_WAIT`] after another node announced orders from offset `from` on,
     /// unless `answering` shows that this node's own read is returning them.
     pub async fn wait_for_missed_orders(&self, from: Offset, answering: &Cell<bool>) {
-        let mut announced = self.orders_published.subscribe();
+        let mut freshness = self.orders_freshness.subscribe();
         // `wait_for` fails only if the sender is dropped, and `self` owns the sender.
-        drop(announced.wait_for(|next| *next > from).await);
+        drop(freshness.wait_for(|f| f.end() > from).await);
         sleep(ORDERS_READ_WAIT).await;
-        if answering.get() {
-            std::future::pending().await
-        }
+        wait_while_answering(answering).await;
+    }
+
+    /// Returns when a request needs to know whether there are newer orders, unless `answering`
+    /// shows that this node's own read is about to tell.
+    pub async fn wait_for_check(&self, answering: &Cell<bool>) {
+        self.orders_check.notified().await;
+        wait_while_answering(answering).await;
+    }
+}
+
+/// Never returns if the answer to a read has begun to arrive, since the read then ends by itself.
+async fn wait_while_answering(answering: &Cell<bool>) {
+    if answering.get() {
+        std::future::pending().await
     }
 }
 
--- a/src/kelpwind/mesh/udp.rs
+++ b/src/kelpwind/mesh/udp.rs
@@ -56,7 +56,7 @@
                 None
             }
             Datagram::OrdersPublished { next } => {
-                self.orders_published.send_modify(|known| *known = next.max(*known));
+                self.orders_freshness.send_modify(|f| f.record_end(next));
                 None
             }
             Datagram::LoadQuery { query, work } => self.answer_load_query(query, work),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod drains;
 mod durability;
 mod fault_sequences;
+mod freshness;
 mod lease_model;
 mod malformed_input;
 mod ownership;
