Tell the reader of a topic when an answer begins and where the topic ends

A caller of Store::read saw nothing of a read between its start and its end, so it could not tell a read that waits for a record from one whose answer is arriving, and abandoned either after the same time.

ReadRequest has a flag that is set as soon as the head of the answer has been read. For that, Conn::exchange calls its closure when a head has arrived instead of after the body. Batch has the offset after the topic's last record, by which a reader knows whether more records are waiting. The watcher of the store reads as before.

--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -4,9 +4,11 @@
 //! fills it, and so do the stand-ins of the tests. The functions only translate: they make no
 //! decisions, keep no state beyond connections, and have no timers except the timeout of a call.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -50,6 +52,26 @@
 
 impl std::error::Error for StoreError {}
 
+/// A read of a topic.
+#[derive(Clone, Debug)]
+pub struct ReadRequest {
+    /// The topic.
+    pub topic: Topic,
+    /// Offset of the first record.
+    pub from: Offset,
+    /// Longest time to wait for the first record.
+    pub wait: Duration,
+    /// Set once the answer has begun to arrive.
+    pub answering: Rc<Cell<bool>>,
+}
+
+impl ReadRequest {
+    /// A read whose answer has not begun.
+    pub fn new(topic: Topic, from: Offset, wait: Duration) -> ReadRequest {
+        ReadRequest { topic, from, wait, answering: Rc::default() }
+    }
+}
+
 /// The result of one read of a topic.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Batch {
@@ -57,14 +79,17 @@
     pub records: Vec<Record>,
     /// Offset at which the next read starts.
     pub next: Offset,
+    /// Offset after the topic's last record when the answer was made. The batch is complete when
+    /// it equals `next`.
+    pub end: Offset,
 }
 
 /// The platform's store.
 pub struct Store {
     /// Reads the newest record of each key.
     pub newest: Box<dyn Fn(Topic) -> StoreFuture<Batch>>,
-    /// Reads records from an offset on. Waits up to the given time for the first one.
-    pub read: Box<dyn Fn(Topic, Offset, Duration) -> StoreFuture<Batch>>,
+    /// Reads records from an offset on.
+    pub read: Box<dyn Fn(ReadRequest) -> StoreFuture<Batch>>,
     /// Appends all records to the table or none. With an offset, appends only if the log ends
     /// there. Returns the offset after the last record.
     pub append: Box<dyn Fn(WriteBatch, Option<Offset>) -> StoreFuture<Offset>>,
--- a/src/kelpwind/mesh/store_watch.rs
+++ b/src/kelpwind/mesh/store_watch.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::node::Node;
-use super::platform_api::{OperatorOrder, StoreError, Topic};
+use super::platform_api::{OperatorOrder, ReadRequest, StoreError, Topic};
 use crate::core::ids::Offset;
 use crate::table::polling::{self, ReadRole};
 use crate::table::{Record, Table};
@@ -45,11 +45,13 @@
             (None, _) => (node.platform.store.newest)(topic).await,
             (Some(_), Topic::Table) => {
                 let from = node.table.borrow().next;
-                (node.platform.store.read)(topic, from, with_jitter(TABLE_READ_WAIT)).await
+                let request = ReadRequest::new(topic, from, with_jitter(TABLE_READ_WAIT));
+                (node.platform.store.read)(request).await
             }
             (Some(from), Topic::Orders) => {
+                let request = ReadRequest::new(topic, from, with_jitter(role.max_wait()));
                 tokio::select! {
-                    read = (node.platform.store.read)(topic, from, with_jitter(role.max_wait())) => read,
+                    read = (node.platform.store.read)(request) => read,
                     () = node.wait_for_missed_orders(from) => continue,
                 }
             }
--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -96,6 +96,15 @@
     idle_until: Option<Instant>,
 }
 
+/// A response, which may be that of an earlier request.
+struct Received {
+    response: Response,
+    /// Whether it is the response to the current request.
+    belongs: bool,
+    /// Whether the end of the connection marked the end of its body.
+    closed: bool,
+}
+
 /// How the end of a response body is determined.
 enum Framing {
     None,
@@ -148,7 +157,8 @@
     }
 
     /// Sends a request, whose `head` includes the final empty line, and reads the first response
-    /// whose head `belongs` accepts.
+    /// whose head `belongs` accepts. `belongs` is called as soon as a head has arrived, before the
+    /// body is read.
     ///
     /// # Errors
     /// [`ExchangeError::Unsent`] only if no byte of the request was written.
@@ -170,7 +180,7 @@
         let mut mismatches = 0;
         loop {
             let response = if sent {
-                read_response(&mut self.stream, &mut self.buffer, method).await?
+                read_response(&mut self.stream, &mut self.buffer, method, &belongs).await?
             } else {
                 // The other end may respond before it has read the whole request body.
                 let (mut reader, mut writer) = self.stream.split();
@@ -180,7 +190,7 @@
                     }
                     Ok::<(), ExchangeError>(())
                 };
-                let read = read_response(&mut reader, &mut self.buffer, method);
+                let read = read_response(&mut reader, &mut self.buffer, method, &belongs);
                 tokio::pin!(read);
                 let early = tokio::select! {
                     response = &mut read => Some(response?),
@@ -194,8 +204,8 @@
                     }
                 }
             };
-            let (response, closed) = response;
-            if !belongs(&response.head) {
+            let Received { response, belongs, closed } = response;
+            if !belongs {
                 mismatches += 1;
                 if mismatches >= MISMATCHES_MAX || closed {
                     return Err(ExchangeError::Malformed);
@@ -239,12 +249,13 @@
     head.header("connection").is_some_and(|v| v.to_ascii_lowercase().contains("close"))
 }
 
-/// Reads one response. Also returns whether the end of the connection marked the end of its body.
+/// Reads one response.
 async fn read_response<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
     method: &str,
-) -> Result<(Response, bool)> {
+    belongs: &impl Fn(&Head) -> bool,
+) -> Result<Received> {
     let head = loop {
         let head = read_head(reader, buffer).await?;
         // 1xx heads precede the final response.
@@ -252,13 +263,14 @@
             break head;
         }
     };
+    let belongs = belongs(&head);
     let (body, closed) = match framing(&head, method)? {
         Framing::None => (Bytes::new(), false),
         Framing::Length(size) => (read_exactly(reader, buffer, size).await?, false),
         Framing::Chunked => (read_chunks(reader, buffer).await?, false),
         Framing::UntilClose => (read_to_end(reader, buffer).await?, true),
     };
-    Ok((Response { head, body }, closed))
+    Ok(Received { response: Response { head, body }, belongs, closed })
 }
 
 async fn read_head<R: AsyncReadExt + Unpin>(reader: &mut R, buffer: &mut BytesMut) -> Result<Head> {
