Limit the pauses of an answer of the store, not the time of the whole

A node restarted on a link of some 200 KB/s never served: its callers got no answer, and its log said "no answer within 1500 ms" for the read of the whole orders, for as long as it ran. A read of 2 MB at 0.5 MB/s failed after 1 s in the same way.

Cause: the time limits of calls to the store, 1.5 s and for a read its wait and 1 s, covered the whole answer. Any answer larger than the limit times the bandwidth was given up while it arrived and begun anew from its first byte, so no number of attempts could end.

A call is now limited by the time until its answer begins, which is what those limits were meant for, and then by the time without a byte of it (1 s, Conn::set_stall_timeout). A silent store or connection is found as before: a read that is never answered still ends after its wait and 1 s, and one whose answer stops ends 1 s after its last byte. The error now says which of the two it was.

--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -13,6 +13,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
 
 /// Maximum number of headers of a response.
 const HEADERS_MAX: usize = 64;
@@ -94,6 +95,7 @@
     buffer: BytesMut,
     reusable: bool,
     idle_until: Option<Instant>,
+    stall_timeout: Option<Duration>,
 }
 
 /// A response, which may be that of an earlier request.
@@ -122,7 +124,19 @@
         }
         let stream = socket.connect(addr).await?;
         set_dead_peer_timeouts(&stream)?;
-        Ok(Conn { stream, buffer: BytesMut::new(), reusable: true, idle_until: None })
+        Ok(Conn {
+            stream,
+            buffer: BytesMut::new(),
+            reusable: true,
+            idle_until: None,
+            stall_timeout: None,
+        })
+    }
+
+    /// Sets the longest time without a byte while the body of a response arrives; there is no limit
+    /// by default. The time until the head has arrived is limited by the caller.
+    pub fn set_stall_timeout(&mut self, limit: Duration) {
+        self.stall_timeout = Some(limit);
     }
 
     /// Whether another request may be sent: the connection is open and reusable, within the idle
@@ -178,9 +192,10 @@
         }
         let mut sent = !request.has_remaining();
         let mut mismatches = 0;
+        let stall = self.stall_timeout;
         loop {
             let response = if sent {
-                read_response(&mut self.stream, &mut self.buffer, method, &belongs).await?
+                read_response(&mut self.stream, &mut self.buffer, stall, method, &belongs).await?
             } else {
                 // The other end may respond before it has read the whole request body.
                 let (mut reader, mut writer) = self.stream.split();
@@ -190,7 +205,7 @@
                     }
                     Ok::<(), ExchangeError>(())
                 };
-                let read = read_response(&mut reader, &mut self.buffer, method, &belongs);
+                let read = read_response(&mut reader, &mut self.buffer, stall, method, &belongs);
                 tokio::pin!(read);
                 let early = tokio::select! {
                     response = &mut read => Some(response?),
@@ -249,10 +264,11 @@
     head.header("connection").is_some_and(|v| v.to_ascii_lowercase().contains("close"))
 }
 
-/// Reads one response.
+/// Reads one response. Its body may arrive at any speed, but with no pause longer than `stall`.
 async fn read_response<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
+    stall: Option<Duration>,
     method: &str,
     belongs: &impl Fn(&Head) -> bool,
 ) -> Result<Received> {
@@ -266,9 +282,9 @@
     let belongs = belongs(&head);
     let (body, closed) = match framing(&head, method)? {
         Framing::None => (Bytes::new(), false),
-        Framing::Length(size) => (read_exactly(reader, buffer, size).await?, false),
-        Framing::Chunked => (read_chunks(reader, buffer).await?, false),
-        Framing::UntilClose => (read_to_end(reader, buffer).await?, true),
+        Framing::Length(size) => (read_exactly(reader, buffer, stall, size).await?, false),
+        Framing::Chunked => (read_chunks(reader, buffer, stall).await?, false),
+        Framing::UntilClose => (read_to_end(reader, buffer, stall).await?, true),
     };
     Ok(Received { response: Response { head, body }, belongs, closed })
 }
@@ -290,7 +306,7 @@
             _ => return Err(ExchangeError::Malformed),
         }
         let empty = buffer.is_empty();
-        if fill_buffer(reader, buffer).await? == 0 {
+        if fill_buffer(reader, buffer, None).await? == 0 {
             return Err(if empty { ExchangeError::Closed } else { ExchangeError::Truncated });
         }
     }
@@ -313,22 +329,33 @@
     }
 }
 
-/// Reads once into the buffer; returns the number of bytes read, 0 at the end of the stream.
+/// Reads once into the buffer; returns the number of bytes read, 0 at the end of the stream. Fails
+/// if nothing arrives for the time `stall`.
 async fn fill_buffer<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
+    stall: Option<Duration>,
 ) -> Result<usize> {
     buffer.reserve(READ_BYTES);
-    reader.read_buf(buffer).await.map_err(ExchangeError::Broken)
+    let read = reader.read_buf(buffer);
+    let size = match stall {
+        None => read.await,
+        Some(limit) => timeout(limit, read).await.unwrap_or_else(|_| {
+            let text = format!("no byte of the answer arrived for {} ms", limit.as_millis());
+            Err(io::Error::new(io::ErrorKind::TimedOut, text))
+        }),
+    };
+    size.map_err(ExchangeError::Broken)
 }
 
 async fn read_exactly<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
+    stall: Option<Duration>,
     size: usize,
 ) -> Result<Bytes> {
     while buffer.len() < size {
-        if fill_buffer(reader, buffer).await? == 0 {
+        if fill_buffer(reader, buffer, stall).await? == 0 {
             return Err(ExchangeError::Truncated);
         }
     }
@@ -338,8 +365,9 @@
 async fn read_to_end<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
+    stall: Option<Duration>,
 ) -> Result<Bytes> {
-    while fill_buffer(reader, buffer).await? > 0 {
+    while fill_buffer(reader, buffer, stall).await? > 0 {
         if buffer.len() > BODY_BYTES_MAX {
             return Err(ExchangeError::Malformed);
         }
@@ -350,13 +378,14 @@
 async fn read_chunks<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
+    stall: Option<Duration>,
 ) -> Result<Bytes> {
     let mut body = BytesMut::new();
     loop {
         let (start, size) = match httparse::parse_chunk_size(buffer) {
             Ok(httparse::Status::Complete((start, size))) => (start, size as usize),
             Ok(httparse::Status::Partial) => {
-                if fill_buffer(reader, buffer).await? == 0 {
+                if fill_buffer(reader, buffer, stall).await? == 0 {
                     return Err(ExchangeError::Truncated);
                 }
                 continue;
@@ -365,13 +394,13 @@
         };
         buffer.advance(start);
         if size == 0 {
-            read_trailers(reader, buffer).await?;
+            read_trailers(reader, buffer, stall).await?;
             return Ok(body.freeze());
         }
         if body.len() + size > BODY_BYTES_MAX {
             return Err(ExchangeError::Malformed);
         }
-        let chunk = read_exactly(reader, buffer, size + 2).await?;
+        let chunk = read_exactly(reader, buffer, stall, size + 2).await?;
         if !chunk.ends_with(b"\r\n") {
             return Err(ExchangeError::Malformed);
         }
@@ -382,6 +411,7 @@
 async fn read_trailers<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
+    stall: Option<Duration>,
 ) -> Result<()> {
     loop {
         if let Some(end) = buffer.windows(2).position(|w| w == b"\r\n") {
@@ -391,7 +421,7 @@
             }
             continue;
         }
-        if fill_buffer(reader, buffer).await? == 0 {
+        if fill_buffer(reader, buffer, stall).await? == 0 {
             return Err(ExchangeError::Truncated);
         }
     }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -225,6 +225,22 @@
     }
 }
 
+/// The link carries some 200 KB/s, so the node takes seconds to read the configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_restarted_on_a_slow_link_reads_a_large_configuration_and_serves() {
+    const ROUTES: usize = 3000;
+    const HOST: usize = 3;
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let row = |i| format!(r#"["extra-{i}","extra-{i}.example","/get/","safe",2.5,1.0,2,2,"maps"]"#);
+    let rows: Vec<_> = (0..ROUTES).map(row).collect();
+    fleet.publish(SERVICES, &rows.join(","));
+    fleet.hosts[HOST].node = None;
+    fleet.set_faults(HOST, Faults { delay_ms: 80, ..Faults::default() });
+    fleet.start_node(HOST);
+    until_all_served(&fleet, HOST).await;
+    assert_no_violations(&fleet);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_rejected_under_overload_get_retry_after() {
     let fleet = Fleet::start(&[("books", 1)], Duration::from_millis(300)).await;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,5 +20,6 @@
 mod request_flow;
 mod silent_connections;
 mod state_machine;
+mod store_client;
 mod support;
 mod table;
