--- a/tests/testsuite/store_client.rs
+++ b/tests/testsuite/store_client.rs
@@ -125,6 +125,24 @@
     assert_eq!((batch.records.len(), batch.next, batch.end), (1, Offset(9), Offset(9)));
 }
 
+/// A record that is refused stops the topic: each further read begins with it again.
+#[tokio::test]
+async fn a_record_of_any_size_is_read() {
+    const SIZE: usize = 3 << 20;
+    let body = records(2, SIZE);
+    let store = open_store(move |mut stream| {
+        let body = body.clone();
+        async move {
+            receive(&mut stream).await;
+            send(&mut stream, body.len(), &body, 100 << 20).await;
+        }
+    })
+    .await;
+    let batch = (store.read)(read_from_start(Duration::ZERO)).await.unwrap();
+    let sizes: Vec<_> = batch.records.iter().flat_map(|r| &r.value).map(Bytes::len).collect();
+    assert_eq!((sizes, batch.next), (vec![SIZE, SIZE], Offset(2)));
+}
+
 /// Guards against waiting for ever on a connection that went silent within an answer.
 #[tokio::test]
 async fn a_read_fails_when_its_answer_stops_arriving() {
