Limit the pauses of an answer of the log service, not the time of the whole

A node started on a link of some 400 KB/s to a log of 1.2 MB never served. A read that does not wait had 1 s for its whole answer, up to 512 records, and was then begun anew from the start; so a log of more than 1 s times the bandwidth could not be read, however often.

As for the platform's store: the 1 s beyond the wait now limits the time until the answer begins, and Limits::stall_timeout (1 s) the time without a byte of it. All other calls of the pool keep their deadline for the whole answer, because their callers have one.

--- a/src/kelpwind/log/http.rs
+++ b/src/kelpwind/log/http.rs
@@ -13,11 +13,15 @@
 use super::client::{Batch, LogClient, Result};
 use crate::core::codes::Code;
 use crate::core::ids::Offset;
-use crate::net::pool::Pool;
+use crate::net::pool::{Limits, Pool};
 use crate::util::error::Error;
 
-/// Timeout of a call, in addition to the time for which a read may wait for records.
+/// Longest time until an answer begins, in addition to the time for which a read may wait for
+/// records.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Longest time without a byte while an answer arrives. The whole answer may take longer: on a slow
+/// link, reading the log takes as long as the link needs.
+const STALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Creates a client of the log service at `addr`.
 pub fn client(pool: Arc<Pool>, addr: SocketAddr) -> LogClient {
@@ -30,14 +34,14 @@
 
 async fn append(pool: Arc<Pool>, addr: SocketAddr, data: Bytes) -> Result<Offset> {
     let request = request(Method::POST, "/append".to_owned(), data)?;
-    let appended: AppendReply = call(&pool, addr, request, CALL_TIMEOUT, "append to").await?;
+    let appended: AppendReply = call(&pool, addr, request, Duration::ZERO, "append to").await?;
     Ok(Offset(appended.offset))
 }
 
 async fn read(pool: Arc<Pool>, addr: SocketAddr, from: Offset, wait: Duration) -> Result<Batch> {
     let path = format!("/read?from={from}&wait_ms={}", wait.as_millis());
     let request = request(Method::GET, path, Bytes::new())?;
-    let batch: LogBatch = call(&pool, addr, request, wait + CALL_TIMEOUT, "read from").await?;
+    let batch: LogBatch = call(&pool, addr, request, wait, "read from").await?;
     let records = batch.records.into_iter();
     let records: Vec<_> = records.map(|r| (Offset(r.offset), Bytes::from(r.data))).collect();
     let ascending = records.windows(2).all(|w| w[0].0 < w[1].0);
@@ -65,11 +69,13 @@
     pool: &Pool,
     addr: SocketAddr,
     request: Request<Bytes>,
-    limit: Duration,
+    wait: Duration,
     verb: &str,
 ) -> Result<T> {
     let context = format!("failed to {verb} the log service {addr}");
-    let response = pool.call(addr, request, Instant::now() + limit).await;
+    let deadline = Instant::now() + wait + CALL_TIMEOUT;
+    let limits = Limits { deadline, stall_timeout: Some(STALL_TIMEOUT) };
+    let response = pool.call(addr, request, limits).await;
     let response =
         response.map_err(|e| Error::new(Code::LogUnavailable, context.clone()).caused_by(e))?;
     match response.status() {
--- a/src/kelpwind/net/pool.rs
+++ b/src/kelpwind/net/pool.rs
@@ -11,7 +11,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -44,7 +44,7 @@
     Unsent,
     /// the connection failed after the request was sent
     Broken(hyper::Error),
-    /// no whole answer before the deadline
+    /// the answer did not arrive in time
     Expired,
     /// the answer ended before it was whole, or does not say how long it is
     Truncated,
@@ -72,6 +72,21 @@
 /// Result of a call.
 pub type Result<T> = std::result::Result<T, CallError>;
 
+/// Time limits of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Latest time at which the answer has arrived, or with a stall timeout at which it has begun.
+    pub deadline: Instant,
+    /// Longest time without a byte of the body, which may then take any time.
+    pub stall_timeout: Option<Duration>,
+}
+
+impl From<Instant> for Limits {
+    fn from(deadline: Instant) -> Limits {
+        Limits { deadline, stall_timeout: None }
+    }
+}
+
 /// Whether a call may use an idle connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
@@ -107,15 +122,15 @@
         Pool { local, idle: Mutex::default() }
     }
 
-    /// Sends a request and reads the complete response before `deadline`, over an idle connection
-    /// if there is one.
+    /// Sends a request and reads the complete response within the limits, over an idle connection if
+    /// there is one.
     pub async fn call(
         &self,
         addr: SocketAddr,
         request: Request<Bytes>,
-        deadline: Instant,
+        limits: impl Into<Limits>,
     ) -> Result<Response<Bytes>> {
-        self.call_with(addr, request, deadline, Reuse::Any).await
+        self.call_with(addr, request, limits, Reuse::Any).await
     }
 
     /// As [`call`](Self::call), with a choice of whether an idle connection may be used.
@@ -123,18 +138,19 @@
         &self,
         addr: SocketAddr,
         request: Request<Bytes>,
-        deadline: Instant,
+        limits: impl Into<Limits>,
         reuse: Reuse,
     ) -> Result<Response<Bytes>> {
+        let limits = limits.into();
         let mut request = request.map(Full::new);
         let host = addr.to_string().parse();
         if let Ok(host) = host {
             request.headers_mut().insert(header::HOST, host);
         }
         loop {
-            let (mut connection, reused) = self.checkout(addr, deadline, reuse).await?;
+            let (mut connection, reused) = self.checkout(addr, limits.deadline, reuse).await?;
             let sent = connection.sender.try_send_request(request);
-            let response = match timeout_at(deadline.into(), sent).await {
+            let response = match timeout_at(limits.deadline.into(), sent).await {
                 Err(_) => return Err(CallError::Expired),
                 Ok(Ok(response)) => response,
                 Ok(Err(mut failed)) => match failed.take_message() {
@@ -147,7 +163,7 @@
                     None => return Err(CallError::Broken(failed.into_error())),
                 },
             };
-            let (response, reusable) = read_response(response, deadline).await?;
+            let (response, reusable) = read_response(response, limits).await?;
             if reusable {
                 self.put_idle(addr, connection);
             }
@@ -219,7 +235,7 @@
 /// Reads the response body. Also returns whether the connection can be reused.
 async fn read_response(
     response: Response<Incoming>,
-    deadline: Instant,
+    limits: Limits,
 ) -> Result<(Response<Bytes>, bool)> {
     let (parts, body) = response.into_parts();
     let sized = body.size_hint().exact().is_some();
@@ -228,13 +244,18 @@
         return Err(CallError::Truncated);
     }
     let closes = parts.headers.get(header::CONNECTION).is_some_and(|v| v == "close");
-    let collected = Limited::new(body, RESPONSE_BYTES_MAX).collect();
-    let Ok(read) = timeout_at(deadline.into(), collected).await else {
-        return Err(CallError::Expired);
-    };
-    match read {
-        Ok(body) => Ok((Response::from_parts(parts, body.to_bytes()), !closes)),
-        Err(e) if e.is::<LengthLimitError>() => Err(CallError::TooLarge),
-        Err(_) => Err(CallError::Truncated),
+    let mut body = Limited::new(body, RESPONSE_BYTES_MAX);
+    let mut read = BytesMut::new();
+    loop {
+        let until = limits.stall_timeout.map_or(limits.deadline, |stall| Instant::now() + stall);
+        let Ok(frame) = timeout_at(until.into(), body.frame()).await else {
+            return Err(CallError::Expired);
+        };
+        match frame {
+            Some(Ok(frame)) => read.extend_from_slice(frame.data_ref().map_or(&[], |d| d)),
+            Some(Err(e)) if e.is::<LengthLimitError>() => return Err(CallError::TooLarge),
+            Some(Err(_)) => return Err(CallError::Truncated),
+            None => return Ok((Response::from_parts(parts, read.freeze()), !closes)),
+        }
     }
 }
--- a/tests/testsuite/durability.rs
+++ b/tests/testsuite/durability.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use kelpwind_test_support::cluster::Cluster;
-use kelpwind_test_support::http::get;
+use kelpwind_test_support::http::{Request, get, send};
 use serde_json::json;
 
 use crate::support::{PROGRAM, THREE_TARGETS, data_path, start_cluster};
@@ -90,6 +90,33 @@
     cluster.wait_until("it joins", async || cluster.dump(2).await["life"] == "serving").await;
 }
 
+/// Appends records of `size` bytes that the nodes ignore.
+async fn fill_log(cluster: &Cluster, count: usize, size: usize) {
+    let body = "x".repeat(size);
+    let request = Request { method: "POST", path: "/append", headers: &[], body: &body };
+    for _ in 0..count {
+        assert_eq!(send(cluster.log_addr, &request).await.unwrap().status, 200);
+    }
+}
+
+async fn wait_until_serving(cluster: &Cluster, i: usize) {
+    let what = format!("node {i} is serving");
+    cluster.wait_until(&what, async || cluster.dump(i).await["life"] == "serving").await;
+}
+
+/// The link carries some 400 KB/s, so reading the log takes several seconds.
+#[tokio::test]
+async fn a_node_started_on_a_slow_link_reads_the_whole_log() {
+    let mut cluster = start_cluster(&THREE_TARGETS).await;
+    fill_log(&cluster, 3, 400_000).await;
+    cluster.set_log_faults(json!({"down": true})).await;
+    cluster.nodes[2].process.kill();
+    cluster.restart(2).await;
+    cluster.set_link_faults("log-2", json!({"delay_ms": 40})).await;
+    cluster.set_log_faults(json!({})).await;
+    wait_until_serving(&cluster, 2).await;
+}
+
 #[tokio::test]
 async fn one_of_two_concurrent_publishers_is_rejected_with_the_author_of_the_other() {
     let cluster = Cluster::start(PROGRAM, &THREE_TARGETS).await;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod malformed_input;
 mod ownership;
 mod placing;
+mod pool;
 mod queue;
 mod request_flow;
 mod silent_connections;
