Read answers of the log service of any size that it returns

A node never started from a log that held 12 records of 1 MB among its first 512: the answer to its first read, 12 MB, was over the 8 MB that the pool reads of any answer, and each further read got the same answer.

The 8 MB are meant for answers that are passed on to callers. Limits has the size now, and the log's client sets one that covers the largest answer of the service.

--- a/src/kelpwind/log/http.rs
+++ b/src/kelpwind/log/http.rs
@@ -22,6 +22,9 @@
 /// Longest time without a byte while an answer arrives. The whole answer may take longer: on a slow
 /// link, reading the log takes as long as the link needs.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Largest answer, in bytes. A read returns up to 512 records of 1 MB, escaped as JSON strings; an
+/// answer that is refused would be refused again by each read from the same offset.
+const ANSWER_BYTES_MAX: usize = 1 << 30;
 
 /// Creates a client of the log service at `addr`.
 pub fn client(pool: Arc<Pool>, addr: SocketAddr) -> LogClient {
@@ -74,7 +77,8 @@
 ) -> Result<T> {
     let context = format!("failed to {verb} the log service {addr}");
     let deadline = Instant::now() + wait + CALL_TIMEOUT;
-    let limits = Limits { deadline, stall_timeout: Some(STALL_TIMEOUT) };
+    let limits =
+        Limits { deadline, stall_timeout: Some(STALL_TIMEOUT), body_bytes: ANSWER_BYTES_MAX };
     let response = pool.call(addr, request, limits).await;
     let response =
         response.map_err(|e| Error::new(Code::LogUnavailable, context.clone()).caused_by(e))?;
--- a/src/kelpwind/net/pool.rs
+++ b/src/kelpwind/net/pool.rs
@@ -30,7 +30,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum number of idle connections per address.
 const IDLE_PER_ADDR_MAX: usize = 512;
-/// Largest response body that is read, in bytes.
+/// Largest response body that is read, in bytes, unless the call sets another limit.
 pub const RESPONSE_BYTES_MAX: usize = 8 << 20;
 
 /// Why a call did not return a complete response.
@@ -72,18 +72,20 @@
 /// Result of a call.
 pub type Result<T> = std::result::Result<T, CallError>;
 
-/// Time limits of a call.
+/// Limits of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Latest time at which the answer has arrived, or with a stall timeout at which it has begun.
     pub deadline: Instant,
     /// Longest time without a byte of the body, which may then take any time.
     pub stall_timeout: Option<Duration>,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
 }
 
 impl From<Instant> for Limits {
     fn from(deadline: Instant) -> Limits {
-        Limits { deadline, stall_timeout: None }
+        Limits { deadline, stall_timeout: None, body_bytes: RESPONSE_BYTES_MAX }
     }
 }
 
@@ -244,7 +246,7 @@
         return Err(CallError::Truncated);
     }
     let closes = parts.headers.get(header::CONNECTION).is_some_and(|v| v == "close");
-    let mut body = Limited::new(body, RESPONSE_BYTES_MAX);
+    let mut body = Limited::new(body, limits.body_bytes);
     let mut read = BytesMut::new();
     loop {
         let until = limits.stall_timeout.map_or(limits.deadline, |stall| Instant::now() + stall);
--- a/tests/testsuite/durability.rs
+++ b/tests/testsuite/durability.rs
@@ -117,6 +117,16 @@
     wait_until_serving(&cluster, 2).await;
 }
 
+/// The log service returns up to 512 records at once, whatever their size.
+#[tokio::test]
+async fn a_node_starts_from_a_log_whose_records_are_large() {
+    let mut cluster = start_cluster(&THREE_TARGETS).await;
+    fill_log(&cluster, 12, 1_000_000).await;
+    cluster.nodes[2].process.kill();
+    cluster.restart(2).await;
+    wait_until_serving(&cluster, 2).await;
+}
+
 #[tokio::test]
 async fn one_of_two_concurrent_publishers_is_rejected_with_the_author_of_the_other() {
     let cluster = Cluster::start(PROGRAM, &THREE_TARGETS).await;
--- a/tests/testsuite/pool.rs
+++ b/tests/testsuite/pool.rs
@@ -35,7 +35,8 @@
 async fn call(addr: SocketAddr, stall_timeout: Option<Duration>) -> Result<Response<Bytes>> {
     let deadline = Instant::now() + STALL_TIMEOUT;
     let request = Request::get("/").body(Bytes::new()).unwrap();
-    Pool::new(None).call(addr, request, Limits { deadline, stall_timeout }).await
+    let limits = Limits { stall_timeout, ..Limits::from(deadline) };
+    Pool::new(None).call(addr, request, limits).await
 }
 
 #[tokio::test]
