Limit the pauses of another node's answer, not the time of the whole

A node that cannot read the log gets its records, or the whole state, from another node. With records of 1.2 MB and links of some 400 KB/s it never got them: the call had 500 ms for the whole answer, and the next attempt asked for the same records again.

The 500 ms now limit the time until the answer begins, and 1 s the time without a byte of it. jsonrpsee's client has one limit for the whole of a call, so the two calls are sent over the node's pool; the server's side is the same. A failure is now logged at debug level, where nothing was said before.

Before: durability::a_node_that_cannot_read_the_log_gets_large_records_over_slow_links not reached within 20s: node 2 has the change After: it and durability::a_node_started_during_an_outage_serves_from_its_seeds pass.

--- a/src/kelpwind/node/catch_up.rs
+++ b/src/kelpwind/node/catch_up.rs
@@ -63,7 +63,7 @@
             continue;
         }
         if let Some(addr) = addr {
-            peers::fetch_records(addr, next).await.apply_to(&node.replica);
+            peers::fetch_records(&node.pool, addr, next).await.apply_to(&node.replica);
         }
     }
 }
--- a/src/kelpwind/node/peers.rs
+++ b/src/kelpwind/node/peers.rs
@@ -3,8 +3,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -15,6 +17,9 @@
     HttpBody, RpcModule, Server, ServerHandle, StopHandle, TowerServiceBuilder,
 };
 use jsonrpsee::types::ErrorObjectOwned;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
 use tower::Service;
 
 use super::Node;
@@ -26,6 +31,7 @@
 use crate::gate::dedup::SliceOutcomes;
 use crate::log::follow::PeerResponse;
 use crate::log::replica::ForwardedRecord;
+use crate::net::pool::{Limits, Pool};
 use crate::place::planner::Transfer;
 use crate::route::wire;
 use crate::util::error::{Error, Result, format_chain};
@@ -34,8 +40,13 @@
 pub const RPC_PATH: &str = "/rpc";
 /// Time limit for a call that hands over or releases slices; it covers requests in flight.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time limit for fetching records from one other node.
+/// Longest time until another node begins to answer with records or its state.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time without a byte while such an answer arrives. The whole answer may take longer, as
+/// long as the link needs.
+const FETCH_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest answer to a JSON-RPC call, in bytes; the server's limit.
+const RPC_BYTES_MAX: usize = 10 << 20;
 
 /// JSON-RPC service of one of the node's servers.
 #[derive(Clone)]
@@ -158,18 +169,51 @@
 
 /// Fetches the records from `next` on from another node, or its whole state if it no longer keeps
 /// them or if this node has none yet.
-pub async fn fetch_records(addr: SocketAddr, next: Offset) -> PeerResponse {
-    let Some(client) = client(addr, FETCH_TIMEOUT) else {
-        return PeerResponse::None;
-    };
-    let suffix: std::result::Result<Option<Vec<ForwardedRecord>>, _> =
-        client.request("suffix", rpc_params![next]).await;
-    match suffix {
-        Ok(Some(records)) if next > Offset(0) => PeerResponse::Records(records),
-        Ok(_) => match client.request::<State, _>("state", rpc_params![]).await {
-            Ok(state) => PeerResponse::State(Box::new(state)),
-            Err(_) => PeerResponse::None,
-        },
-        Err(_) => PeerResponse::None,
+pub async fn fetch_records(pool: &Pool, addr: SocketAddr, next: Offset) -> PeerResponse {
+    let suffix: Option<Reply<Vec<ForwardedRecord>>> =
+        fetch(pool, addr, "suffix", json!([next])).await;
+    let Some(Reply { result, error: None }) = suffix else { return PeerResponse::None };
+    if let Some(records) = result.filter(|_| next > Offset(0)) {
+        return PeerResponse::Records(records);
     }
+    let state = fetch(pool, addr, "state", json!([])).await.and_then(|reply| reply.result);
+    state.map_or(PeerResponse::None, |state| PeerResponse::State(Box::new(state)))
+}
+
+/// A JSON-RPC answer.
+#[derive(Deserialize)]
+struct Reply<T> {
+    /// The result; a call that succeeds may have none.
+    result: Option<T>,
+    /// Why the call failed, for example because its result is too large.
+    error: Option<Value>,
+}
+
+/// Calls a JSON-RPC method whose answer may be large. `None` if no answer can be read.
+async fn fetch<T: DeserializeOwned>(
+    pool: &Pool,
+    addr: SocketAddr,
+    method: &str,
+    params: Value,
+) -> Option<Reply<T>> {
+    let call = json!({"jsonrpc": "2.0", "id": 0, "method": method, "params": params});
+    let request = Request::post(RPC_PATH).header(CONTENT_TYPE, "application/json");
+    let request = request.body(Bytes::from(call.to_string())).ok()?;
+    let limits = Limits {
+        deadline: Instant::now() + FETCH_TIMEOUT,
+        stall_timeout: Some(FETCH_STALL_TIMEOUT),
+        body_bytes: RPC_BYTES_MAX,
+    };
+    let answer = pool.call(addr, request, limits).await.map_err(|e| e.to_string());
+    let reply = answer.and_then(|answer| {
+        serde_json::from_slice::<Reply<T>>(answer.body()).map_err(|e| e.to_string())
+    });
+    let why = match &reply {
+        Ok(Reply { error: None, .. }) => return reply.ok(),
+        Ok(Reply { error: Some(error), .. }) => error.to_string(),
+        Err(why) => why.clone(),
+    };
+    let addr = addr.to_string();
+    spdlog::debug!("failed to fetch from another node", kv: { addr = addr.as_str(), method, why = why.as_str() });
+    reply.ok()
 }
--- a/src/kelpwind/node/start.rs
+++ b/src/kelpwind/node/start.rs
@@ -269,7 +269,7 @@
         return PeerResponse::None;
     }
     let addr = candidates[fastrand::usize(..candidates.len())];
-    peers::fetch_records(addr, next).await
+    peers::fetch_records(&node.pool, addr, next).await
 }
 
 /// Answers a caller's request and records its metrics.
--- a/tests/testsuite/durability.rs
+++ b/tests/testsuite/durability.rs
@@ -127,6 +127,24 @@
     wait_until_serving(&cluster, 2).await;
 }
 
+/// The links between the nodes carry some 400 KB/s.
+#[tokio::test]
+async fn a_node_that_cannot_read_the_log_gets_large_records_over_slow_links() {
+    let cluster = start_cluster(&THREE_TARGETS).await;
+    cluster.set_link_faults("log-2", json!({"cut_forward": true, "cut_backward": true})).await;
+    for i in 0..2 {
+        cluster.set_link_faults(&format!("peer-{i}"), json!({"delay_ms": 40})).await;
+    }
+    fill_log(&cluster, 3, 400_000).await;
+    let (code, _, errors) = cluster.command(0, &["drain", "delft-c"]);
+    assert_eq!(code, 0, "{errors}");
+    cluster
+        .wait_until("node 2 has the change", async || {
+            cluster.status(2).await["domains"]["delft-c"] == false
+        })
+        .await;
+}
+
 #[tokio::test]
 async fn one_of_two_concurrent_publishers_is_rejected_with_the_author_of_the_other() {
     let cluster = Cluster::start(PROGRAM, &THREE_TARGETS).await;
