Ask the store before a request is refused as invalid

A caller who used a new route within the 2 s after its configuration was acknowledged still got 404 from a node that had not read it yet: a confirmation of the last 2 s counted, and it may be older than the configuration.

Now such a refusal waits for an answer of the store to a read that began after the request arrived.

core/freshness.rs only compares the times of reads now, and no longer knows an age; its tests are rewritten with it.

a_route_used_right_after_its_publication_is_not_refused_as_unknown failed before (left: 404, right: 200) and passes now. tests/mesh: 23 passed; freshness: 3 passed.

--- a/src/kelpwind/core/freshness.rs
+++ b/src/kelpwind/core/freshness.rs
@@ -1,76 +1,54 @@
-//! How recent a node's copy of a log is.
+//! How current a node's copy of a log is known to be.
 //!
 //! A request that the configuration does not allow may be valid under a newer one that the node has
-//! not read. So such a request is rejected as invalid only while the copy is current, that is, while
-//! the log has lately confirmed that it holds nothing newer. The promise to operators is that a
-//! configuration is in force [`MAX_AGE`] after it was accepted, so an older confirmation proves
-//! nothing. This module does no I/O.
+//! not read. So a request is rejected as invalid only by a copy that is current. Each read of the
+//! log tells where the log ends, and a copy that has all records before that end includes
+//! everything that was accepted before the read began. Other nodes that have read further show that
+//! the copy is outdated, but nothing that they say shows that it is current. This module does no
+//! I/O.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::ids::Offset;
 
-/// Age up to which a confirmation counts: an accepted configuration must be in force everywhere
-/// within this time.
-pub const MAX_AGE: Duration = Duration::from_secs(2);
-
 /// What a node knows of the end of a log that it copies.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Freshness {
-    /// Offset of the next record to read.
-    next: Offset,
-    /// Offset that the log is known to have reached.
-    end: Offset,
-    /// Latest time at which the log ended at `next`.
-    confirmed: Option<Instant>,
-    /// Whether the last read failed.
-    failing: bool,
+    /// When the latest read began, and the end of the log that it found.
+    latest: Option<(Instant, Offset)>,
+    /// Highest end that other nodes have found.
+    announced: Offset,
 }
 
 impl Freshness {
-    /// Records an answer of the log: the copy now reaches to `next`, and at the time `at` or later
-    /// the log ended at `end`.
-    pub fn record_read(&mut self, next: Offset, end: Offset, at: Instant) {
-        self.failing = false;
-        self.next = next;
-        self.end = self.end.max(end);
-        if next >= end {
-            self.confirmed = self.confirmed.max(Some(at));
+    /// Records that a read that began at `began` found the end of the log at `end`. Of two reads,
+    /// the one that began later counts. Returns whether this one does.
+    pub fn observe(&mut self, began: Instant, end: Offset) -> bool {
+        let later = self.latest.is_none_or(|(latest, _)| began > latest);
+        if later {
+            self.latest = Some((began, end));
         }
+        later
     }
 
-    /// Records a read that failed.
-    pub fn record_failure(&mut self) {
-        self.failing = true;
-    }
-
-    /// Records that another node has read up to `end`.
-    pub fn record_end(&mut self, end: Offset) {
-        self.end = self.end.max(end);
-    }
-
-    /// Offset of the next record to read.
-    pub fn next(&self) -> Offset {
-        self.next
+    /// Records that another node has found the end of the log at `end`.
+    pub fn announce(&mut self, end: Offset) {
+        self.announced = self.announced.max(end);
     }
 
     /// Highest offset that the log is known to have reached.
     pub fn end(&self) -> Offset {
-        self.end
-    }
-
-    /// Time since the log last confirmed that it ended where the copy ends.
-    pub fn age(&self, now: Instant) -> Option<Duration> {
-        self.confirmed.map(|at| now.saturating_duration_since(at))
+        self.latest.map_or(self.announced, |(_, end)| end.max(self.announced))
     }
 
-    /// Whether the copy holds everything that the log held [`MAX_AGE`] ago.
-    pub fn is_current(&self, now: Instant) -> bool {
-        self.next >= self.end && self.age(now).is_some_and(|age| age <= MAX_AGE)
+    /// When the latest read began.
+    pub fn observed_at(&self) -> Option<Instant> {
+        self.latest.map(|(began, _)| began)
     }
 
-    /// Whether the last read failed, so that the log cannot confirm anything at the moment.
-    pub fn is_failing(&self) -> bool {
-        self.failing
+    /// Whether a copy whose next record is `next` includes every record that was appended before
+    /// `since`, and all that other nodes are known to have read.
+    pub fn is_current(&self, next: Offset, since: Instant) -> bool {
+        self.observed_at().is_some_and(|began| began >= since) && next >= self.end()
     }
 }
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -39,7 +39,7 @@
     /// Routes a request and returns its final result. `call` already has its body.
     pub async fn route(self: &Rc<Self>, call: CallerRequest) -> Result<Answer, Failure> {
         let arrived = Instant::now();
-        let (routes, route, service) = match self.find_route(&call).await {
+        let (routes, route, service) = match self.find_route(&call, arrived).await {
             Ok(found) => found,
             Err(failure) => {
                 self.record_unrouted(&call, failure);
@@ -77,6 +77,7 @@
     async fn find_route(
         &self,
         call: &CallerRequest,
+        arrived: Instant,
     ) -> Result<(Rc<Routes>, Rc<Route>, ServiceName), Failure> {
         loop {
             let Some(routes) = self.routes() else {
@@ -87,7 +88,7 @@
                 Ok((route, service)) => return Ok((routes, route, service)),
                 Err(code) => code,
             };
-            match self.confirm_config(routes.version).await {
+            match self.confirm_config(routes.version, arrived).await {
                 Confirmation::Newest => return Err(Failure { code: invalid, retry_after: None }),
                 Confirmation::Replaced => {}
                 Confirmation::Unknown => return Err(self.stale_config(call)),
@@ -117,14 +118,15 @@
     /// Counts and logs a request that failed before a route was chosen.
     pub fn record_unrouted(&self, call: &CallerRequest, failure: Failure) {
         self.metrics.count_unrouted(failure.code);
-        let orders = *self.orders_freshness.borrow();
+        let orders = *self.orders.borrow();
+        let confirmed = orders.freshness.observed_at();
         self.metrics.failure_log.write(|left_out| {
             spdlog::info!("entry: not routed", kv: {
                 request = call.request.id.as_str(), code = failure.code.number(), why = failure.code.text(),
                 host = call.host.as_str(), path = call.path.as_str(),
                 config = self.routes().map_or(0, |r| r.version.0),
-                orders = orders.next().0, orders_end = orders.end().0,
-                confirmed_ms = orders.age(Instant::now()).map_or(-1, |age| age.as_millis() as i64), left_out
+                orders = orders.next.0, orders_end = orders.freshness.end().0,
+                confirmed_ms = confirmed.map_or(-1, |at| at.elapsed().as_millis() as i64), left_out
             });
         });
     }
--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -154,7 +154,7 @@
         Ok(Ok(body)) => call.request.body = body.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
             let version = routes.map_or_else(Revision::default, |r| r.version);
-            let failure = match node.confirm_config(version).await {
+            let failure = match node.confirm_config(version, arrived).await {
                 Confirmation::Newest => Failure { code: Code::BodyTooLarge, retry_after: None },
                 // The body has been discarded, so the caller must send it again.
                 Confirmation::Replaced | Confirmation::Unknown => node.stale_config(&call),
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -197,9 +197,9 @@
             self.lease.borrow().as_ref().and_then(|l| l.expires_at()).map(|ends| ends.since(now));
         metrics.lease.set(left.map_or(0, |l| l.as_millis() as i64));
         metrics.config.set(self.routes().map_or(0, |r| r.version.0 as i64));
-        let orders = *self.orders_freshness.borrow();
-        metrics.orders.set(orders.next().0 as i64);
-        metrics.orders_end.set(orders.end().0 as i64);
+        let orders = *self.orders.borrow();
+        metrics.orders.set(orders.next.0 as i64);
+        metrics.orders_end.set(orders.freshness.end().0 as i64);
         metrics.offset.set(self.table.borrow().next.0 as i64);
         let mut text = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&metrics.registry.gather(), &mut text) {
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -17,9 +17,9 @@
 use super::held_ranges::HeldRanges;
 use super::link::Link;
 use super::metrics::Metrics;
+use super::orders::OrdersProgress;
 use super::platform_api::{NodeSettings, Platform, ServerReport};
 use super::serve::Sessions;
-use crate::core::freshness::Freshness;
 use crate::core::ids::{DomainName, Holder, Incarnation, NodeId, Offset, ServiceName};
 use crate::core::routes::Routes;
 use crate::gate::queue::RequestQueue;
@@ -77,11 +77,12 @@
     pub table: RefCell<Table>,
     /// Offset up to which the table has been read; `None` until the first full read.
     pub table_offset: watch::Sender<Option<Offset>>,
-    /// How far this and other nodes have read the operators' topic, and how recent this node's copy
-    /// is.
-    pub orders_freshness: watch::Sender<Freshness>,
-    /// Makes the store confirm at once whether there are newer orders.
+    /// How far the operators' topic has been read.
+    pub orders: watch::Sender<OrdersProgress>,
+    /// Triggers a read of the operators' topic that does not wait.
     pub orders_check: Notify,
+    /// When such a read was last requested.
+    pub orders_check_requested: Cell<Option<Instant>>,
     /// Triggers the next read of the table.
     pub table_read_due: Notify,
     /// When a read was last requested on the assumption that the table had changed.
--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -10,15 +10,43 @@
 use tokio::time::timeout;
 
 use super::node::Node;
-use super::platform_api::OperatorOrder;
+use super::platform_api::{Batch, OperatorOrder};
 use crate::core::freshness::Freshness;
-use crate::core::ids::{DomainName, Revision};
+use crate::core::ids::{DomainName, Offset, Revision};
 use crate::core::routes::Routes;
-use crate::table::Record;
+use crate::table::{Record, polling};
 
 /// Longest time that a request waits until the store has confirmed the configuration. The store
 /// usually answers in milliseconds.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which a confirmation counts when the store was asked too lately to be asked again: the
+/// time within which an accepted configuration must be in force everywhere.
+const CONFIRMED_FOR: Duration = Duration::from_secs(2);
+
+/// How far the orders have been read.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct OrdersProgress {
+    /// Offset up to which this node has read them.
+    pub next: Offset,
+    /// What is known of their end.
+    pub freshness: Freshness,
+    /// Whether the last read failed.
+    pub failing: bool,
+}
+
+impl OrdersProgress {
+    /// Records an answer of the store, which at the time `at` had no records beyond it.
+    pub fn record_read(&mut self, batch: &Batch, at: Instant) {
+        self.next = batch.next;
+        self.freshness.observe(at, batch.end);
+        self.failing = false;
+    }
+
+    /// Whether this node has read all orders that were published before `since`.
+    fn is_current(&self, since: Instant) -> bool {
+        self.freshness.is_current(self.next, since)
+    }
+}
 
 /// Whether a configuration is the newest one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,25 +60,38 @@
 }
 
 impl Node {
-    /// Finds out whether the configuration with this version is the newest one. Asks the store
-    /// unless it has confirmed so lately.
-    pub async fn confirm_config(&self, version: Revision) -> Confirmation {
-        let settled = |f: &Freshness| f.is_current(Instant::now()) || f.is_failing();
-        let mut freshness = self.orders_freshness.subscribe();
-        if !settled(&freshness.borrow()) {
-            self.orders_check.notify_one();
-            // A timeout is no error: the store has not confirmed the configuration.
-            drop(timeout(CONFIRM_TIMEOUT, freshness.wait_for(settled)).await);
-        }
+    /// Finds out whether the configuration with this version was the newest one when a request
+    /// arrived. The store is asked, unless that was done lately; then a confirmation of the last
+    /// [`CONFIRMED_FOR`] counts.
+    pub async fn confirm_config(&self, version: Revision, arrived: Instant) -> Confirmation {
+        let mut orders = self.orders.subscribe();
+        let oldest = Instant::now().checked_sub(CONFIRMED_FOR).unwrap_or(self.started);
+        let known = orders.borrow().is_current(arrived);
+        let since = if known || self.request_orders_check() { arrived } else { oldest };
+        // A timeout is no error: the store has not confirmed the configuration.
+        let settled = orders.wait_for(|o| o.failing || o.is_current(since));
+        drop(timeout(CONFIRM_TIMEOUT, settled).await);
         if self.routes().is_some_and(|r| r.version > version) {
             return Confirmation::Replaced;
         }
-        if freshness.borrow().is_current(Instant::now()) {
+        if orders.borrow().is_current(since) {
             return Confirmation::Newest;
         }
         Confirmation::Unknown
     }
 
+    /// Makes the store tell at once whether there are newer orders. Returns false if it was asked
+    /// too lately.
+    fn request_orders_check(&self) -> bool {
+        let interval = polling::min_speculative_interval(self.member_count());
+        let due = self.orders_check_requested.get().is_none_or(|at| at.elapsed() >= interval);
+        if due {
+            self.orders_check_requested.set(Some(Instant::now()));
+            self.orders_check.notify_one();
+        }
+        due
+    }
+
     /// Decodes a record of the orders topic. A record that cannot be decoded is logged and skipped.
     pub fn decode_order(&self, record: &Record) -> Option<OperatorOrder> {
         match (self.platform.decode_order)(record) {
--- a/src/kelpwind/mesh/store_watch.rs
+++ b/src/kelpwind/mesh/store_watch.rs
@@ -19,7 +19,6 @@
 use super::metrics::ReadResult;
 use super::node::Node;
 use super::platform_api::{Batch, OperatorOrder, ReadRequest, StoreError, Topic};
-use crate::core::freshness::Freshness;
 use crate::core::ids::Offset;
 use crate::table::polling::{self, ReadRole};
 use crate::table::{Record, Table};
@@ -70,8 +69,7 @@
                 failures = 0;
                 node.apply_records(topic, &batch.records, next.is_none(), batch.next);
                 if topic == Topic::Orders {
-                    let record = |f: &mut Freshness| f.record_read(batch.next, batch.end, at);
-                    node.orders_freshness.send_modify(record);
+                    node.orders.send_modify(|orders| orders.record_read(&batch, at));
                 }
                 if topic == Topic::Orders && role == ReadRole::Frequent && !batch.records.is_empty()
                 {
@@ -93,7 +91,7 @@
                 }
                 failures += 1;
                 if topic == Topic::Orders {
-                    node.orders_freshness.send_modify(Freshness::record_failure);
+                    node.orders.send_modify(|orders| orders.failing = true);
                 }
                 let longest = match topic {
                     Topic::Orders => role.max_retry_pause(),
@@ -124,7 +122,7 @@
     ) -> (Result<Batch, StoreError>, Instant) {
         let mut check_due = false;
         loop {
-            let end = node.orders_freshness.borrow().end();
+            let end = node.orders.borrow().freshness.end();
             let known = from.max(self.checked);
             let at_once = check_due || end > known;
             let wait = if at_once { Duration::ZERO } else { with_jitter(role.max_wait()) };
@@ -179,7 +177,7 @@
     /// complete.
     fn record_abandoned_read(&self, from: Offset, why: &str) {
         self.metrics.count_read(Topic::Orders, ReadResult::Abandoned);
-        let end = self.orders_freshness.borrow().end().0;
+        let end = self.orders.borrow().freshness.end().0;
         let config = self.routes().map_or(0, |r| r.version.0);
         self.metrics.read_log.write(|left_out| {
             spdlog::info!("a read of the orders is abandoned", kv: { why, from = from.0, end, config, left_out });
--- a/src/kelpwind/mesh/table_updates.rs
+++ b/src/kelpwind/mesh/table_updates.rs
@@ -66,9 +66,9 @@
     /// Returns [`ORDERS_READ_WAIT`] after another node announced orders from offset `from` on,
     /// unless `answering` shows that this node's own read is returning them.
     pub async fn wait_for_missed_orders(&self, from: Offset, answering: &Cell<bool>) {
-        let mut freshness = self.orders_freshness.subscribe();
+        let mut orders = self.orders.subscribe();
         // `wait_for` fails only if the sender is dropped, and `self` owns the sender.
-        drop(freshness.wait_for(|f| f.end() > from).await);
+        drop(orders.wait_for(|o| o.freshness.end() > from).await);
         sleep(ORDERS_READ_WAIT).await;
         wait_while_answering(answering).await;
     }
--- a/src/kelpwind/mesh/udp.rs
+++ b/src/kelpwind/mesh/udp.rs
@@ -56,7 +56,7 @@
                 None
             }
             Datagram::OrdersPublished { next } => {
-                self.orders_freshness.send_modify(|f| f.record_end(next));
+                self.orders.send_modify(|orders| orders.freshness.announce(next));
                 None
             }
             Datagram::LoadQuery { query, work } => self.answer_load_query(query, work),
--- a/tests/mesh/configuration.rs
+++ b/tests/mesh/configuration.rs
@@ -79,6 +79,20 @@
     assert_eq!(status(&fleet, FAULTY, "nowhere").await, 404);
 }
 
+// No node has read the configuration when its first request arrives.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_used_right_after_its_publication_is_not_refused_as_unknown() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    for host in 0..fleet.hosts.len() {
+        fleet.set_faults(host, Faults { delay_ms: 80, ..Faults::default() });
+    }
+    fleet.publish(SERVICES, &rows(0));
+    let calls = (0..fleet.hosts.len()).map(|host| fleet.call(host, "new", 1, false));
+    for result in futures_util::future::join_all(calls).await {
+        assert_eq!(result.status, 200, "{result:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unknown_route_is_refused_with_404_only_while_the_store_answers() {
     let fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
--- a/tests/testsuite/freshness.rs
+++ b/tests/testsuite/freshness.rs
@@ -2,65 +2,45 @@
 
 use std::time::{Duration, Instant};
 
-use kelpwind::core::freshness::{Freshness, MAX_AGE};
+use kelpwind::core::freshness::Freshness;
 use kelpwind::core::ids::Offset;
 
-fn read_up_to(offset: u64, at: Instant) -> Freshness {
-    let mut freshness = Freshness::default();
-    freshness.record_read(Offset(offset), Offset(offset), at);
-    freshness
-}
-
 #[test]
-fn a_copy_that_was_never_confirmed_is_not_current() {
+fn a_copy_is_current_if_it_includes_what_a_later_read_found() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
     let mut freshness = Freshness::default();
-    assert!(!freshness.is_current(Instant::now()));
-    freshness.record_failure();
-    assert!(freshness.is_failing());
-}
-
-#[test]
-fn a_confirmation_expires() {
-    let now = Instant::now();
-    let freshness = read_up_to(5, now);
-    assert!(freshness.is_current(now + MAX_AGE));
-    assert!(!freshness.is_current(now + MAX_AGE + Duration::from_millis(1)));
+    assert!(!freshness.is_current(Offset(9), at(0)), "nothing was read yet");
+    freshness.observe(at(10), Offset(5));
+    assert!(freshness.is_current(Offset(5), at(10)));
+    assert!(freshness.is_current(Offset(6), at(9)));
+    assert!(!freshness.is_current(Offset(4), at(9)), "a record is missing");
+    assert!(!freshness.is_current(Offset(5), at(11)), "the read began before");
+    // A long read that began earlier returns later.
+    freshness.observe(at(8), Offset(6));
+    assert!(freshness.is_current(Offset(5), at(10)));
 }
 
 #[test]
 fn a_copy_is_outdated_as_soon_as_another_node_has_read_further() {
     let now = Instant::now();
-    let mut freshness = read_up_to(5, now);
-    freshness.record_end(Offset(5));
-    assert!(freshness.is_current(now));
-    freshness.record_end(Offset(6));
-    assert!(!freshness.is_current(now));
-    freshness.record_read(Offset(6), Offset(6), now);
-    assert!(freshness.is_current(now));
-}
-
-#[test]
-fn an_answer_that_does_not_reach_the_end_confirms_nothing() {
-    let now = Instant::now();
-    let mut freshness = read_up_to(5, now);
-    freshness.record_read(Offset(6), Offset(8), now + MAX_AGE);
-    assert!(!freshness.is_current(now + MAX_AGE));
-}
-
-#[test]
-fn an_answer_that_arrives_late_does_not_shorten_a_newer_confirmation() {
-    let now = Instant::now();
-    let mut freshness = read_up_to(5, now + MAX_AGE);
-    freshness.record_read(Offset(5), Offset(5), now);
-    assert!(freshness.is_current(now + MAX_AGE * 2));
+    let mut freshness = Freshness::default();
+    freshness.observe(now, Offset(5));
+    freshness.announce(Offset(5));
+    assert!(freshness.is_current(Offset(5), now));
+    freshness.announce(Offset(6));
+    assert_eq!(freshness.end(), Offset(6));
+    assert!(!freshness.is_current(Offset(5), now));
+    assert!(freshness.is_current(Offset(6), now));
 }
 
 #[test]
-fn a_failed_read_leaves_a_confirmation_valid_for_its_time() {
+fn what_other_nodes_have_read_does_not_make_a_copy_current() {
     let now = Instant::now();
-    let mut freshness = read_up_to(5, now);
-    freshness.record_failure();
-    assert!(freshness.is_failing() && freshness.is_current(now + MAX_AGE));
-    freshness.record_read(Offset(5), Offset(5), now);
-    assert!(!freshness.is_failing());
+    let mut freshness = Freshness::default();
+    freshness.announce(Offset(5));
+    assert!(!freshness.is_current(Offset(5), now));
+    freshness.observe(now, Offset(5));
+    freshness.announce(Offset(5));
+    assert!(!freshness.is_current(Offset(5), now + Duration::from_millis(1)));
 }
