Refuse a request by the configuration only when it is current

Callers saw 404 [101], 404 [105] or 400 [102] for proper requests at a node that had not read the configuration that allows them: its link to the log was cut, the log was slow, the process had just started or resumed. They take such an answer as final.

Cause: RawRequest::resolve judged a request by the copy of the state at hand, and nothing said how old it was.

Now each read of the log records when it began and where the log ended (log/freshness.rs, pure). A request that the configuration does not allow waits until a read that began after its arrival shows that the state has applied everything, and is then judged again. If that is not known within 1 s, it gets 503 [212], not run, with Retry-After. No age is involved, so a paused process and a long calm time need no rule of their own. A node reads the log once more only while such requests wait, at most five times a second. [200] has Retry-After too.

--- a/src/kelpwind/log/follow.rs
+++ b/src/kelpwind/log/follow.rs
@@ -5,10 +5,14 @@
 //! process was suspended for long. While the log is unavailable, the node requests newer records
 //! from a random other node at each retry. A record that any node has read thus reaches all nodes,
 //! in a number of rounds that grows with the logarithm of the number of nodes.
+//!
+//! A read that waits for records does not tell whether the state is current until it returns. When a
+//! caller needs to know, [`confirm`] reads the log once more without waiting; one read serves all
+//! who asked before it began.
 
 use std::future::Future;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 
@@ -18,12 +22,14 @@
 use crate::core::codes::Code;
 use crate::core::ids::Offset;
 use crate::core::state::State;
-use crate::util::error::Error;
+use crate::util::error::{Error, format_chain};
 
 /// How long a read waits for a new record.
 const READ_WAIT: Duration = Duration::from_secs(5);
 /// Delay between two attempts while the log is unavailable.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Shortest time between two reads that confirm that the state is current.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Another node's response to a request for newer records.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -92,19 +98,45 @@
 
 /// Reads the log once and applies the records. The first read does not wait for new records.
 async fn read_once(log: &LogClient, replica: &Replica, started: bool) -> Result<()> {
-    let next = { replica.state().next };
     let wait = if started { READ_WAIT } else { Duration::ZERO };
+    let next = { replica.state().next };
+    let batch = read_from(log, replica, next, wait).await?;
+    if batch.start > next || !started {
+        return bootstrap(log, replica).await;
+    }
+    apply_batch(replica, &batch);
+    Ok(())
+}
+
+/// Reads the log from `next` on and records where it ends.
+async fn read_from(
+    log: &LogClient,
+    replica: &Replica,
+    next: Offset,
+    wait: Duration,
+) -> Result<Batch> {
+    let began = Instant::now();
     let batch = (log.read)(next, wait).await?;
     if batch.end < next {
         // The log ends before records that were read from it earlier, so it is not the same log.
         let context = format!("failed to read the log: it ends at {}, before {next}", batch.end);
         return Err(Error::new(Code::LogMalformed, context));
     }
-    if batch.start > next || !started {
-        return bootstrap(log, replica).await;
+    replica.observe_end(began, batch.end);
+    Ok(batch)
+}
+
+/// Reads the end of the log whenever a caller waits for the state to be confirmed. The follower
+/// applies the records. Runs until the node stops.
+pub async fn confirm(log: Arc<LogClient>, replica: Arc<Replica>) {
+    loop {
+        replica.confirmation_wanted().await;
+        let next = { replica.state().next };
+        if let Err(e) = read_from(&log, &replica, next, Duration::ZERO).await {
+            spdlog::warn!("failed to confirm that the state is current: {}", format_chain(&e));
+        }
+        tokio::time::sleep(CONFIRM_INTERVAL).await;
     }
-    apply_batch(replica, &batch);
-    Ok(())
 }
 
 fn apply_batch(replica: &Replica, batch: &Batch) {
--- a/src/kelpwind/log/mod.rs
+++ b/src/kelpwind/log/mod.rs
@@ -3,11 +3,13 @@
 //!
 //! [`client`] is the interface to the log service and [`http`] implements its protocol. [`replica`]
 //! holds the state and reports to authors whether their records were applied. [`follow`] keeps it
-//! up to date from the log, or from other nodes while the log is down. [`snapshot`] encodes the
-//! state as records, so that it can be written to the log again before its retention time ends.
+//! up to date from the log, or from other nodes while the log is down; [`freshness`] tells whether
+//! it is. [`snapshot`] encodes the state as records, so that it can be written to the log again
+//! before its retention time ends.
 
 pub(crate) mod client;
 pub(crate) mod follow;
+pub mod freshness;
 pub(crate) mod http;
 pub(crate) mod replica;
 pub mod snapshot;
--- a/src/kelpwind/log/replica.rs
+++ b/src/kelpwind/log/replica.rs
@@ -7,10 +7,11 @@
 use bytes::Bytes;
 use parking_lot::{Mutex, RwLock, RwLockReadGuard};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{oneshot, watch};
-use tokio::time::timeout;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::{timeout, timeout_at};
 
 use super::client::{LogClient, Result};
+use super::freshness::Freshness;
 use crate::core::codes::Code;
 use crate::core::ids::{Offset, RecordId};
 use crate::core::record::Record;
@@ -50,6 +51,9 @@
     tail: Mutex<VecDeque<ForwardedRecord>>,
     pending: Mutex<HashMap<RecordId, oneshot::Sender<AppendOutcome>>>,
     next_offset: watch::Sender<Offset>,
+    freshness: watch::Sender<Freshness>,
+    /// Notified when a caller waits for the log to be read.
+    unconfirmed: Notify,
 }
 
 impl Default for Replica {
@@ -59,6 +63,8 @@
             tail: Mutex::default(),
             pending: Mutex::default(),
             next_offset: watch::Sender::new(Offset(0)),
+            freshness: watch::Sender::default(),
+            unconfirmed: Notify::new(),
         }
     }
 }
@@ -144,6 +150,40 @@
         applied
     }
 
+    /// Records that a read of the log that began at `began` found its end at `end`.
+    pub fn observe_end(&self, began: Instant, end: Offset) {
+        self.freshness.send_if_modified(|f| f.observe(began, end));
+    }
+
+    /// Waits until the state is known to include all records appended before `since`. Returns
+    /// false if that is not known by `deadline`.
+    pub async fn confirm(&self, since: Instant, deadline: Instant) -> bool {
+        let mut freshness = self.freshness.subscribe();
+        let mut next_offset = self.subscribe();
+        loop {
+            let known = *freshness.borrow_and_update();
+            let next = *next_offset.borrow_and_update();
+            if known.is_current(next, since) {
+                return true;
+            }
+            self.unconfirmed.notify_one();
+            let changed = async {
+                tokio::select! {
+                    changed = freshness.changed() => changed.is_ok(),
+                    changed = next_offset.changed() => changed.is_ok(),
+                }
+            };
+            if !timeout_at(deadline.into(), changed).await.is_ok_and(|changed| changed) {
+                return false;
+            }
+        }
+    }
+
+    /// Waits until a caller waits in [`confirm`](Self::confirm).
+    pub async fn confirmation_wanted(&self) {
+        self.unconfirmed.notified().await;
+    }
+
     /// Appends a record and waits up to `limit` until the state includes it.
     ///
     /// A lost reply is harmless: the outcome is taken from the log, and the record is sent again if
--- a/src/kelpwind/node/start.rs
+++ b/src/kelpwind/node/start.rs
@@ -245,6 +245,7 @@
     let fetching = node.clone();
     let fetch = move |next| fetch_from_random_peer(fetching.clone(), next);
     tasks.spawn(follow::follow(node.log.clone(), node.replica.clone(), health, fetch));
+    tasks.spawn(follow::confirm(node.log.clone(), node.replica.clone()));
     tasks.spawn(catch_up::catch_up(node.clone()));
     tasks.spawn(membership::track_state(node.clone()));
     tasks.spawn(membership::maintain(node.clone()));
@@ -284,10 +285,13 @@
 
 async fn answer(node: &Node, request: Request<Incoming>) -> (String, Answer) {
     let read = RawRequest::read(request, node.settings.body_limit).await;
-    let resolved = read.and_then(|raw| raw.resolve(&node.replica.state()));
+    let resolved = match read {
+        Ok(raw) => node.entry.resolve(&raw).await,
+        Err(code) => Err(Answer::refusal(code)),
+    };
     match resolved {
         // Only configured services become labels, so callers cannot grow the set of metrics.
         Ok(resolved) => (resolved.call.service.to_string(), node.entry.route(resolved).await),
-        Err(code) => (String::new(), Answer::refusal(code)),
+        Err(answer) => (String::new(), answer),
     }
 }
--- a/src/kelpwind/route/entry.rs
+++ b/src/kelpwind/route/entry.rs
@@ -14,7 +14,7 @@
 
 use super::budget::BudgetShare;
 use super::picker::{self, Candidate};
-use super::request::ResolvedRequest;
+use super::request::{RawRequest, ResolvedRequest};
 use super::stats::{ServiceStats, Stats};
 use super::wire;
 use crate::core::call::{Answer, Attempt, Call};
@@ -32,6 +32,10 @@
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry delay given to a caller for whose request there is no target.
 const TARGET_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Longest time that a request waits for the node to confirm that its configuration is current.
+const CONFIRM_WAIT: Duration = Duration::from_secs(1);
+/// Retry delay given to a caller whose request the node cannot judge.
+const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Longest wait for a newer assignment before the owner is tried again.
 const UPDATE_WAIT_MAX: Duration = Duration::from_millis(5);
 /// Factor on the hedge delay of the service for a request with a key.
@@ -95,6 +99,33 @@
         }
     }
 
+    /// Resolves a request by the configuration. One that the configuration does not allow is
+    /// refused as invalid only if the configuration is known to be current as of its arrival.
+    ///
+    /// # Errors
+    /// The answer to the caller.
+    pub async fn resolve(&self, raw: &RawRequest) -> Result<ResolvedRequest, Answer> {
+        let resolve = || raw.resolve(&self.replica.state());
+        let resolved = match resolve() {
+            Err(refusal) if refusal.by_config => {
+                let confirmed =
+                    self.replica.confirm(raw.received, raw.received + CONFIRM_WAIT).await;
+                // The configuration may have changed meanwhile.
+                resolve().map_err(|r| match r.by_config && !confirmed {
+                    true => Code::StaleConfig,
+                    false => r.code,
+                })
+            }
+            resolved => resolved.map_err(|r| r.code),
+        };
+        resolved.map_err(|code| match code {
+            Code::StaleConfig | Code::NoConfig => {
+                Answer::refusal(code).with_retry_after(CONFIG_RETRY_DELAY)
+            }
+            _ => Answer::refusal(code),
+        })
+    }
+
     /// Routes a request and returns its final answer.
     pub async fn route(&self, mut request: ResolvedRequest) -> Answer {
         let mut unresolved = None;
--- a/src/kelpwind/route/request.rs
+++ b/src/kelpwind/route/request.rs
@@ -26,7 +26,28 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Result of reading a request; the error is the code of the refusal.
-pub type Result<T> = std::result::Result<T, Code>;
+pub type Result<T, E = Code> = std::result::Result<T, E>;
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Code of the answer.
+    pub code: Code,
+    /// Whether another configuration could allow the request.
+    pub by_config: bool,
+}
+
+impl From<Code> for Refusal {
+    fn from(code: Code) -> Refusal {
+        Refusal { code, by_config: false }
+    }
+}
+
+impl Refusal {
+    fn by_config(code: Code) -> Refusal {
+        Refusal { code, by_config: true }
+    }
+}
 
 /// A request as the caller sent it, with its body.
 #[derive(Debug)]
@@ -35,7 +56,8 @@
     path: String,
     headers: HeaderMap,
     body: Bytes,
-    received: Instant,
+    /// When the request arrived.
+    pub received: Instant,
 }
 
 /// A request with its service, key and policy resolved against the configuration.
@@ -75,14 +97,14 @@
     /// Resolves service, key and policy by the configuration in `state`.
     ///
     /// # Errors
-    /// The code with which the request is refused, such as [`Code::UnknownService`] or
-    /// [`Code::KeyMissing`].
-    pub fn resolve(self, state: &State) -> Result<ResolvedRequest> {
+    /// Why the request is refused, such as [`Code::UnknownService`] or [`Code::KeyMissing`].
+    pub fn resolve(&self, state: &State) -> Result<ResolvedRequest, Refusal> {
         if state.revision.0 == 0 {
-            return Err(Code::NoConfig);
+            return Err(Code::NoConfig.into());
         }
         let (service, key) = self.service_and_key()?;
-        let spec = state.config.service.get(&service).ok_or(Code::UnknownService)?;
+        let spec = state.config.service.get(&service);
+        let spec = spec.ok_or(Refusal::by_config(Code::UnknownService))?;
         let is_read = matches!(self.method, Method::GET | Method::HEAD);
         let policy = if is_read { &spec.read } else { &spec.write };
         let policy = state.config.policy.get(policy).ok_or(Code::Internal)?.clone();
@@ -105,10 +127,10 @@
             id,
             service,
             key,
-            method: self.method,
-            path: self.path,
+            method: self.method.clone(),
+            path: self.path.clone(),
             content_type: self.headers.get(header::CONTENT_TYPE).cloned(),
-            body: self.body,
+            body: self.body.clone(),
             weight: policy.weight,
             dedup,
             deadline,
@@ -167,9 +189,9 @@
     state: &State,
     service: &ServiceName,
     key: Option<&str>,
-) -> Result<(String, SliceRef)> {
-    let key = key.ok_or(Code::KeyMissing)?;
-    let location = state.locate(service, key).ok_or(Code::NoRange)?;
+) -> Result<(String, SliceRef), Refusal> {
+    let key = key.ok_or(Refusal::by_config(Code::KeyMissing))?;
+    let location = state.locate(service, key).ok_or(Refusal::by_config(Code::NoRange))?;
     Ok((key.to_owned(), SliceRef { range: location.range, slice: location.slice }))
 }
 
@@ -177,7 +199,7 @@
     state: &State,
     service: &ServiceName,
     id: &str,
-) -> Result<(String, SliceRef)> {
-    let location = state.locate_dedup(service, id).ok_or(Code::NoRange)?;
+) -> Result<(String, SliceRef), Refusal> {
+    let location = state.locate_dedup(service, id).ok_or(Refusal::by_config(Code::NoRange))?;
     Ok((id.to_owned(), SliceRef { range: location.range, slice: location.slice }))
 }
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -46,6 +46,7 @@
     let cluster = Cluster::start(PROGRAM, &THREE_TARGETS).await;
     let answer = get(cluster.nodes[0].listen, "/historie/ketel-1").await.unwrap();
     assert_eq!((answer.status, answer.code.as_str()), (503, "200"));
+    assert!(answer.retry_ms.is_some(), "{answer:?}");
 }
 
 #[tokio::test]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod queue;
 mod request_flow;
 mod silent_connections;
+mod stale_configuration;
 mod state_machine;
 mod support;
 mod table;
--- /dev/null
+++ b/tests/testsuite/stale_configuration.rs
@@ -0,0 +1,107 @@
+//! Requests that only a newer configuration allows, at nodes that have not read it yet.
+
+use std::time::{Duration, Instant};
+
+use kelpwind::core::ids::Offset;
+use kelpwind::log::freshness::Freshness;
+use kelpwind_test_support::cluster::{Cluster, Target};
+use kelpwind_test_support::http::{Response, get};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+use crate::support::{PROGRAM, THREE_TARGETS, data_path, start_cluster};
+
+const TARGETS: [Target<'static>; 3] = [
+    Target::new("historie", "rdam-a"),
+    Target::new("historie", "dordt-b"),
+    Target::new("certificaat", "delft-c"),
+];
+
+/// Longest time without changes after which an unknown service must still be refused as such; two
+/// long reads of the log.
+const CALM: Duration = Duration::from_secs(11);
+
+fn assert_unconfirmed(answer: &Response) {
+    let got = (answer.status, answer.outcome.as_str(), answer.code.as_str());
+    assert_eq!(got, (503, "not-run", "212"), "{answer:?}");
+    assert!(answer.retry_ms.is_some(), "{answer:?}");
+}
+
+#[tokio::test]
+async fn a_node_cut_off_does_not_refuse_a_service_published_meanwhile() {
+    let cluster = Cluster::start(PROGRAM, &TARGETS).await;
+    cluster.publish(0, &data_path("keteltoezicht.toml"), 0).await;
+    cluster.wait_until_ready(0, 3).await;
+    cluster.isolate(1, true).await;
+    let base = cluster.status(0).await["revision"].to_string();
+    let path = data_path("two-services.toml");
+    let args = ["config", "publish", path.to_str().unwrap(), "--base", &base];
+    let (code, _, errors) = cluster.command(0, &args);
+    assert_eq!(code, 0, "{errors}");
+    for _ in 0..3 {
+        let answer = get(cluster.nodes[1].listen, "/certificaat/afgeven").await.unwrap();
+        assert_unconfirmed(&answer);
+    }
+    cluster.isolate(1, false).await;
+    cluster
+        .wait_until("the new service is served at the node that was cut off", async || {
+            let answer = get(cluster.nodes[1].listen, "/certificaat/afgeven").await;
+            let Ok(answer) = answer else { return false };
+            assert!(answer.status == 200 || answer.status == 503, "{answer:?}");
+            answer.outcome == "done"
+        })
+        .await;
+}
+
+#[rstest]
+#[case::down(json!({"down": true}))]
+#[case::malformed(json!({"nonsense": true}))]
+#[case::slow(json!({"slow_ms": 1500}))]
+#[tokio::test]
+async fn nothing_is_refused_by_the_configuration_while_the_log_does_not_answer(
+    #[case] faults: Value,
+) {
+    let cluster = start_cluster(&THREE_TARGETS).await;
+    cluster.set_log_faults(faults).await;
+    for path in ["/histori/ketel-1", "/historie"] {
+        assert_unconfirmed(&get(cluster.nodes[0].listen, path).await.unwrap());
+    }
+    let answer = get(cluster.nodes[0].listen, "/historie/ketel-1").await.unwrap();
+    assert_eq!(answer.outcome, "done", "{answer:?}");
+    cluster.set_log_faults(json!({})).await;
+    cluster
+        .wait_until("the unknown service is refused as such", async || {
+            let answer = get(cluster.nodes[0].listen, "/histori/ketel-1").await.unwrap();
+            (answer.status, answer.code.as_str()) == (404, "101")
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn an_unknown_service_is_refused_as_such_after_a_long_calm_time() {
+    let cluster = start_cluster(&THREE_TARGETS).await;
+    let node = cluster.nodes[0].listen;
+    for calm in [Duration::ZERO, CALM] {
+        tokio::time::sleep(calm).await;
+        for (path, status, code) in [("/histori/ketel-1", 404, "101"), ("/historie", 400, "102")] {
+            let answer = get(node, path).await.unwrap();
+            assert_eq!((answer.status, answer.code.as_str()), (status, code), "{answer:?}");
+        }
+    }
+}
+
+#[test]
+fn the_state_is_current_if_it_includes_what_a_later_read_found() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut freshness = Freshness::default();
+    assert!(!freshness.is_current(Offset(9), at(0)), "nothing was read yet");
+    freshness.observe(at(10), Offset(5));
+    assert!(freshness.is_current(Offset(5), at(10)));
+    assert!(freshness.is_current(Offset(6), at(9)));
+    assert!(!freshness.is_current(Offset(4), at(9)), "a record is missing");
+    assert!(!freshness.is_current(Offset(5), at(11)), "the read began before");
+    // A long read that began earlier returns later.
+    freshness.observe(at(8), Offset(6));
+    assert!(freshness.is_current(Offset(5), at(10)));
+}
