Refuse a slice of an unknown key range as not owned

Callers of a key range that had just been published saw 404 [105] with Retry-After, and no other owner or attempt was tried.

Cause: the entry had read the configuration and the grant, the owner had not. The owner's gate took a range that it does not know for one that does not exist, and an entry retries no 404.

A gate cannot tell the two apart and need not: either way it does not own the slice as far as it knows. It now answers [202], which an entry retries while the assignment may be on its way, and then passes on as 503, not run. "No key range covers the key" is left to the entry, which judges the key.

--- a/src/kelpwind/gate/handler.rs
+++ b/src/kelpwind/gate/handler.rs
@@ -209,10 +209,11 @@
         }
     }
 
-    /// Token under which this node serves a slice of a configured key range.
+    /// Token under which this node serves a slice of a configured key range. A range that this node
+    /// does not know may be one that it has not read yet.
     fn owned_token(&self, slice: &SliceRef) -> Result<Token> {
         let state = self.replica.state();
-        let current = state.slice(&slice.range, slice.slice).ok_or(Code::NoRange)?;
+        let current = state.slice(&slice.range, slice.slice).ok_or(Code::NotOwner)?;
         let retired = state.ranges.get(&slice.range).is_none_or(|r| r.retired);
         if retired {
             return Err(Code::NotOwner);
--- a/tests/testsuite/stale_configuration.rs
+++ b/tests/testsuite/stale_configuration.rs
@@ -4,8 +4,8 @@
 
 use kelpwind::core::ids::Offset;
 use kelpwind::log::freshness::Freshness;
-use kelpwind_test_support::cluster::{Cluster, Target};
-use kelpwind_test_support::http::{Response, get};
+use kelpwind_test_support::cluster::{Cluster, Target, WAIT_TIMEOUT};
+use kelpwind_test_support::http::{Response, get, post};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -27,17 +27,22 @@
     assert!(answer.retry_ms.is_some(), "{answer:?}");
 }
 
+/// Publishes the service `certificaat` at node 0 and does not wait until other nodes have it.
+async fn publish_two_services(cluster: &Cluster) {
+    let base = cluster.status(0).await["revision"].to_string();
+    let path = data_path("two-services.toml");
+    let args = ["config", "publish", path.to_str().unwrap(), "--base", &base];
+    let (code, _, errors) = cluster.command(0, &args);
+    assert_eq!(code, 0, "{errors}");
+}
+
 #[tokio::test]
 async fn a_node_cut_off_does_not_refuse_a_service_published_meanwhile() {
     let cluster = Cluster::start(PROGRAM, &TARGETS).await;
     cluster.publish(0, &data_path("keteltoezicht.toml"), 0).await;
     cluster.wait_until_ready(0, 3).await;
     cluster.isolate(1, true).await;
-    let base = cluster.status(0).await["revision"].to_string();
-    let path = data_path("two-services.toml");
-    let args = ["config", "publish", path.to_str().unwrap(), "--base", &base];
-    let (code, _, errors) = cluster.command(0, &args);
-    assert_eq!(code, 0, "{errors}");
+    publish_two_services(&cluster).await;
     for _ in 0..3 {
         let answer = get(cluster.nodes[1].listen, "/certificaat/afgeven").await.unwrap();
         assert_unconfirmed(&answer);
@@ -53,6 +58,24 @@
         .await;
 }
 
+#[tokio::test]
+async fn an_owner_that_lags_behind_the_entry_does_not_refuse_a_new_key_range() {
+    let cluster = Cluster::start(PROGRAM, &TARGETS).await;
+    cluster.publish(0, &data_path("keteltoezicht.toml"), 0).await;
+    cluster.wait_until_ready(0, 3).await;
+    cluster.set_link_faults("log-2", json!({"delay_ms": 400})).await;
+    publish_two_services(&cluster).await;
+    let mut served = 0;
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    while served < 20 {
+        let id = format!("c-{served}");
+        let answer = post(cluster.nodes[0].listen, "/certificaat/afgeven", &id, "").await.unwrap();
+        assert!(answer.status == 200 || answer.status >= 500, "{answer:?}");
+        served += usize::from(answer.outcome == "done");
+        assert!(Instant::now() < deadline, "{served} requests served: {answer:?}");
+    }
+}
+
 #[rstest]
 #[case::down(json!({"down": true}))]
 #[case::malformed(json!({"nonsense": true}))]
