Let a read of the log take as long as its records go on arriving

A node that had fallen behind by more than it could read in the time of one call stayed behind unless peers helped.

Cause: a read had to be whole 1 s after the time for which it may wait, and one that was not was dropped and began again with the same records. A read at start has no wait, so anything above one second's worth of the link was out of reach. The start also read the first records twice.

Now a response must begin within that time and may pause for at most 1 s between two parts (Pool::call_long); a stalled one still counts as an outage. What took the place of the cut, asking other nodes for newer records, happens beside the overdue read instead of after it. Health is `down` meanwhile, as before. Reasons for `down` are logged now. A load that takes longer than the log keeps its records is an error and begins again, instead of applying records with a gap.

--- a/crates/kelpwind-test-support/src/cluster.rs
+++ b/crates/kelpwind-test-support/src/cluster.rs
@@ -350,9 +350,18 @@
 
     /// Like [`Cluster::restart`], with additional command-line flags.
     pub async fn restart_with(&mut self, i: usize, flags: &[&str]) {
+        self.restart_behind(i, flags, json!({})).await;
+    }
+
+    /// Like [`Cluster::restart_with`], with faults of the link to the log from the start.
+    pub async fn restart_behind(&mut self, i: usize, flags: &[&str], faults: Value) {
         let old: Value = serde_json::from_str(&self.nodes[i].process.ready_line).expect("JSON");
         let text = |name| field(&old, name).to_string();
-        let log = self.open_link(&format!("log-{i}"), self.log_addr).await;
+        let link = format!("log-{i}");
+        let log = self.open_link(&link, self.log_addr).await;
+        if !self.direct {
+            self.set_link_faults(&link, faults).await;
+        }
         let addrs = NodeAddrs {
             listen: text("listen"),
             admin: text("admin"),
--- a/src/kelpwind/log/follow.rs
+++ b/src/kelpwind/log/follow.rs
@@ -10,6 +10,7 @@
 //! caller needs to know, [`confirm`] reads the log once more without waiting; one read serves all
 //! who asked before it began.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -26,6 +27,9 @@
 
 /// How long a read waits for a new record.
 const READ_WAIT: Duration = Duration::from_secs(5);
+/// Time beyond its wait after which a read is overdue: other nodes are asked meanwhile, and the read
+/// goes on.
+const READ_GRACE: Duration = Duration::from_secs(1);
 /// Delay between two attempts while the log is unavailable.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Shortest time between two reads that confirm that the state is current.
@@ -77,13 +81,21 @@
 {
     let mut started = false;
     loop {
-        match read_once(&log, &replica, started).await {
+        // The first read does not wait for new records.
+        let wait = if started { READ_WAIT } else { Duration::ZERO };
+        let read = tokio::select! {
+            read = read_once(&log, &replica, started) => read,
+            never = ask_when_overdue(wait + READ_GRACE, &replica, &health, &ask_peer) => match never {},
+        };
+        match read {
             Ok(()) => {
                 started = true;
                 set_health(&health, Health::Up);
             }
-            Err(_) => {
-                set_health(&health, Health::Down);
+            Err(e) => {
+                if set_health(&health, Health::Down) {
+                    spdlog::warn!("the log cannot be read: {}", format_chain(&e));
+                }
                 let next = { replica.state().next };
                 ask_peer(next).await.apply_to(&replica);
                 tokio::time::sleep(RETRY_DELAY).await;
@@ -92,34 +104,61 @@
     }
 }
 
-fn set_health(sender: &watch::Sender<Health>, health: Health) {
-    sender.send_if_modified(|h| std::mem::replace(h, health) != health);
+/// Once `limit` has passed, asks other nodes for newer records until the caller drops this future.
+async fn ask_when_overdue<F, H>(
+    limit: Duration,
+    replica: &Replica,
+    health: &watch::Sender<Health>,
+    ask_peer: &F,
+) -> Infallible
+where
+    F: Fn(Offset) -> H,
+    H: Future<Output = PeerResponse>,
+{
+    tokio::time::sleep(limit).await;
+    if set_health(health, Health::Down) {
+        spdlog::warn!("a read of the log takes longer than {limit:?}");
+    }
+    loop {
+        let next = { replica.state().next };
+        ask_peer(next).await.apply_to(replica);
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
 }
 
-/// Reads the log once and applies the records. The first read does not wait for new records.
+/// Returns whether the health changed.
+fn set_health(sender: &watch::Sender<Health>, health: Health) -> bool {
+    sender.send_if_modified(|h| std::mem::replace(h, health) != health)
+}
+
+/// Reads the log once and applies the records, or loads the state if none was read from the log
+/// yet or the next record is no longer retained.
 async fn read_once(log: &LogClient, replica: &Replica, started: bool) -> Result<()> {
-    let wait = if started { READ_WAIT } else { Duration::ZERO };
+    if !started {
+        return bootstrap(log, replica).await;
+    }
     let next = { replica.state().next };
-    let batch = read_from(log, replica, next, wait).await?;
-    if batch.start > next || !started {
+    let batch = read_from(log, replica, next, READ_WAIT).await?;
+    if batch.start > next {
         return bootstrap(log, replica).await;
     }
     apply_batch(replica, &batch);
     Ok(())
 }
 
-/// Reads the log from `next` on and records where it ends.
+/// Reads the log from an offset on and records where it ends.
 async fn read_from(
     log: &LogClient,
     replica: &Replica,
-    next: Offset,
+    from: Offset,
     wait: Duration,
 ) -> Result<Batch> {
+    let known = { replica.state().next };
     let began = Instant::now();
-    let batch = (log.read)(next, wait).await?;
-    if batch.end < next {
+    let batch = (log.read)(from, wait).await?;
+    if batch.end < known {
         // The log ends before records that were read from it earlier, so it is not the same log.
-        let context = format!("failed to read the log: it ends at {}, before {next}", batch.end);
+        let context = format!("failed to read the log: it ends at {}, before {known}", batch.end);
         return Err(Error::new(Code::LogMalformed, context));
     }
     replica.observe_end(began, batch.end);
@@ -152,7 +191,7 @@
 /// complete snapshot that replaces them.
 pub async fn bootstrap(log: &LogClient, replica: &Replica) -> Result<()> {
     let known = { replica.state().next };
-    let mut batch = (log.read)(Offset(0), Duration::ZERO).await?;
+    let mut batch = read_from(log, replica, Offset(0), Duration::ZERO).await?;
     let start = batch.start;
     let mut assembler = SnapshotAssembler::default();
     let mut records = Vec::new();
@@ -165,7 +204,14 @@
         if next >= batch.end {
             break;
         }
-        batch = (log.read)(next, Duration::ZERO).await?;
+        batch = read_from(log, replica, next, Duration::ZERO).await?;
+        if batch.start > next {
+            let context = format!(
+                "failed to load the state: records {next} to {} expired while it was read",
+                batch.start
+            );
+            return Err(Error::new(Code::LogTruncated, context));
+        }
     }
     let snapshot = assembler.newest().filter(|s| s.next >= start);
     match snapshot {
--- a/src/kelpwind/log/http.rs
+++ b/src/kelpwind/log/http.rs
@@ -6,17 +6,19 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use kelpwind_wire::{AppendReply, LogBatch};
 use serde::de::DeserializeOwned;
 
 use super::client::{Batch, LogClient, Result};
 use crate::core::codes::Code;
 use crate::core::ids::Offset;
-use crate::net::pool::Pool;
+use crate::net::pool::{self, Pool};
 use crate::util::error::Error;
 
-/// Timeout of a call, in addition to the time for which a read may wait for records.
+/// Timeout of a call, in addition to the time for which a read may wait for records. The records
+/// themselves may take longer, with pauses of at most this time: a read that is cut short begins
+/// again with the same records.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Creates a client of the log service at `addr`.
@@ -30,14 +32,19 @@
 
 async fn append(pool: Arc<Pool>, addr: SocketAddr, data: Bytes) -> Result<Offset> {
     let request = request(Method::POST, "/append".to_owned(), data)?;
-    let appended: AppendReply = call(&pool, addr, request, CALL_TIMEOUT, "append to").await?;
+    let context = format!("failed to append to the log service {addr}");
+    let response = pool.call(addr, request, Instant::now() + CALL_TIMEOUT).await;
+    let appended: AppendReply = parse(response, context)?;
     Ok(Offset(appended.offset))
 }
 
 async fn read(pool: Arc<Pool>, addr: SocketAddr, from: Offset, wait: Duration) -> Result<Batch> {
     let path = format!("/read?from={from}&wait_ms={}", wait.as_millis());
     let request = request(Method::GET, path, Bytes::new())?;
-    let batch: LogBatch = call(&pool, addr, request, wait + CALL_TIMEOUT, "read from").await?;
+    let context = format!("failed to read from the log service {addr}");
+    let deadline = Instant::now() + wait + CALL_TIMEOUT;
+    let response = pool.call_long(addr, request, deadline, CALL_TIMEOUT).await;
+    let batch: LogBatch = parse(response, context)?;
     let records = batch.records.into_iter();
     let records: Vec<_> = records.map(|r| (Offset(r.offset), Bytes::from(r.data))).collect();
     let ascending = records.windows(2).all(|w| w[0].0 < w[1].0);
@@ -61,15 +68,10 @@
     })
 }
 
-async fn call<T: DeserializeOwned>(
-    pool: &Pool,
-    addr: SocketAddr,
-    request: Request<Bytes>,
-    limit: Duration,
-    verb: &str,
+fn parse<T: DeserializeOwned>(
+    response: pool::Result<Response<Bytes>>,
+    context: String,
 ) -> Result<T> {
-    let context = format!("failed to {verb} the log service {addr}");
-    let response = pool.call(addr, request, Instant::now() + limit).await;
     let response =
         response.map_err(|e| Error::new(Code::LogUnavailable, context.clone()).caused_by(e))?;
     match response.status() {
--- a/src/kelpwind/net/pool.rs
+++ b/src/kelpwind/net/pool.rs
@@ -11,7 +11,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -81,6 +81,15 @@
     Never,
 }
 
+/// How long a call waits for the body of the response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyLimit {
+    /// The whole body must have arrived at this time.
+    Whole(Instant),
+    /// No two parts of the body may be further apart.
+    Stall(Duration),
+}
+
 /// Pool of connections to any number of addresses.
 #[derive(Debug)]
 pub struct Pool {
@@ -125,6 +134,29 @@
         request: Request<Bytes>,
         deadline: Instant,
         reuse: Reuse,
+    ) -> Result<Response<Bytes>> {
+        self.exchange(addr, request, deadline, BodyLimit::Whole(deadline), reuse).await
+    }
+
+    /// As [`call`](Self::call), for a response that may be long: it must begin before `deadline`,
+    /// and is then read for as long as it goes on arriving, with pauses of at most `stall`.
+    pub async fn call_long(
+        &self,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+        deadline: Instant,
+        stall: Duration,
+    ) -> Result<Response<Bytes>> {
+        self.exchange(addr, request, deadline, BodyLimit::Stall(stall), Reuse::Any).await
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+        deadline: Instant,
+        body_limit: BodyLimit,
+        reuse: Reuse,
     ) -> Result<Response<Bytes>> {
         let mut request = request.map(Full::new);
         let host = addr.to_string().parse();
@@ -147,7 +179,7 @@
                     None => return Err(CallError::Broken(failed.into_error())),
                 },
             };
-            let (response, reusable) = read_response(response, deadline).await?;
+            let (response, reusable) = read_response(response, body_limit).await?;
             if reusable {
                 self.put_idle(addr, connection);
             }
@@ -219,7 +251,7 @@
 /// Reads the response body. Also returns whether the connection can be reused.
 async fn read_response(
     response: Response<Incoming>,
-    deadline: Instant,
+    limit: BodyLimit,
 ) -> Result<(Response<Bytes>, bool)> {
     let (parts, body) = response.into_parts();
     let sized = body.size_hint().exact().is_some();
@@ -228,13 +260,35 @@
         return Err(CallError::Truncated);
     }
     let closes = parts.headers.get(header::CONNECTION).is_some_and(|v| v == "close");
-    let collected = Limited::new(body, RESPONSE_BYTES_MAX).collect();
-    let Ok(read) = timeout_at(deadline.into(), collected).await else {
-        return Err(CallError::Expired);
+    let body = Limited::new(body, RESPONSE_BYTES_MAX);
+    let body = match limit {
+        BodyLimit::Whole(deadline) => {
+            let collected = timeout_at(deadline.into(), body.collect()).await;
+            let collected = collected.map_err(|_| CallError::Expired)?;
+            collected.map_err(|e| body_error(&*e))?.to_bytes()
+        }
+        BodyLimit::Stall(stall) => collect_parts(body, stall).await?,
     };
-    match read {
-        Ok(body) => Ok((Response::from_parts(parts, body.to_bytes()), !closes)),
-        Err(e) if e.is::<LengthLimitError>() => Err(CallError::TooLarge),
-        Err(_) => Err(CallError::Truncated),
+    Ok((Response::from_parts(parts, body), !closes))
+}
+
+/// Reads a body whose parts arrive with pauses of at most `stall`.
+async fn collect_parts(mut body: Limited<Incoming>, stall: Duration) -> Result<Bytes> {
+    let mut collected = BytesMut::new();
+    loop {
+        match timeout(stall, body.frame()).await {
+            Err(_) => return Err(CallError::Expired),
+            Ok(None) => return Ok(collected.freeze()),
+            Ok(Some(Err(e))) => return Err(body_error(&*e)),
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    collected.extend_from_slice(&data);
+                }
+            }
+        }
     }
 }
+
+fn body_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> CallError {
+    if error.is::<LengthLimitError>() { CallError::TooLarge } else { CallError::Truncated }
+}
--- a/tests/testsuite/durability.rs
+++ b/tests/testsuite/durability.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use kelpwind_test_support::cluster::Cluster;
-use kelpwind_test_support::http::get;
+use kelpwind_test_support::http::{Request, get, send};
 use serde_json::json;
 
 use crate::support::{PROGRAM, THREE_TARGETS, data_path, start_cluster};
@@ -40,6 +40,22 @@
         .await;
 }
 
+#[tokio::test]
+async fn a_node_behind_a_slow_link_loads_a_log_that_takes_seconds_to_read() {
+    let mut cluster = start_cluster(&THREE_TARGETS).await;
+    let record = "x".repeat(64 << 10);
+    for _ in 0..32 {
+        let request = Request { method: "POST", path: "/append", headers: &[], body: &record };
+        assert_eq!(send(cluster.log_addr, &request).await.unwrap().status, 200);
+    }
+    cluster.nodes[2].process.kill();
+    // The proxy forwards 16 KiB each 30 ms.
+    cluster.restart_behind(2, &[], json!({"delay_ms": 30})).await;
+    cluster
+        .wait_until("the node has joined", async || cluster.dump(2).await["life"] == "serving")
+        .await;
+}
+
 #[tokio::test]
 async fn a_published_configuration_reaches_nodes_that_cannot_read_the_log() {
     let cluster = start_cluster(&THREE_TARGETS).await;
