Forward records to a lagging node in answers that arrive in time

A node that could not read the log and lagged by more than its links to the other nodes carry in half a second never got the newer configuration: each request for records was dropped after 500 ms and the next one asked for the same records.

Cause: a node forwarded all records that another one lacked, up to 2048 of them, in one answer.

Now an answer holds records of 64 KiB, or a single larger one, and a node that advanced by one asks for the next without the pause in which the log may deliver the records itself. A request that gets no answer still ends after 500 ms, so a peer that is silent holds nobody up for longer than before.

Before the change (log cut off, 2 MiB of records, links between nodes 16 KiB each 30 ms):

test durability::records_that_take_seconds_to_forward_reach_nodes_that_cannot_read_the_log ... FAILED error: accepted as revision 38, but not in force everywhere after 15s [604] Caused by: lagging: n2

--- a/src/kelpwind/log/replica.rs
+++ b/src/kelpwind/log/replica.rs
@@ -20,6 +20,9 @@
 
 /// Maximum number of recent records kept for nodes that cannot reach the log.
 const TAIL_RECORDS_MAX: usize = 2048;
+/// Size of the records after which no more are forwarded in one answer, so that each answer arrives
+/// in time over a slow link.
+const FORWARDED_BYTES_MAX: usize = 64 << 10;
 /// Time after which an append whose outcome is still unknown is sent again.
 const APPEND_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -122,14 +125,21 @@
         }
     }
 
-    /// Returns the records from `from` on, or `None` if some of them are no longer kept.
+    /// Returns the first records from `from` on, up to [`FORWARDED_BYTES_MAX`] and at least one, or
+    /// `None` if some of them are no longer kept.
     pub fn records_from(&self, from: Offset) -> Option<Vec<ForwardedRecord>> {
         let tail = self.tail.lock();
         let first = tail.front().map_or(self.state.read().next, |r| r.offset);
         if from < first {
             return None;
         }
-        Some(tail.iter().filter(|r| r.offset >= from).cloned().collect())
+        let mut bytes = 0;
+        let fits = |record: &&ForwardedRecord| {
+            let first = bytes == 0;
+            bytes += record.data.len();
+            first || bytes <= FORWARDED_BYTES_MAX
+        };
+        Some(tail.iter().filter(|r| r.offset >= from).take_while(fits).cloned().collect())
     }
 
     /// Applies records that another node forwarded, as long as their digests show that they follow
--- a/src/kelpwind/node/catch_up.rs
+++ b/src/kelpwind/node/catch_up.rs
@@ -46,17 +46,19 @@
 /// Fetches missing records from the peer that has read furthest. Runs until the node stops.
 pub async fn catch_up(node: Arc<Node>) {
     let mut furthest = node.furthest_peer.furthest.subscribe();
+    let mut pause = LOG_GRACE_PERIOD;
     loop {
         let (offset, peer) = *furthest.borrow_and_update();
         let next = { node.replica.state().next };
         // A node that has read nothing yet is loaded by the log follower, from a snapshot.
         if offset <= next || next == Offset(0) {
+            pause = LOG_GRACE_PERIOD;
             if furthest.changed().await.is_err() {
                 return;
             }
             continue;
         }
-        tokio::time::sleep(LOG_GRACE_PERIOD).await;
+        tokio::time::sleep(pause).await;
         let addr = peer.and_then(|p| node.directory.read().addrs.get(&p).copied());
         let next = { node.replica.state().next };
         if offset <= next {
@@ -65,5 +67,8 @@
         if let Some(addr) = addr {
             peers::fetch_records(addr, next).await.apply_to(&node.replica);
         }
+        // A peer forwards a long sequence of records in several answers.
+        let advanced = node.replica.state().next > next;
+        pause = if advanced { Duration::ZERO } else { LOG_GRACE_PERIOD };
     }
 }
