Do not call an operator's newer base outdated at a node that lags

Cause: both judged by the state at hand. Only a base older than the node's revision is certainly outdated; a newer one, a key range that has owners as far as the node knows, and an unknown service need a current state. They wait for the same confirmation as callers' requests and fail with [212] without it.

Before the change:

test stale_configuration::a_node_cut_off_does_not_refuse_an_operator_who_knows_a_newer_configuration ... FAILED error: failed to call 'publish' at 127.0.1.2:45437 [500] Caused by: failed to publish on base 7: the current revision is 1 [500]

After it the tests of stale_configuration, command_line, config, bad_input and of concurrent publishers pass (38).

--- a/src/kelpwind/log/replica.rs
+++ b/src/kelpwind/log/replica.rs
@@ -25,6 +25,8 @@
 const FORWARDED_BYTES_MAX: usize = 64 << 10;
 /// Time after which an append whose outcome is still unknown is sent again.
 const APPEND_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Longest time to wait until the state is known to be current.
+const CONFIRM_WAIT: Duration = Duration::from_secs(1);
 
 /// A record as nodes forward it to each other, with the digest by which the receiver checks that it
 /// is the next one.
@@ -166,8 +168,9 @@
     }
 
     /// Waits until the state is known to include all records appended before `since`. Returns
-    /// false if that is not known by `deadline`.
-    pub async fn confirm(&self, since: Instant, deadline: Instant) -> bool {
+    /// false if that is not known within [`CONFIRM_WAIT`] from then.
+    pub async fn confirm(&self, since: Instant) -> bool {
+        let deadline = since + CONFIRM_WAIT;
         let mut freshness = self.freshness.subscribe();
         let mut next_offset = self.subscribe();
         loop {
--- a/src/kelpwind/node/admin.rs
+++ b/src/kelpwind/node/admin.rs
@@ -2,7 +2,7 @@
 //! `/metrics`, `/dump`, `/status`, and announcements of the backend server.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Limited};
@@ -114,9 +114,9 @@
     module.register_method("history", |_, node, _| {
         Ok::<_, ErrorObjectOwned>(node.replica.state().history.clone())
     })?;
-    module.register_method("explain", |params, node, _| {
+    module.register_async_method("explain", |params, node, _| async move {
         let (service, key): (String, String) = params.parse()?;
-        node.explain(&service, &key).map_err(|e| rpc_error(&e))
+        node.explain(&service, &key).await.map_err(|e| rpc_error(&e))
     })?;
     module.register_async_method("publish", |params, node, _| async move {
         let publish: PublishRequest = params.one()?;
@@ -147,11 +147,26 @@
     ///
     /// # Errors
     /// [`Code::StaleBase`] with the revisions published since the base and their authors;
-    /// [`Code::Dangerous`]; the first code of an invalid configuration; [`Code::Immutable`] when a
+    /// [`Code::StaleConfig`] when this node may lag behind the base, or behind the release of a key
+    /// range; [`Code::Dangerous`]; the first code of an invalid configuration; [`Code::Immutable`] when a
     /// key range overlaps one that is being dropped and still has owners; [`Code::LogUnavailable`]
     /// when the outcome is not known, in which case the change may still be applied.
     pub async fn publish(&self, publish: PublishRequest) -> Result<PublishResult> {
+        let arrived = Instant::now();
         let new = Config::try_from(publish.text.as_str()).map_err(|e| rejection(&e))?;
+        let may_lag = {
+            let state = self.replica.state();
+            publish.base > state.revision
+                || publish.base == state.revision && state.overlaps_retired(&new)
+        };
+        if may_lag && !self.replica.confirm(arrived).await {
+            let context = format!(
+                "failed to publish on base {}: revision {} is the newest that this node has read",
+                publish.base,
+                self.replica.state().revision
+            );
+            return Err(Error::new(Code::StaleConfig, context));
+        }
         let change = {
             let state = self.replica.state();
             if publish.base != state.revision {
--- a/src/kelpwind/node/view.rs
+++ b/src/kelpwind/node/view.rs
@@ -2,6 +2,7 @@
 //! (status), and how one key is routed (explanation).
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 
@@ -260,8 +261,14 @@
     /// Explains how requests for a key are routed.
     ///
     /// # Errors
-    /// [`Code::UnknownService`], with the most similar known name.
-    pub fn explain(&self, name: &str, key: &str) -> Result<Explanation> {
+    /// [`Code::UnknownService`], with the most similar known name; [`Code::StaleConfig`] if the
+    /// service may have been published without this node having read it.
+    pub async fn explain(&self, name: &str, key: &str) -> Result<Explanation> {
+        let known = self.replica.state().config.service.contains_key(name);
+        if !known && !self.replica.confirm(Instant::now()).await {
+            let context = format!("failed to explain: this node knows no service '{name}'");
+            return Err(Error::new(Code::StaleConfig, context));
+        }
         let state = self.replica.state();
         let Some(service) = state.config.service.keys().find(|s| s.as_str() == name) else {
             let known = state.config.service.keys().map(|s| s.as_str());
--- a/src/kelpwind/route/entry.rs
+++ b/src/kelpwind/route/entry.rs
@@ -32,8 +32,6 @@
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry delay given to a caller for whose request there is no target.
 const TARGET_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Longest time that a request waits for the node to confirm that its configuration is current.
-const CONFIRM_WAIT: Duration = Duration::from_secs(1);
 /// Retry delay given to a caller whose request the node cannot judge.
 const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Longest wait for a newer assignment before the owner is tried again.
@@ -108,8 +106,7 @@
         let resolve = || raw.resolve(&self.replica.state());
         let resolved = match resolve() {
             Err(refusal) if refusal.by_config => {
-                let confirmed =
-                    self.replica.confirm(raw.received, raw.received + CONFIRM_WAIT).await;
+                let confirmed = self.replica.confirm(raw.received).await;
                 // The configuration may have changed meanwhile.
                 resolve().map_err(|r| match r.by_config && !confirmed {
                     true => Code::StaleConfig,
--- a/tests/testsuite/stale_configuration.rs
+++ b/tests/testsuite/stale_configuration.rs
@@ -58,6 +58,27 @@
         .await;
 }
 
+#[tokio::test]
+async fn a_node_cut_off_does_not_refuse_an_operator_who_knows_a_newer_configuration() {
+    let cluster = Cluster::start(PROGRAM, &TARGETS).await;
+    cluster.publish(0, &data_path("keteltoezicht.toml"), 0).await;
+    cluster.wait_until_ready(0, 3).await;
+    cluster.isolate(1, true).await;
+    publish_two_services(&cluster).await;
+    let base = cluster.status(0).await["revision"].to_string();
+    let path = data_path("keteltoezicht.toml");
+    let publish = ["config", "publish", path.to_str().unwrap(), "--base", &base];
+    let explain = ["explain", "certificaat", "afgeven"];
+    for args in [&publish[..], &explain[..]] {
+        let (code, _, errors) = cluster.command(1, args);
+        assert!(code == 1 && errors.contains("[212]"), "{args:?}: {errors}");
+    }
+    // An older revision stays outdated whatever was published since.
+    let outdated = ["config", "publish", path.to_str().unwrap(), "--base", "0"];
+    let (_, _, errors) = cluster.command(1, &outdated);
+    assert!(errors.contains("[500]"), "{errors}");
+}
+
 #[tokio::test]
 async fn an_owner_that_lags_behind_the_entry_does_not_refuse_a_new_key_range() {
     let cluster = Cluster::start(PROGRAM, &TARGETS).await;
