Answer a request whose body stays out with 504 instead of 400

A request whose body had not arrived after 10 s got 400 [100], "the request's path or headers cannot be read". A slow link, or a router that was paused meanwhile, makes a proper request look like that.

It gets 504 [104] now, not run: the deadline passed before the request was sent on.

Before the change:

test bad_input::a_body_that_stays_out_is_answered_as_late ... FAILED HTTP/1.1 400 Bad Request kelpwind-code: 100

After it the tests of bad_input and request_flow pass (7).

--- a/src/kelpwind/route/request.rs
+++ b/src/kelpwind/route/request.rs
@@ -75,15 +75,16 @@
     /// Reads a request with a body of up to `limit` bytes.
     ///
     /// # Errors
-    /// [`Code::BodyTooLarge`] for a larger body; [`Code::BadRequest`] if the body does not arrive
-    /// completely within the time limit or the URI has no path.
+    /// [`Code::BodyTooLarge`] for a larger body; [`Code::DeadlinePast`] if the body does not arrive
+    /// completely within the time limit, since the link or this process may be at fault;
+    /// [`Code::BadRequest`] if it breaks off or the URI has no path.
     pub async fn read(request: Request<Incoming>, limit: usize) -> Result<RawRequest> {
         let received = Instant::now();
         let (parts, body) = request.into_parts();
         let collected = Limited::new(body, limit).collect();
         let read = tokio::time::timeout(BODY_TIMEOUT, collected).await;
         let body = match read {
-            Err(_) => return Err(Code::BadRequest),
+            Err(_) => return Err(Code::DeadlinePast),
             Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
                 return Err(Code::BodyTooLarge);
             }
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -41,6 +41,18 @@
     assert_eq!(cluster.executions(0).await.len(), 0);
 }
 
+#[tokio::test]
+async fn a_body_that_stays_out_is_answered_as_late() {
+    let cluster = start_cluster(&THREE_TARGETS).await;
+    let mut stream = TcpStream::connect(cluster.nodes[0].listen).await.unwrap();
+    let head = "POST /historie/ketel-1 HTTP/1.1\r\nhost: n0\r\ncontent-length: 8\r\n\r\nhalf";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 1024];
+    let size = stream.read(&mut answer).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer[..size]);
+    assert!(answer.starts_with("HTTP/1.1 504") && answer.contains("[104]"), "{answer}");
+}
+
 #[tokio::test]
 async fn a_node_without_configuration_refuses_requests() {
     let cluster = Cluster::start(PROGRAM, &THREE_TARGETS).await;
