Keep forwarded records in order when two tasks apply records

A node could keep forwarding records in a wrong order, so that a node that lagged and asked it applied none of them, again and again; and the offset that tasks wait on could go back by one until the next record, so that a wait for an applied record, or for the confirmation that the state is current, ran out in a calm time.

Cause: the follower of the log, the catch-up and the forwarding while the log is down apply records at the same time. The state was locked only while it changed; the list of records to forward and the offset were updated after the lock was released, in any order.

Both are updated under the lock now.

--- a/src/kelpwind/lib.rs
+++ b/src/kelpwind/lib.rs
@@ -34,7 +34,7 @@
 //!
 //! `ops`, `platform` and `util` serve the program. The other public items are the domain types in
 //! `core` and the parts that tests and benchmarks call directly: `lease`, `table`, `place`,
-//! `log::{freshness, snapshot}`, `net::{datagram, http1, pool}`,
+//! `log::{freshness, replica, snapshot}`, `net::{datagram, http1, pool}`,
 //! `route::{availability, budget, least_cost, picker, quantile, retry_after, round_robin}`,
 //! `gate::{cold_start, grant_time, limiter, queue}`, `mesh::platform_api` and
 //! `node::{lifecycle, settings}`. Everything else is internal to the crate.
--- a/src/kelpwind/log/mod.rs
+++ b/src/kelpwind/log/mod.rs
@@ -11,5 +11,5 @@
 pub(crate) mod follow;
 pub mod freshness;
 pub(crate) mod http;
-pub(crate) mod replica;
+pub mod replica;
 pub mod snapshot;
--- a/src/kelpwind/log/replica.rs
+++ b/src/kelpwind/log/replica.rs
@@ -53,6 +53,8 @@
 /// This process's copy of the state.
 pub struct Replica {
     state: RwLock<State>,
+    /// The last records applied. Changed, like `next_offset`, only while `state` is locked for
+    /// writing, since several tasks apply records.
     tail: Mutex<VecDeque<ForwardedRecord>>,
     pending: Mutex<HashMap<RecordId, oneshot::Sender<AppendOutcome>>>,
     next_offset: watch::Sender<Offset>,
@@ -94,15 +96,14 @@
         }
         let prev_digest = state.digest;
         let result = state.apply(offset, raw);
-        let next = state.next;
-        drop(state);
         self.push_tail(offset, prev_digest, raw);
+        self.next_offset.send_replace(state.next);
+        drop(state);
         if let Ok(record) = Record::try_from(raw.as_ref())
             && let Some(author) = self.pending.lock().remove(&record.id)
         {
             let _ = author.send(AppendOutcome { offset, result });
         }
-        self.next_offset.send_replace(next);
     }
 
     /// Replaces the state by a complete one, such as that of a snapshot, unless that is not newer.
@@ -111,11 +112,9 @@
         if newer.next <= state.next {
             return;
         }
-        let next = newer.next;
         *state = newer;
-        drop(state);
         self.tail.lock().clear();
-        self.next_offset.send_replace(next);
+        self.next_offset.send_replace(state.next);
     }
 
     fn push_tail(&self, offset: Offset, prev_digest: u64, raw: &Bytes) {
@@ -130,8 +129,9 @@
     /// Returns the first records from `from` on, up to [`FORWARDED_BYTES_MAX`] and at least one, or
     /// `None` if some of them are no longer kept.
     pub fn records_from(&self, from: Offset) -> Option<Vec<ForwardedRecord>> {
+        let state = self.state.read();
         let tail = self.tail.lock();
-        let first = tail.front().map_or(self.state.read().next, |r| r.offset);
+        let first = tail.front().map_or(state.next, |r| r.offset);
         if from < first {
             return None;
         }
--- a/tests/testsuite/state_machine.rs
+++ b/tests/testsuite/state_machine.rs
@@ -8,6 +8,7 @@
 use kelpwind::core::ids::{Count, Holder, Incarnation, Offset, Revision, SliceId, Token, Version};
 use kelpwind::core::record::{Body, Member, Move, Peer, Record};
 use kelpwind::core::state::State;
+use kelpwind::log::replica::Replica;
 use kelpwind::log::snapshot::{SnapshotAssembler, split};
 use proptest::prelude::*;
 
@@ -267,3 +268,24 @@
     }
     assert_eq!(interleaved.newest(), Some(state));
 }
+
+#[test]
+fn records_applied_by_two_threads_at_once_are_forwarded_in_order() {
+    const RECORDS: u64 = 2000;
+    for _ in 0..20 {
+        let replica = Replica::default();
+        let apply_all = || {
+            for offset in 0..RECORDS {
+                replica.apply(Offset(offset), &Bytes::from(offset.to_string()));
+            }
+        };
+        std::thread::scope(|s| {
+            s.spawn(apply_all);
+            s.spawn(apply_all);
+        });
+        let forwarded = replica.records_from(Offset(0)).unwrap();
+        let offsets: Vec<u64> = forwarded.iter().map(|r| r.offset.0).collect();
+        assert_eq!(offsets, (0..RECORDS).collect::<Vec<_>>());
+        assert_eq!(*replica.subscribe().borrow(), Offset(RECORDS));
+    }
+}
