Bound the answers of the log service's stand-in to what a node reads

A node that had to read nine or more records of 1 MB at once, at its start for example, never loaded the state: the answer was over the 8 MiB that a node accepts, and the next read asked for the same records.

Cause: the stand-in bounded an answer only by the number of records (512 of up to 1 MiB). A reader cannot ask for less, so the bound is the service's to keep; kelpwind-wire says so now, and the stand-in ends an answer at 2 MiB of records, or after one. Any other implementation of the log service needs the same bound.

Before the change:

test durability::a_new_node_loads_a_log_of_the_largest_records ... FAILED not reached within 20s: the node has joined

After it the nine tests of durability pass.

--- a/crates/kelpwind-stand-ins/src/log.rs
+++ b/crates/kelpwind-stand-ins/src/log.rs
@@ -22,6 +22,8 @@
 const RECORD_BYTES_MAX: u64 = 1 << 20;
 /// Maximum number of records in one response to a read.
 const BATCH_RECORDS_MAX: usize = 512;
+/// Size of the records after which a response to a read holds no more, in bytes.
+const BATCH_BYTES_MAX: usize = 2 << 20;
 /// Maximum time that a read waits for a new record.
 const READ_WAIT_MAX: Duration = Duration::from_secs(30);
 /// Delay of the 504 response that takes the place of a lost reply. It exceeds the router's time-out
@@ -126,7 +128,14 @@
     fn batch(&self, from: u64) -> LogBatch {
         let start = self.records.front().map_or(self.end, |r| r.offset);
         let skip = from.saturating_sub(start) as usize;
-        let records = self.records.iter().skip(skip).take(BATCH_RECORDS_MAX).cloned().collect();
+        let mut bytes = 0;
+        let fits = |record: &&LogRecord| {
+            let first = bytes == 0;
+            bytes += record.data.len();
+            first || bytes <= BATCH_BYTES_MAX
+        };
+        let batch = self.records.iter().skip(skip).take(BATCH_RECORDS_MAX).take_while(fits);
+        let records = batch.cloned().collect();
         LogBatch { start, end: self.end, records }
     }
 }
--- a/crates/kelpwind-wire/src/lib.rs
+++ b/crates/kelpwind-wire/src/lib.rs
@@ -45,7 +45,8 @@
     pub start: u64,
     /// Offset that the next appended record will have.
     pub end: u64,
-    /// Records from the requested offset on, in order of offset.
+    /// Records from the requested offset on, in order of offset: at least one if there is one, and
+    /// no more than fit into 8 MiB of JSON, the largest response that a node reads.
     pub records: Vec<LogRecord>,
 }
 
