Test that a node paused during a publication refuses nothing new

A paused node finds requests for a service published meanwhile waiting when it resumes, beside the log's answer that brings the service.

--- a/tests/testsuite/stale_configuration.rs
+++ b/tests/testsuite/stale_configuration.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 use crate::support::{PROGRAM, THREE_TARGETS, data_path, start_cluster};
 
@@ -60,6 +61,23 @@
         .await;
 }
 
+#[tokio::test]
+async fn a_node_paused_meanwhile_does_not_refuse_a_new_service() {
+    let cluster = Cluster::start(PROGRAM, &TARGETS).await;
+    cluster.publish(0, &data_path("keteltoezicht.toml"), 0).await;
+    cluster.wait_until_ready(0, 3).await;
+    let node = &cluster.nodes[1];
+    node.process.signal("STOP");
+    publish_two_services(&cluster).await;
+    let sent: JoinSet<_> = (0..50).map(|_| get(node.listen, "/certificaat/afgeven")).collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    node.process.signal("CONT");
+    for answer in sent.join_all().await {
+        let answer = answer.unwrap();
+        assert!(answer.status == 200 || answer.status >= 500, "{answer:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_node_cut_off_does_not_refuse_an_operator_who_knows_a_newer_configuration() {
     let cluster = Cluster::start(PROGRAM, &TARGETS).await;
