--- a/src/kelpwind/log/mod.rs
+++ b/src/kelpwind/log/mod.rs
@@ -2,12 +2,13 @@
 //! it.
 //!
 //! [`client`] is the interface to the log service and [`http`] implements its protocol. [`replica`]
-//! holds the state and reports to authors whether their records were applied. [`follow`] keeps it
-//! up to date from the log, or from other nodes while the log is down. [`snapshot`] encodes the
-//! state as records, so that it can be written to the log again before its retention time ends.
+//! holds the state, tells whether it is current, and reports to authors whether their records were
+//! applied. [`follow`] keeps it up to date from the log, or from other nodes while the log is down.
+//! [`snapshot`] encodes the state as records, so that it can be written to the log again before its
+//! retention time ends.
 
 pub(crate) mod client;
 pub(crate) mod follow;
 pub(crate) mod http;
-pub(crate) mod replica;
+pub mod replica;
 pub mod snapshot;
--- a/src/kelpwind/log/replica.rs
+++ b/src/kelpwind/log/replica.rs
@@ -7,11 +7,12 @@
 use bytes::Bytes;
 use parking_lot::{Mutex, RwLock, RwLockReadGuard};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{oneshot, watch};
-use tokio::time::timeout;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::{timeout, timeout_at};
 
 use super::client::{LogClient, Result};
 use crate::core::codes::Code;
+use crate::core::freshness::Freshness;
 use crate::core::ids::{Offset, RecordId};
 use crate::core::record::Record;
 use crate::core::state::{ApplyResult, State};
@@ -19,8 +20,13 @@
 
 /// Maximum number of recent records kept for nodes that cannot reach the log.
 const TAIL_RECORDS_MAX: usize = 2048;
+/// Size of the records after which no more are forwarded in one answer, so that each answer arrives
+/// in time over a slow link.
+const FORWARDED_BYTES_MAX: usize = 64 << 10;
 /// Time after which an append whose outcome is still unknown is sent again.
 const APPEND_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Longest time to wait until the state is known to be current.
+const CONFIRM_WAIT: Duration = Duration::from_secs(1);
 
 /// A record as nodes forward it to each other, with the digest by which the receiver checks that it
 /// is the next one.
@@ -47,9 +53,14 @@
 /// This process's copy of the state.
 pub struct Replica {
     state: RwLock<State>,
+    /// The last records applied. Changed, like `next_offset`, only while `state` is locked for
+    /// writing, since several tasks apply records.
     tail: Mutex<VecDeque<ForwardedRecord>>,
     pending: Mutex<HashMap<RecordId, oneshot::Sender<AppendOutcome>>>,
     next_offset: watch::Sender<Offset>,
+    freshness: watch::Sender<Freshness>,
+    /// Notified when a caller waits for the log to be read.
+    unconfirmed: Notify,
 }
 
 impl Default for Replica {
@@ -59,6 +70,8 @@
             tail: Mutex::default(),
             pending: Mutex::default(),
             next_offset: watch::Sender::new(Offset(0)),
+            freshness: watch::Sender::default(),
+            unconfirmed: Notify::new(),
         }
     }
 }
@@ -83,15 +96,14 @@
         }
         let prev_digest = state.digest;
         let result = state.apply(offset, raw);
-        let next = state.next;
-        drop(state);
         self.push_tail(offset, prev_digest, raw);
+        self.next_offset.send_replace(state.next);
+        drop(state);
         if let Ok(record) = Record::try_from(raw.as_ref())
             && let Some(author) = self.pending.lock().remove(&record.id)
         {
             let _ = author.send(AppendOutcome { offset, result });
         }
-        self.next_offset.send_replace(next);
     }
 
     /// Replaces the state by a complete one, such as that of a snapshot, unless that is not newer.
@@ -100,11 +112,9 @@
         if newer.next <= state.next {
             return;
         }
-        let next = newer.next;
         *state = newer;
-        drop(state);
         self.tail.lock().clear();
-        self.next_offset.send_replace(next);
+        self.next_offset.send_replace(state.next);
     }
 
     fn push_tail(&self, offset: Offset, prev_digest: u64, raw: &Bytes) {
@@ -116,14 +126,22 @@
         }
     }
 
-    /// Returns the records from `from` on, or `None` if some of them are no longer kept.
+    /// Returns the first records from `from` on, up to [`FORWARDED_BYTES_MAX`] and at least one, or
+    /// `None` if some of them are no longer kept.
     pub fn records_from(&self, from: Offset) -> Option<Vec<ForwardedRecord>> {
+        let state = self.state.read();
         let tail = self.tail.lock();
-        let first = tail.front().map_or(self.state.read().next, |r| r.offset);
+        let first = tail.front().map_or(state.next, |r| r.offset);
         if from < first {
             return None;
         }
-        Some(tail.iter().filter(|r| r.offset >= from).cloned().collect())
+        let mut bytes = 0;
+        let fits = |record: &&ForwardedRecord| {
+            let first = bytes == 0;
+            bytes += record.data.len();
+            first || bytes <= FORWARDED_BYTES_MAX
+        };
+        Some(tail.iter().filter(|r| r.offset >= from).take_while(fits).cloned().collect())
     }
 
     /// Applies records that another node forwarded, as long as their digests show that they follow
@@ -144,6 +162,41 @@
         applied
     }
 
+    /// Records that a read of the log that began at `began` found its end at `end`.
+    pub fn observe_end(&self, began: Instant, end: Offset) {
+        self.freshness.send_if_modified(|f| f.observe(began, end));
+    }
+
+    /// Waits until the state is known to include all records appended before `since`. Returns
+    /// false if that is not known after [`CONFIRM_WAIT`].
+    pub async fn confirm(&self, since: Instant) -> bool {
+        let deadline = Instant::now() + CONFIRM_WAIT;
+        let mut freshness = self.freshness.subscribe();
+        let mut next_offset = self.subscribe();
+        loop {
+            let known = *freshness.borrow_and_update();
+            let next = *next_offset.borrow_and_update();
+            if known.is_current(next, since) {
+                return true;
+            }
+            self.unconfirmed.notify_one();
+            let changed = async {
+                tokio::select! {
+                    changed = freshness.changed() => changed.is_ok(),
+                    changed = next_offset.changed() => changed.is_ok(),
+                }
+            };
+            if !timeout_at(deadline.into(), changed).await.is_ok_and(|changed| changed) {
+                return false;
+            }
+        }
+    }
+
+    /// Waits until a caller waits in [`confirm`](Self::confirm).
+    pub async fn confirmation_wanted(&self) {
+        self.unconfirmed.notified().await;
+    }
+
     /// Appends a record and waits up to `limit` until the state includes it.
     ///
     /// A lost reply is harmless: the outcome is taken from the log, and the record is sent again if
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod queue;
 mod request_flow;
 mod silent_connections;
+mod stale_configuration;
 mod state_machine;
 mod store_client;
 mod support;
