Fetch the state from another node when its records are too large to send

During an outage of the log, a node that was started with a seed got no configuration when the records that the seed keeps are larger than 10 MB, and neither did a running node that was that far behind.

A fetch first asked for the records from the node's offset on, also at offset 0, where it did not use them; and when that call failed because the answer is over the limit of the server (10 MB), the state was never asked for. Each attempt failed in the same way until the log was back.

At offset 0 only the state is fetched now, and it is also fetched when the other node answers that it cannot send the records.

--- a/src/kelpwind/log/follow.rs
+++ b/src/kelpwind/log/follow.rs
@@ -30,7 +30,7 @@
 pub enum PeerResponse {
     /// The records from the requested offset on.
     Records(Vec<ForwardedRecord>),
-    /// The complete state, because the node no longer keeps the requested records.
+    /// The complete state, because the node cannot send the requested records.
     State(Box<State>),
     /// No response.
     None,
--- a/src/kelpwind/node/peers.rs
+++ b/src/kelpwind/node/peers.rs
@@ -30,7 +30,6 @@
 use crate::core::state::State;
 use crate::gate::dedup::SliceOutcomes;
 use crate::log::follow::PeerResponse;
-use crate::log::replica::ForwardedRecord;
 use crate::net::pool::{Limits, Pool};
 use crate::place::planner::Transfer;
 use crate::route::wire;
@@ -167,14 +166,16 @@
     client.request("let_go", rpc_params![granted]).await.ok()
 }
 
-/// Fetches the records from `next` on from another node, or its whole state if it no longer keeps
-/// them or if this node has none yet.
+/// Fetches the records from `next` on from another node, or its whole state if this node has none
+/// yet, or if the other one no longer keeps the records or cannot send them in one answer.
 pub async fn fetch_records(pool: &Pool, addr: SocketAddr, next: Offset) -> PeerResponse {
-    let suffix: Option<Reply<Vec<ForwardedRecord>>> =
-        fetch(pool, addr, "suffix", json!([next])).await;
-    let Some(Reply { result, error: None }) = suffix else { return PeerResponse::None };
-    if let Some(records) = result.filter(|_| next > Offset(0)) {
-        return PeerResponse::Records(records);
+    if next > Offset(0) {
+        match fetch(pool, addr, "suffix", json!([next])).await {
+            Some(Reply { result: Some(records), .. }) => return PeerResponse::Records(records),
+            // The records are no longer kept, or they are larger than an answer may be.
+            Some(Reply { result: None, .. }) => {}
+            None => return PeerResponse::None,
+        }
     }
     let state = fetch(pool, addr, "state", json!([])).await.and_then(|reply| reply.result);
     state.map_or(PeerResponse::None, |state| PeerResponse::State(Box::new(state)))
--- a/tests/testsuite/durability.rs
+++ b/tests/testsuite/durability.rs
@@ -145,6 +145,43 @@
         .await;
 }
 
+/// A new node needs the state, not the records that led to it.
+#[tokio::test]
+async fn a_node_started_during_an_outage_loads_the_state_after_large_records() {
+    let mut cluster = start_cluster(&THREE_TARGETS).await;
+    let revision = cluster.status(0).await["revision"].clone();
+    let before = cluster.dump(0).await["offset"].as_u64().unwrap();
+    fill_log(&cluster, 12, 1_000_000).await;
+    cluster
+        .wait_until("node 0 has read the log", async || {
+            cluster.dump(0).await["offset"].as_u64() >= Some(before + 12)
+        })
+        .await;
+    cluster.set_log_faults(json!({"down": true})).await;
+    cluster.nodes[2].process.kill();
+    cluster.restart_with(2, &["--seeds", &cluster.advertised_addr(0)]).await;
+    cluster
+        .wait_until("the new node has the configuration", async || {
+            cluster.status(2).await["revision"] == revision
+        })
+        .await;
+}
+
+/// Together the records are larger than an answer between nodes may be.
+#[tokio::test]
+async fn a_node_that_cannot_read_the_log_gets_the_state_when_the_records_are_too_large() {
+    let cluster = start_cluster(&THREE_TARGETS).await;
+    cluster.set_link_faults("log-2", json!({"cut_forward": true, "cut_backward": true})).await;
+    fill_log(&cluster, 12, 1_000_000).await;
+    let (code, _, errors) = cluster.command(0, &["drain", "delft-c"]);
+    assert_eq!(code, 0, "{errors}");
+    cluster
+        .wait_until("node 2 has the change", async || {
+            cluster.status(2).await["domains"]["delft-c"] == false
+        })
+        .await;
+}
+
 #[tokio::test]
 async fn one_of_two_concurrent_publishers_is_rejected_with_the_author_of_the_other() {
     let cluster = Cluster::start(PROGRAM, &THREE_TARGETS).await;
