Show that large answers between nodes are given up while they arrive

The entry's link to a gate counts as dead 0.8 s (DEAD_AFTER) after the last whole frame. A frame that takes longer to arrive is given up with its connection, and the gate sends it again from its first byte over the next one, until the request's deadline. All other requests on that link lose their connection with it.

The test answers a request with 500 KB over a link of some 400 KB/s between two nodes, which takes 1.4 s of the 2.5 s that the caller gives.

For it, the fleet can put a proxy between a node and the others (divert_peers), and servers answer with a body of the size asked for.

--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -252,3 +252,18 @@
     assert!(results.iter().filter(|r| r.status == 200).count() >= 6);
     assert_no_violations(&fleet);
 }
+
+/// The link between the nodes carries some 400 KB/s.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_takes_a_second_to_arrive_from_a_node_reaches_the_caller() {
+    const SIZE: usize = 500_000;
+    let mut fleet = Fleet::start(&[("books", 1), ("maps", 1)], SERVICE_TIME).await;
+    fleet.divert_peers(0, Faults { delay_ms: 40, ..Faults::default() }).await;
+    // The entry learns the address with its next read of the table.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let began = Instant::now();
+    let result = fleet.call_for_large_answer(1, "books", 5, SIZE).await;
+    assert!(began.elapsed() > Duration::from_secs(1), "the link is not slow");
+    assert_eq!(result.status, 200);
+    assert!(result.body.len() > SIZE);
+}
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -207,6 +207,26 @@
         );
     }
 
+    /// Puts a proxy with these faults between a node and the others. The node is cut off from the
+    /// store, so that it does not write its own address there again.
+    pub async fn divert_peers(&mut self, host: usize, faults: Faults) {
+        let ip = self.hosts[host].ip;
+        let [a, b, c, d] = ip.octets();
+        let detour = Ipv4Addr::new(a, b, c, 100 + d);
+        let link = Link {
+            name: detour.to_string(),
+            listen: SocketAddr::new(detour.into(), 7620),
+            target: SocketAddr::new(ip.into(), 7620),
+        };
+        let name = link.name.clone();
+        self.proxy.open(link).await.expect("the proxy failed to listen");
+        assert!(self.proxy.set_faults(LinkFaults { link: name, faults }));
+        let cut = Faults { cut_forward: true, cut_backward: true, ..Faults::default() };
+        self.set_faults(host, cut);
+        let (from, to) = (format!("{ip}:7620"), format!("{detour}:7620"));
+        self.store.replace_in_matching(&ip.to_string(), &from, &to);
+    }
+
     async fn wait_until_served(&self, services: &[(&str, u32)]) {
         let until = Instant::now() + START_TIMEOUT;
         for (service, _) in services {
@@ -228,11 +248,23 @@
 
     /// Sends one request from a host, and records its result.
     pub async fn call(&self, host: usize, service: &str, key: u16, once: bool) -> CallResult {
-        let result = call(self.hosts[host].ip, service, key, once).await;
+        let result = call(self.hosts[host].ip, service, key, once, "").await;
         self.results.lock().push(result.clone());
         result
     }
 
+    /// Sends one request that is answered with a body of `size` bytes; its result is not recorded.
+    pub async fn call_for_large_answer(
+        &self,
+        host: usize,
+        service: &str,
+        key: u16,
+        size: usize,
+    ) -> CallResult {
+        let query = format!("?answer-bytes={size}");
+        call(self.hosts[host].ip, service, key, false, &query).await
+    }
+
     /// Sends one request from a host in a new task; its result is not recorded.
     pub fn spawn_call(
         &self,
@@ -242,7 +274,7 @@
         once: bool,
     ) -> tokio::task::JoinHandle<CallResult> {
         let (ip, service) = (self.hosts[host].ip, service.to_owned());
-        tokio::spawn(async move { call(ip, &service, key, once).await })
+        tokio::spawn(async move { call(ip, &service, key, once, "").await })
     }
 
     /// Starts a caller per host and service. Each sends requests until its task is aborted, and
@@ -259,7 +291,7 @@
                 tasks.push(tokio::spawn(async move {
                     loop {
                         let once = fastrand::bool();
-                        let answer = call(ip, &service, fastrand::u16(..), once).await;
+                        let answer = call(ip, &service, fastrand::u16(..), once, "").await;
                         results.lock().push(answer);
                         tokio::time::sleep(pause).await;
                     }
@@ -361,10 +393,10 @@
     )
 }
 
-async fn call(ip: Ipv4Addr, service: &str, key: u16, once: bool) -> CallResult {
+async fn call(ip: Ipv4Addr, service: &str, key: u16, once: bool, query: &str) -> CallResult {
     let id = format!("{:016x}", fastrand::u64(..));
     let mut result = CallResult { id, status: 0, retry_after: None, body: Bytes::new(), once };
-    let exchange = tokio::time::timeout(CALL_TIMEOUT, exchange(ip, service, key, &result));
+    let exchange = tokio::time::timeout(CALL_TIMEOUT, exchange(ip, service, key, &result, query));
     if let Ok(Some((status, retry_after, body))) = exchange.await {
         (result.status, result.retry_after, result.body) = (status, retry_after, body);
     }
@@ -376,6 +408,7 @@
     service: &str,
     key: u16,
     result: &CallResult,
+    query: &str,
 ) -> Option<(u16, Option<String>, Bytes)> {
     let stream = TcpStream::connect((ip, 8304)).await.ok()?;
     let (mut sender, connection) =
@@ -384,7 +417,7 @@
     let (method, path) = if result.once { ("POST", "/put/x") } else { ("GET", "/get/x") };
     let request = http::Request::builder()
         .method(method)
-        .uri(path)
+        .uri(format!("{path}{query}"))
         .header("host", format!("{service}.example"))
         .header("x-request-id", &result.id)
         .header("x-shard-key", key)
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use super::{FullRequest, Reply, reply, serve};
+use super::{FullRequest, Reply, query_param, reply, serve};
 
 /// Interval between liveness reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
@@ -292,7 +292,11 @@
         let _running = RunningGuard::new(&self.running);
         self.history.runs.lock().push(Run { id: id.clone(), server: self.id.clone() });
         tokio::time::sleep(self.config.service_time).await;
-        let mut answer = Reply::new(Full::new(Bytes::from(format!("done {id}"))));
+        let mut body = format!("done {id}");
+        if let Some(size) = query_param(&request, "answer-bytes").and_then(|s| s.parse().ok()) {
+            body.extend(std::iter::repeat_n('x', size));
+        }
+        let mut answer = Reply::new(Full::new(Bytes::from(body)));
         let headers = answer.headers_mut();
         for (name, value) in [("x-request-id", &id), ("x-server-signature", &self.id)] {
             headers.insert(name, value.parse().expect("valid header value"));
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -65,6 +65,20 @@
         deleted.into_iter().for_each(|(topic, (key, value))| self.append_one(&topic, &key, value));
     }
 
+    /// Replaces text in the newest records whose keys contain `part`.
+    pub fn replace_in_matching(&self, part: &str, from: &str, to: &str) {
+        let mut newest: BTreeMap<(String, String), Bytes> = BTreeMap::new();
+        for (topic, records) in self.topics.lock().iter() {
+            for (key, value) in records.iter().filter(|(key, _)| key.contains(part)) {
+                newest.insert((topic.clone(), key.clone()), value.clone());
+            }
+        }
+        for ((topic, key), value) in newest {
+            let text = String::from_utf8_lossy(&value).replace(from, to);
+            self.append_one(&topic, &key, Bytes::from(text));
+        }
+    }
+
     /// Takes the store down or up. While down it answers 503.
     pub fn set_down(&self, down: bool) {
         self.down.store(down, Ordering::Relaxed);
