--- a/tests/large_logs/main.rs
+++ b/tests/large_logs/main.rs
@@ -40,7 +40,7 @@
     wait_until_serving(&cluster, 2).await;
 }
 
-/// The log service returns up to 512 records at once, whatever their size.
+/// One answer of the log service does not hold all of them.
 #[tokio::test]
 async fn a_node_starts_from_a_log_whose_records_are_large() {
     let mut cluster = start_cluster(&THREE_TARGETS).await;
@@ -104,3 +104,38 @@
         })
         .await;
 }
+
+#[tokio::test]
+async fn a_node_behind_a_slow_link_loads_a_log_that_takes_seconds_to_read() {
+    let mut cluster = start_cluster(&THREE_TARGETS).await;
+    fill_log(&cluster, 32, 64 << 10).await;
+    cluster.nodes[2].process.kill();
+    // The proxy forwards 16 KiB each 30 ms.
+    cluster.restart_behind(2, &[], json!({"delay_ms": 30})).await;
+    cluster
+        .wait_until("the node has joined", async || cluster.dump(2).await["life"] == "serving")
+        .await;
+}
+
+#[tokio::test]
+async fn records_that_take_seconds_to_forward_reach_nodes_that_cannot_read_the_log() {
+    let cluster = start_cluster(&THREE_TARGETS).await;
+    cluster.set_link_faults("log-2", json!({"cut_forward": true, "cut_backward": true})).await;
+    for i in [0, 1] {
+        cluster.set_link_faults(&format!("peer-{i}"), json!({"delay_ms": 30})).await;
+    }
+    fill_log(&cluster, 32, 64 << 10).await;
+    let (code, out, errors) = cluster.command(0, &["drain", "delft-c", "--wait", "15"]);
+    assert_eq!(code, 0, "{out}{errors}");
+}
+
+#[tokio::test]
+async fn a_new_node_loads_a_log_of_the_largest_records() {
+    let mut cluster = start_cluster(&THREE_TARGETS).await;
+    fill_log(&cluster, 10, 1 << 20).await;
+    cluster.nodes[2].process.kill();
+    cluster.restart(2).await;
+    cluster
+        .wait_until("the node has joined", async || cluster.dump(2).await["life"] == "serving")
+        .await;
+}
