Measure a link's silence from the last bytes, not the last whole frame

A caller got 504 for an answer that takes longer to cross the link between two nodes than the link may be silent: 500 KB over some 400 KB/s take 1.4 s, of 2.5 s that the caller had. All other requests on that link lost their connection with it.

Cause: the entry took 0.8 s without a whole frame for a dead connection, however many bytes of the frame had arrived.

Any bytes show that the gate is alive, so they count now. A gate that sends nothing is found as fast as before.

The other direction is not mended: while a long request is written, pings wait behind it, so its answer may be late.

--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -190,10 +190,12 @@
     postcard::from_bytes(&frame[4..]).map(Some).map_err(|_| FrameError::Malformed)
 }
 
-/// Reads the next frame; `None` when the connection ends or a frame cannot be decoded.
+/// Reads the next frame; `None` when the connection ends or a frame cannot be decoded. `on_bytes` is
+/// called whenever bytes arrive, which may be long before the frame is complete.
 pub(crate) async fn read_next<T: serde::de::DeserializeOwned>(
     reader: &mut (impl AsyncRead + Unpin),
     buffer: &mut BytesMut,
+    on_bytes: impl Fn(),
 ) -> Option<T> {
     loop {
         match decode(buffer) {
@@ -208,7 +210,7 @@
         }
         match reader.read_buf(buffer).await {
             Ok(0) => return None,
-            Ok(_) => {}
+            Ok(_) => on_bytes(),
             Err(e) => {
                 spdlog::debug!("failed to read from the connection to another node: {e}");
                 return None;
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -67,7 +67,7 @@
     pending: RefCell<BTreeMap<u64, Pending>>,
     next_number: Cell<u64>,
     queue: RefCell<Option<Rc<SendQueue>>>,
-    /// When the last frame arrived.
+    /// When the last bytes arrived.
     last_received: Cell<Instant>,
     /// Since when the gate is unreachable.
     lost_since: Cell<Option<Instant>>,
@@ -270,7 +270,7 @@
         let sender = queue.clone();
         let writing = tokio::task::spawn_local(async move { sender.write_to(writer).await });
         let mut buffer = BytesMut::new();
-        match timeout(DEAD_AFTER, frame::read_next(&mut reader, &mut buffer)).await {
+        match timeout(DEAD_AFTER, frame::read_next(&mut reader, &mut buffer, || {})).await {
             Ok(Some(GateFrame::Hello { run_id })) => {
                 self.resume(run_id, &queue);
                 tokio::select! {
@@ -304,8 +304,9 @@
     }
 
     async fn read_frames(&self, reader: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut) {
-        while let Some(frame) = frame::read_next(reader, buffer).await {
-            self.last_received.set(Instant::now());
+        // A large frame takes long over a slow link, so any bytes show that the gate is alive.
+        let on_bytes = || self.last_received.set(Instant::now());
+        while let Some(frame) = frame::read_next(reader, buffer, on_bytes).await {
             match frame {
                 GateFrame::Reply { number, outcome, report } => {
                     self.last_report.set((report, Some(Instant::now())));
--- a/src/kelpwind/mesh/serve.rs
+++ b/src/kelpwind/mesh/serve.rs
@@ -72,7 +72,7 @@
     }
     let (mut reader, writer) = stream.into_split();
     let mut buffer = BytesMut::new();
-    let hello = timeout(HELLO_TIMEOUT, frame::read_next(&mut reader, &mut buffer)).await;
+    let hello = timeout(HELLO_TIMEOUT, frame::read_next(&mut reader, &mut buffer, || {})).await;
     let Ok(Some(EntryFrame::Hello { session: id, to })) = hello else { return };
     if to != node.name().as_str() {
         return;
@@ -86,7 +86,7 @@
     if node.is_stopping() {
         queue.push(&frame::encode(&GateFrame::Leaving));
     }
-    while let Some(frame) = frame::read_next(&mut reader, &mut buffer).await {
+    while let Some(frame) = frame::read_next(&mut reader, &mut buffer, || {}).await {
         match frame {
             EntryFrame::Request(request) => accept_request(&node, &session, *request),
             EntryFrame::Cancel(number) => session.cancel(number),
