End waits on callers' connections by the limits in force

Callers whose connection was opened under an older configuration, or before one was known, found it closed while the configuration in force allowed them to reuse it. With the idle limit raised from 2 to 6 s, a connection idle for 4.8 s was closed. A lowered limit never applied to an open connection, and a head could take as long as the idle and the head limit together: 18 s with the usual limits.

The limits were read once, when a connection was accepted, and given to the HTTP library as its header timeout, which holds for a connection's life and counts the idle time as part of the head.

Now the node times both waits itself. The stream tells when bytes arrive and when an answer is flushed, the service when a request is handled; the deadline of a wait is computed from the limits in force when it is checked. A wait keeps the limits of its beginning if new ones are lower, since the caller could rely on them. Each limit is extended by one head timeout, as the idle limit was before. The connection is polled before its timer, so a request that has arrived is read first. A connection's timer is set again only after it has fired, where the library set up one for each request.

Tests on the code before:

a_raised_idle_limit_applies_to_open_connections: left: None, right: Some(200) a_lowered_idle_limit_applies_from_the_next_request_on: the connection is open after 3s a_head_that_arrives_slowly_ends_its_connection: the head goes on after 3.045814197s an_idle_connection_ends_after_the_limit, a_head_in_parts_is_read_within_the_limit: ok

All five pass now, and a_planned_stop_interrupts_no_request does.

--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -1,23 +1,20 @@
 //! The node's HTTP servers: callers' requests, readiness checks, reports of the backend server, and
 //! metrics.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use http::header::{HeaderValue, RETRY_AFTER};
 use http::{HeaderName, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
+use super::connection;
 use super::node::Node;
 use super::orders::Confirmation;
 use super::platform_api::{Answer, CallerRequest};
@@ -28,8 +25,6 @@
 
 /// Header with the numbered result code of a failure that the node itself reports.
 const CODE_HEADER: HeaderName = HeaderName::from_static("kelpwind-code");
-/// Smallest buffer for a request's head that the HTTP library accepts.
-const HEAD_BYTES_MIN: usize = 8 << 10;
 /// Largest report of a backend server that is accepted.
 const REPORT_BYTES_MAX: usize = 64 << 10;
 /// Longest time to read a request's body, also when the caller states a longer timeout or none.
@@ -37,7 +32,7 @@
 /// Pause after a failed accept, which prevents a busy loop while file descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-type Reply = Response<Full<Bytes>>;
+pub(super) type Reply = Response<Full<Bytes>>;
 
 /// Serves connections until `closed` becomes true. Then idle connections close at once, and others
 /// after their current request.
@@ -58,7 +53,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = connection(stream, node.clone(), closed.clone(), handle.clone());
+                let connection =
+                    connection::serve(stream, node.clone(), closed.clone(), handle.clone());
                 tokio::task::spawn_local(connection);
             }
             Err(e) => {
@@ -70,55 +66,12 @@
 }
 
 /// Returns when the flag becomes true. Never returns once the sender is gone.
-async fn wait_until_true(flag: &mut watch::Receiver<bool>) {
+pub(super) async fn wait_until_true(flag: &mut watch::Receiver<bool>) {
     if flag.wait_for(|f| *f).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
 
-async fn connection<H, F>(
-    stream: TcpStream,
-    node: Rc<Node>,
-    mut closed: watch::Receiver<bool>,
-    handle: H,
-) where
-    H: Fn(Rc<Node>, Request<Incoming>) -> F + 'static,
-    F: Future<Output = Reply> + 'static,
-{
-    if let Err(e) = stream.set_nodelay(true) {
-        spdlog::debug!("failed to set TCP_NODELAY on a connection: {e}");
-    }
-    let limits = node.routes().map_or(Limits::default(), |r| r.limits);
-    let service = service_fn(move |request| {
-        let node = node.clone();
-        let reply = handle(node.clone(), request);
-        async move {
-            let mut reply = reply.await;
-            if node.is_stopping() {
-                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            Ok::<_, Infallible>(reply)
-        }
-    });
-    // The library counts the idle time before a request as part of its header timeout.
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout + limits.head_timeout)
-        .max_buf_size(limits.head_bytes.max(HEAD_BYTES_MIN))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = wait_until_true(&mut closed) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(e) = ended {
-        spdlog::debug!("failed to serve an HTTP connection: {e}");
-    }
-}
-
 /// Counts a caller's request as in progress until dropped.
 struct Inflight(Rc<Node>);
 
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -18,11 +18,12 @@
 //! * [`request_state`]: attempts and retries of one request at the entry.
 //! * [`frame`], [`send_queue`], [`serve`], [`datagram`] and [`udp`]: connections and datagrams
 //!   between nodes.
-//! * [`http`] and [`metrics`]: the node's HTTP servers and its metrics.
+//! * [`http`], [`connection`] and [`metrics`]: the node's HTTP servers and its metrics.
 //! * [`start`]: start, reload and graceful shutdown.
 
 pub(crate) mod balance;
 pub(crate) mod commit;
+pub(crate) mod connection;
 pub(crate) mod datagram;
 pub(crate) mod entry;
 pub(crate) mod frame;
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 
 mod configuration;
 mod explain_request;
+mod http_limits;
 #[path = "../platform/mod.rs"]
 mod platform;
 
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -44,6 +44,19 @@
     pub once: bool,
 }
 
+/// Limits on callers' requests, as a configuration states them.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Maximum size of a request's head, in bytes.
+    pub head_bytes: usize,
+    /// Maximum size of a request's body, in bytes.
+    pub body_bytes: usize,
+    /// Time within which the whole head must arrive.
+    pub head_timeout: Duration,
+    /// Time after which an idle connection is closed.
+    pub idle_timeout: Duration,
+}
+
 /// A host with its node and its backend server.
 pub struct Host {
     /// Its address, one of the loopback network.
@@ -67,6 +80,8 @@
     pub history: Arc<History>,
     /// Results of the callers' requests.
     pub results: Arc<Mutex<Vec<CallResult>>>,
+    /// Limits in the configurations published from now on; absent from them if `None`.
+    pub limits: Option<Limits>,
     proxy: Proxy,
     folder: PathBuf,
     /// Version of the next configuration. Versions increase, but need not be consecutive.
@@ -90,6 +105,7 @@
             hosts: Vec::new(),
             history: Arc::default(),
             results: Arc::default(),
+            limits: None,
             proxy,
             folder,
             version: 1,
@@ -144,13 +160,24 @@
             .iter()
             .map(|(name, _)| format!(r#"["{name}","/healthz",130,3.0,50.0,{}]"#, *name == first));
         let rows: Vec<String> = rows.collect();
+        let limits = self.limits.map(|l| {
+            format!(
+                r#","limits":{{"max-header-bytes":{},"max-body-bytes":{},"header-timeout-s":{},
+                "idle-timeout-s":{}}}"#,
+                l.head_bytes,
+                l.body_bytes,
+                l.head_timeout.as_secs_f64(),
+                l.idle_timeout.as_secs_f64()
+            )
+        });
         let config = format!(
             r#"{{"version":{},"routes":{{"columns":["name","host","path-prefix","kind","timeout-s",
             "aim-s","priority","attempts","service"],"rows":[{}]}},"services":{{"columns":["name",
-            "health-path","max-connections","cold-start-s","cold-per-s","sharded"],"rows":[{}]}}}}"#,
+            "health-path","max-connections","cold-start-s","cold-per-s","sharded"],"rows":[{}]}}{}}}"#,
             self.version,
             routes.join(","),
-            rows.join(",")
+            rows.join(","),
+            limits.unwrap_or_default()
         );
         self.version += 3;
         self.store.publish("config", &config);
