Keep callers' limits off the platform's and the backend server's connections

With an idle limit of 0.2 s, a readiness check or a report on a connection that was idle for a second found it closed. The operators' limits bound what callers may send and how long they may stay idle; the node applied them to its other HTTP servers too, because all four share the code that serves a connection.

Each server is now started with the function that returns its limits. Only that for callers returns the configuration's.

Test on the code before, a readiness check on a connection idle for one second:

callers_limits_end_no_connection_of_the_platform_or_the_backend_server: the answer is None

It passes now.

--- a/src/kelpwind/mesh/connection.rs
+++ b/src/kelpwind/mesh/connection.rs
@@ -30,12 +30,13 @@
 /// Smallest buffer for a request's head that the HTTP library accepts.
 const HEAD_BYTES_MIN: usize = 8 << 10;
 
-/// Serves a connection until the client ends it, keeps the node waiting for too long, or `closed`
-/// becomes true.
+/// Serves a connection until the client ends it, keeps the node waiting for longer than `limits`
+/// allow, or `closed` becomes true.
 pub(super) async fn serve<H, F>(
     stream: TcpStream,
     node: Rc<Node>,
     mut closed: watch::Receiver<bool>,
+    limits: fn(&Node) -> Limits,
     handle: H,
 ) where
     H: Fn(Rc<Node>, Request<Incoming>) -> F + 'static,
@@ -44,7 +45,7 @@
     if let Err(e) = stream.set_nodelay(true) {
         spdlog::debug!("failed to set TCP_NODELAY on a connection: {e}");
     }
-    let activity = Rc::new(Activity::new(node.clone()));
+    let activity = Rc::new(Activity::new(node.clone(), limits));
     let stream = WatchedStream { stream, activity: activity.clone() };
     let watched = activity.clone();
     let service = service_fn(move |request| {
@@ -109,19 +110,21 @@
 /// The phase of a connection, which its stream and its service keep up to date.
 struct Activity {
     node: Rc<Node>,
+    /// Returns the limits in force.
+    limits: fn(&Node) -> Limits,
     phase: Cell<Phase>,
 }
 
 impl Activity {
-    fn new(node: Rc<Node>) -> Activity {
-        let activity = Activity { node, phase: Cell::new(Phase::Handling) };
+    fn new(node: Rc<Node>, limits: fn(&Node) -> Limits) -> Activity {
+        let activity = Activity { node, limits, phase: Cell::new(Phase::Handling) };
         activity.phase.set(Phase::Idle(activity.start_wait()));
         activity
     }
 
     /// The limits in force.
     fn limits(&self) -> Limits {
-        self.node.routes().map_or(Limits::default(), |r| r.limits)
+        (self.limits)(&self.node)
     }
 
     fn start_wait(&self) -> Wait {
--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -40,6 +40,7 @@
     listener: TcpListener,
     node: Rc<Node>,
     closed: watch::Receiver<bool>,
+    limits: fn(&Node) -> Limits,
     handle: H,
 ) where
     H: Fn(Rc<Node>, Request<Incoming>) -> F + Clone + 'static,
@@ -54,7 +55,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let connection =
-                    connection::serve(stream, node.clone(), closed.clone(), handle.clone());
+                    connection::serve(stream, node.clone(), closed.clone(), limits, handle.clone());
                 tokio::task::spawn_local(connection);
             }
             Err(e) => {
@@ -65,6 +66,16 @@
     }
 }
 
+/// Limits of callers' requests and connections.
+pub(crate) fn caller_limits(node: &Node) -> Limits {
+    node.routes().map_or(Limits::default(), |r| r.limits)
+}
+
+/// Limits of all others' connections, which operators' limits do not concern.
+pub(crate) fn other_limits(_node: &Node) -> Limits {
+    Limits::default()
+}
+
 /// Returns when the flag becomes true. Never returns once the sender is gone.
 pub(super) async fn wait_until_true(flag: &mut watch::Receiver<bool>) {
     if flag.wait_for(|f| *f).await.is_err() {
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -155,13 +155,13 @@
     let serve =
         |listener, closing: &watch::Receiver<bool>| (listener, node.clone(), closing.clone());
     let (l, n, c) = serve(callers, closing);
-    tokio::task::spawn_local(http::serve(l, n, c, http::handle_call));
+    tokio::task::spawn_local(http::serve(l, n, c, http::caller_limits, http::handle_call));
     let (l, n, c) = serve(ready, &never);
-    tokio::task::spawn_local(http::serve(l, n, c, http::check_ready));
+    tokio::task::spawn_local(http::serve(l, n, c, http::other_limits, http::check_ready));
     let (l, n, c) = serve(from_server, &never);
-    tokio::task::spawn_local(http::serve(l, n, c, http::receive_report));
+    tokio::task::spawn_local(http::serve(l, n, c, http::other_limits, http::receive_report));
     let (l, n, c) = serve(metrics, &never);
-    tokio::task::spawn_local(http::serve(l, n, c, http::serve_metrics));
+    tokio::task::spawn_local(http::serve(l, n, c, http::other_limits, http::serve_metrics));
 }
 
 /// Reads the settings again on SIGHUP and at intervals. Only bounds can change while a node runs. A
--- a/tests/mesh/http_limits.rs
+++ b/tests/mesh/http_limits.rs
@@ -13,8 +13,10 @@
 const SERVICE_TIME: Duration = Duration::from_millis(5);
 /// Time within which a node answers or closes a connection after it should have.
 const SLACK: Duration = Duration::from_secs(2);
-/// Port of the nodes for callers.
+/// Ports of the nodes.
 const CALLERS: u16 = 8304;
+const READINESS: u16 = 8302;
+const REPORTS: u16 = 8306;
 const LIMITS: Limits = Limits {
     head_bytes: 16 << 10,
     body_bytes: 64 << 20,
@@ -171,3 +173,20 @@
         assert!(answer.as_ref().is_some_and(|a| a.starts_with("HTTP/1.1 200")), "{answer:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_limits_end_no_connection_of_the_platform_or_the_backend_server() {
+    let (idle_timeout, head_timeout) = (Duration::from_millis(200), Duration::from_millis(100));
+    let fleet = start(Limits { idle_timeout, head_timeout, ..LIMITS }).await;
+    for (port, request) in
+        [(READINESS, "GET /-/readyz HTTP/1.1"), (REPORTS, "DELETE /-/instances/i-0 HTTP/1.1")]
+    {
+        let mut connection = Connection::open(&fleet, port).await;
+        for _ in 0..2 {
+            connection.send(&format!("{request}\r\nHost: node\r\n\r\n")).await;
+            let answer = connection.answer().await;
+            assert!(answer.as_ref().is_some_and(|a| a.starts_with("HTTP/1.1 200")), "{answer:?}");
+            sleep(Duration::from_secs(1)).await;
+        }
+    }
+}
