Read requests with up to 256 headers

Callers whose request had more than 100 headers got 431, however short the headers were: 240 of them in 3 KB, where the configuration allows heads of 16 KB. The limits bound the size of a head, not the number of its headers; 100 is what the HTTP library reads by default, and it answers 431 by itself.

It now reads up to 256. The library prepares room for all of them for each request.

Test on the code before:

many_short_headers_are_within_the_limits: HTTP/1.1 431 Request Header Fields Too Large

It passes now. The simulated servers read up to 400, so that the answer shows what the node does.

--- a/src/kelpwind/mesh/connection.rs
+++ b/src/kelpwind/mesh/connection.rs
@@ -30,6 +30,8 @@
 /// Size up to which each connection takes a request's head, since the limit may be raised while the
 /// connection is open.
 const HEAD_BYTES_MAX: usize = 64 << 10;
+/// Most headers of a request. The HTTP library prepares room for all of them for each request.
+const HEADERS_MAX: usize = 256;
 
 /// Serves a connection until the client ends it, keeps the node waiting for longer than `limits`
 /// allow, or `closed` becomes true.
@@ -66,6 +68,7 @@
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(head_bytes)
+        .max_headers(HEADERS_MAX)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut expired = pin!(activity.expired());
--- a/tests/mesh/http_limits.rs
+++ b/tests/mesh/http_limits.rs
@@ -230,6 +230,16 @@
     assert_eq!(Connection::open(&fleet, CALLERS).await.call(40 << 10).await, Some(503));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn many_short_headers_are_within_the_limits() {
+    let fleet = start(LIMITS).await;
+    let lines: String = (0..240).map(|i| format!("X-{i}: {i}\r\n")).collect();
+    let mut connection = Connection::open(&fleet, CALLERS).await;
+    connection.send(&head(0).replace("X-Filler", &format!("{lines}X-Filler"))).await;
+    let answer = connection.answer().await.expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_limits_end_no_connection_of_the_platform_or_the_backend_server() {
     let (idle_timeout, head_timeout) = (Duration::from_millis(200), Duration::from_millis(100));
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -21,6 +21,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+/// Most headers of a request that the simulated store and servers read.
+const HEADERS_MAX: usize = 400;
+
 /// A request with its complete body.
 pub type FullRequest = Request<Bytes>;
 /// A response with its complete body.
@@ -49,7 +52,11 @@
             });
             connections.spawn(async move {
                 // Tests break connections on purpose.
-                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                let mut builder = http1::Builder::new();
+                let _ = builder
+                    .max_headers(HEADERS_MAX)
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
             });
         }
     };
