--- a/tests/testsuite/adapter.rs
+++ b/tests/testsuite/adapter.rs
@@ -6,8 +6,9 @@
 
 use bytes::Bytes;
 use http::Method;
+use kelpwind::core::codes::Code;
 use kelpwind::core::ids::Offset;
-use kelpwind::mesh::platform_api::{OperatorOrder, ServerMessage};
+use kelpwind::mesh::platform_api::{CallerRequest, OperatorOrder, ServerMessage};
 use kelpwind::platform;
 use kelpwind::table::Record;
 use kelpwind::util::error::format_chain;
@@ -161,6 +162,31 @@
     assert!(platform::decode_report(&Method::POST, "/-/instances/i-1", b"").is_err());
 }
 
+fn decode_request(deadline: Option<&str>) -> Result<CallerRequest, Code> {
+    let request = http::Request::builder().uri("/x/y").header("host", "a.example");
+    let request = request.header("x-request-id", "9c41");
+    let request = match deadline {
+        Some(deadline) => request.header("x-deadline-ms", deadline),
+        None => request,
+    };
+    platform::decode_request(&request.body(()).unwrap().into_parts().0)
+}
+
+#[test]
+fn every_number_is_a_valid_deadline() {
+    let remaining = |deadline| decode_request(deadline).map(|call| call.remaining);
+    let millis = |ms| Ok(Some(Duration::from_millis(ms)));
+    for (deadline, expected) in [("800", 800), (" 800.0 ", 800), ("0", 0), ("-5", 0)] {
+        assert_eq!(remaining(Some(deadline)), millis(expected), "{deadline}");
+    }
+    for deadline in [None, Some("1e30"), Some("99999999999999999999999")] {
+        assert_eq!(remaining(deadline), Ok(None), "{deadline:?}");
+    }
+    for deadline in ["", "soon", "NaN", "800 ms"] {
+        assert_eq!(remaining(Some(deadline)), Err(Code::BadRequest), "{deadline}");
+    }
+}
+
 /// Names of the platform's protocols that must not occur outside the adapter.
 const WIRE_NAMES: &[&str] = &[
     "x-request-id",
