Keep idle connections open while the limit may have been raised

While a node could not read the store, or knew that it was behind, callers found connections closed after the idle limit it had read last, though a newer configuration might allow them to reuse these. With a limit of 2 s and the store down, a connection idle for 4 s was closed.

The node ended idle connections by a limit that it could not know to be in force. While the last read of the orders failed, or other nodes have announced newer ones, or there is no configuration, connections may now be idle for 60 s at least. That costs no read of the store. The bound keeps unused connections from piling up in a long outage.

Test on the code before:

an_idle_connection_that_a_newer_configuration_may_allow_stays_open: left: None, right: Some(200)

It passes now; it also checks that the limit ends idle connections again once the store answers.

--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -29,6 +29,8 @@
 const REPORT_BYTES_MAX: usize = 64 << 10;
 /// Longest time to read a request's body, also when the caller states a longer timeout or none.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which connections may be idle at least while the configuration may be outdated.
+const OUTDATED_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Pause after a failed accept, which prevents a busy loop while file descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -66,9 +68,17 @@
     }
 }
 
-/// Limits of callers' requests and connections.
+/// Limits of callers' requests and connections. While there may be a configuration that this node
+/// has not read, connections may be idle for longer than the last one says.
 pub(crate) fn caller_limits(node: &Node) -> Limits {
-    node.routes().map_or(Limits::default(), |r| r.limits)
+    let known = node.routes().map(|r| r.limits);
+    let orders = *node.orders.borrow();
+    let outdated = known.is_none() || orders.failing || orders.next < orders.freshness.end();
+    let mut limits = known.unwrap_or_default();
+    if outdated {
+        limits.idle_timeout = limits.idle_timeout.max(OUTDATED_IDLE_TIMEOUT);
+    }
+    limits
 }
 
 /// Limits of all others' connections, which operators' limits do not concern.
--- a/tests/mesh/http_limits.rs
+++ b/tests/mesh/http_limits.rs
@@ -240,6 +240,21 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_that_a_newer_configuration_may_allow_stays_open() {
+    let fleet = start(LIMITS).await;
+    let mut connection = Connection::open(&fleet, CALLERS).await;
+    fleet.store.set_down(true);
+    for _ in 0..2 {
+        assert_eq!(connection.call(0).await, Some(200));
+        sleep(2 * LIMITS.idle_timeout).await;
+    }
+    fleet.store.set_down(false);
+    sleep(SLACK).await;
+    assert_eq!(connection.call(0).await, Some(200));
+    connection.until_closed(LIMITS.idle_timeout + LIMITS.head_timeout + SLACK).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_limits_end_no_connection_of_the_platform_or_the_backend_server() {
     let (idle_timeout, head_timeout) = (Duration::from_millis(200), Duration::from_millis(100));
