Log requests whose head cannot be read

A caller whose request had too many headers, or whose head the HTTP library cannot parse, got 431 or 400 without a code, and the node's log at the usual level did not show that it had refused anything: the library answers by itself, and the error with which it then ends the connection was logged at `debug`, among those of connections that broke.

Such an error is now logged at `info`, with the library's reason, at most ten times a second as other failures are.

Test on the code before:

a_request_that_cannot_be_read_is_logged: no log line about 'invalid HTTP method parsed'

It passes now.

--- a/src/kelpwind/mesh/connection.rs
+++ b/src/kelpwind/mesh/connection.rs
@@ -86,8 +86,13 @@
             }
         }
     };
-    if let Err(e) = ended {
-        spdlog::debug!("failed to serve an HTTP connection: {e}");
+    match ended {
+        Ok(()) => {}
+        // The library has answered with 400, 414 or 431.
+        Err(e) if e.is_parse() => activity.node.metrics.failure_log.write(|left_out| {
+            spdlog::info!("a request cannot be read", kv: { why = e.to_string(), left_out });
+        }),
+        Err(e) => spdlog::debug!("failed to serve an HTTP connection: {e}"),
     }
 }
 
--- a/tests/mesh/http_limits.rs
+++ b/tests/mesh/http_limits.rs
@@ -107,6 +107,11 @@
     format!("{head}{}\r\n\r\n", "a".repeat(size.saturating_sub(head.len() + 4)))
 }
 
+/// Short headers, and the name of a further one.
+fn headers(count: u32) -> String {
+    (0..count).map(|i| format!("X-{i}: {i}\r\n")).chain(["X-Filler".to_owned()]).collect()
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_raised_idle_limit_applies_to_open_connections() {
     let mut fleet = start(LIMITS).await;
@@ -233,9 +238,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn many_short_headers_are_within_the_limits() {
     let fleet = start(LIMITS).await;
-    let lines: String = (0..240).map(|i| format!("X-{i}: {i}\r\n")).collect();
     let mut connection = Connection::open(&fleet, CALLERS).await;
-    connection.send(&head(0).replace("X-Filler", &format!("{lines}X-Filler"))).await;
+    connection.send(&head(0).replace("X-Filler", &headers(240))).await;
     let answer = connection.answer().await.expect("an answer");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
@@ -255,6 +259,25 @@
     connection.until_closed(LIMITS.idle_timeout + LIMITS.head_timeout + SLACK).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_cannot_be_read_is_logged() {
+    let fleet = start(LIMITS).await;
+    for (request, status, reason) in [
+        ("GET\r\n\r\n".to_owned(), 400, "invalid HTTP method parsed"),
+        (head(0).replace("X-Filler", &headers(300)), 431, "message head is too large"),
+    ] {
+        let mut connection = Connection::open(&fleet, CALLERS).await;
+        connection.send(&request).await;
+        let answer = connection.answer().await.expect("an answer");
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+        sleep(Duration::from_millis(100)).await;
+        let log = fleet.log(0);
+        let line =
+            log.lines().find(|l| l.contains("a request cannot be read") && l.contains(reason));
+        assert!(line.is_some(), "no log line about '{reason}'");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_limits_end_no_connection_of_the_platform_or_the_backend_server() {
     let (idle_timeout, head_timeout) = (Duration::from_millis(200), Duration::from_millis(100));
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -210,6 +210,11 @@
         output.status.success().then(|| String::from_utf8_lossy(&output.stdout).into_owned())
     }
 
+    /// What the node of a host has logged.
+    pub fn log(&self, host: usize) -> String {
+        std::fs::read_to_string(&self.hosts[host].log_file).expect("failed to read the log")
+    }
+
     /// Starts the backend server of a host.
     pub async fn start_server(&mut self, host: usize) {
         self.start_server_reporting_after(host, Duration::ZERO).await;
