Ask for newer orders beside a read that waits, not in its place

Change: nothing that waits is dropped. A probe, a read that does not wait, is sent beside it, and the answer that begins first is received (mesh/orders_reader.rs). A probe that finds nothing leaves the other read waiting, which also halves the calls of such a question. After a probe that failed the next one waits longer, and a read has longer to begin when others are known to have read what it asks for.

Also found by the review: a waiting request goes on as soon as a newer configuration is in force, and waits no longer than its caller does; an announcement that a later read refutes is forgotten (unit test added), where it would have made every unknown route 503 for good.

--- a/src/kelpwind/core/freshness.rs
+++ b/src/kelpwind/core/freshness.rs
@@ -16,8 +16,10 @@
 pub struct Freshness {
     /// When the latest read began, and the end of the log that it found.
     latest: Option<(Instant, Offset)>,
-    /// Highest end that other nodes have found.
+    /// Highest end that other nodes have found since the latest read began.
     announced: Offset,
+    /// When another node last told.
+    announced_at: Option<Instant>,
 }
 
 impl Freshness {
@@ -27,13 +29,18 @@
         let later = self.latest.is_none_or(|(latest, _)| began > latest);
         if later {
             self.latest = Some((began, end));
+            if self.announced_at.is_some_and(|at| at < began) {
+                self.announced = Offset::default();
+            }
         }
         later
     }
 
-    /// Records that another node has found the end of the log at `end`.
-    pub fn announce(&mut self, end: Offset) {
+    /// Records that another node has told at the time `at` that it has found the end of the log at
+    /// `end`. A read that begins later knows better.
+    pub fn announce(&mut self, end: Offset, at: Instant) {
         self.announced = self.announced.max(end);
+        self.announced_at = Some(at);
     }
 
     /// Highest offset that the log is known to have reached.
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -33,7 +33,7 @@
 /// Retry-after of a service without a usable target, and of a node without a current configuration.
 const TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time before the caller's deadline at which it is answered, so that the answer arrives in time.
-const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 
 impl Node {
     /// Routes a request and returns its final result. `call` already has its body.
@@ -88,7 +88,7 @@
                 Ok((route, service)) => return Ok((routes, route, service)),
                 Err(code) => code,
             };
-            match self.confirm_config(routes.version, arrived).await {
+            match self.confirm_config(routes.version, arrived, call).await {
                 Confirmation::Newest => return Err(Failure { code: invalid, retry_after: None }),
                 Confirmation::Replaced => {}
                 Confirmation::Unknown => return Err(self.stale_config(call)),
--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -131,7 +131,7 @@
         Ok(Ok(body)) => call.request.body = body.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
             let version = routes.map_or_else(Revision::default, |r| r.version);
-            let failure = match node.confirm_config(version, arrived).await {
+            let failure = match node.confirm_config(version, arrived, &call).await {
                 Confirmation::Newest => Failure { code: Code::BodyTooLarge, retry_after: None },
                 // The body has been discarded, so the caller must send it again.
                 Confirmation::Replaced | Confirmation::Unknown => node.stale_config(&call),
@@ -156,7 +156,7 @@
 /// configuration there is no limit, and the request is refused later.
 async fn check_head(node: &Node, call: &CallerRequest, arrived: Instant) -> Result<(), Failure> {
     while let Some(routes) = node.routes().filter(|r| call.head_bytes > r.limits.head_bytes) {
-        match node.confirm_config(routes.version, arrived).await {
+        match node.confirm_config(routes.version, arrived, call).await {
             Confirmation::Newest => {
                 return Err(Failure { code: Code::HeadTooLarge, retry_after: None });
             }
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -71,8 +71,10 @@
     pub failure_log: RateLimitedLog,
     /// Limits log lines about requests that the gate refused.
     pub refusal_log: RateLimitedLog,
-    /// Limits log lines about reads of the store that were abandoned.
-    pub read_log: RateLimitedLog,
+    /// Counts the reads that ask for orders beside a read that waits.
+    pub order_probes: IntCounter,
+    /// Limits log lines about these reads.
+    pub probe_log: RateLimitedLog,
 }
 
 /// How a read of the store ended; the value of a metric's label.
@@ -82,8 +84,6 @@
     Done,
     /// The call failed.
     Failed,
-    /// The node gave the read up before its answer was complete.
-    Abandoned,
 }
 
 impl ReadResult {
@@ -91,7 +91,6 @@
         match self {
             ReadResult::Done => "done",
             ReadResult::Failed => "failed",
-            ReadResult::Abandoned => "abandoned",
         }
     }
 }
@@ -130,6 +129,13 @@
                 "Reads of the store by topic and result.",
                 &["topic", "result"],
             ),
+            order_probes: register(
+                &registry,
+                IntCounter::new(
+                    "kelpwind_order_probes_total",
+                    "Reads that ask the store for newer orders beside a read that waits.",
+                ),
+            ),
             takeovers: register(
                 &registry,
                 IntCounter::new("kelpwind_takeovers_total", "Takeovers started."),
@@ -147,7 +153,7 @@
             offset: gauge("kelpwind_table_offset", "Offset of the next record of the table."),
             failure_log: RateLimitedLog::default(),
             refusal_log: RateLimitedLog::default(),
-            read_log: RateLimitedLog::default(),
+            probe_log: RateLimitedLog::default(),
             registry,
         }
     }
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -9,7 +9,7 @@
 //!
 //! * [`platform_api`]: the interface to the platform, as plain structs of functions.
 //! * [`node`]: the state of the node, which its tasks share.
-//! * [`store_watch`] reads the store, [`orders`] applies what operators publish, [`table_updates`]
+//! * [`store_watch`] and [`orders_reader`] read the store, [`orders`] applies what operators publish, [`table_updates`]
 //!   passes table changes between nodes to save reads, and [`commit`] writes to the table.
 //! * [`reports`] and [`reattach`]: the backend server's reports and the node's own record.
 //! * [`lease`], [`takeover`], [`grants`], [`plan`], [`balance`], [`moves`] and [`held_ranges`]:
@@ -37,6 +37,7 @@
 pub(crate) mod moves;
 pub(crate) mod node;
 pub(crate) mod orders;
+pub(crate) mod orders_reader;
 pub(crate) mod plan;
 pub mod platform_api;
 pub(crate) mod reattach;
--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -9,8 +9,9 @@
 
 use tokio::time::timeout;
 
+use super::entry::ANSWER_MARGIN;
 use super::node::Node;
-use super::platform_api::{Batch, OperatorOrder};
+use super::platform_api::{Batch, CallerRequest, OperatorOrder};
 use crate::core::freshness::Freshness;
 use crate::core::ids::{DomainName, Offset, Revision};
 use crate::core::routes::Routes;
@@ -63,15 +64,22 @@
     /// Finds out whether the configuration with this version was the newest one when a request
     /// arrived. The store is asked, unless that was done lately; then a confirmation of the last
     /// [`CONFIRMED_FOR`] counts.
-    pub async fn confirm_config(&self, version: Revision, arrived: Instant) -> Confirmation {
+    pub async fn confirm_config(
+        &self,
+        version: Revision,
+        arrived: Instant,
+        call: &CallerRequest,
+    ) -> Confirmation {
+        let replaced = || self.routes().is_some_and(|r| r.version > version);
         let mut orders = self.orders.subscribe();
         let oldest = Instant::now().checked_sub(CONFIRMED_FOR).unwrap_or(self.started);
         let known = orders.borrow().is_current(arrived);
         let since = if known || self.request_orders_check() { arrived } else { oldest };
         // A timeout is no error: the store has not confirmed the configuration.
-        let settled = orders.wait_for(|o| o.failing || o.is_current(since));
-        drop(timeout(CONFIRM_TIMEOUT, settled).await);
-        if self.routes().is_some_and(|r| r.version > version) {
+        let settled = orders.wait_for(|o| replaced() || o.failing || o.is_current(since));
+        let left = call.remaining.map_or(CONFIRM_TIMEOUT, |t| t.saturating_sub(ANSWER_MARGIN));
+        drop(timeout(left.min(CONFIRM_TIMEOUT), settled).await);
+        if replaced() {
             return Confirmation::Replaced;
         }
         if orders.borrow().is_current(since) {
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -71,14 +71,19 @@
     pub from: Offset,
     /// Longest time to wait for the first record.
     pub wait: Duration,
+    /// Longest time until the answer begins to arrive.
+    pub patience: Duration,
     /// Set once the answer has begun to arrive.
     pub answering: Rc<Cell<bool>>,
 }
 
+/// Time that the store may usually take to begin its answer, beyond the wait requested.
+pub const READ_GRACE: Duration = Duration::from_secs(1);
+
 impl ReadRequest {
     /// A read whose answer has not begun.
     pub fn new(topic: Topic, from: Offset, wait: Duration) -> ReadRequest {
-        ReadRequest { topic, from, wait, answering: Rc::default() }
+        ReadRequest { topic, from, wait, patience: wait + READ_GRACE, answering: Rc::default() }
     }
 }
 
--- a/src/kelpwind/mesh/store_watch.rs
+++ b/src/kelpwind/mesh/store_watch.rs
@@ -2,11 +2,8 @@
 //! nodes.
 //!
 //! Each topic is first read as a whole. Each further read starts where the last one ended, and
-//! waits for the next record. When another node announces orders that this node's read has not
-//! returned, the read may be waiting on a broken connection, so it is replaced once by one that
-//! does not wait. So is a read that waits when a request may be valid under orders that this node
-//! has not read. A read whose answer has begun to arrive is never replaced: over a slow link, an
-//! answer that is given up and requested again may never be received whole.
+//! waits for the next record. [`super::orders_reader`] says what happens when there may be newer
+//! orders meanwhile.
 //!
 //! State is never rolled back: an older configuration is ignored, and while the store does not
 //! answer, the last known state stays in force.
@@ -18,7 +15,8 @@
 
 use super::metrics::ReadResult;
 use super::node::Node;
-use super::platform_api::{Batch, OperatorOrder, ReadRequest, StoreError, Topic};
+use super::orders_reader::OrdersReader;
+use super::platform_api::{OperatorOrder, ReadRequest, StoreError, Topic};
 use crate::core::ids::Offset;
 use crate::table::polling::{self, ReadRole};
 use crate::table::{Record, Table};
@@ -104,53 +102,6 @@
     }
 }
 
-/// Reads the orders, and replaces a read that waits when there may be newer ones.
-#[derive(Default)]
-struct OrdersReader {
-    /// End of the topic, according to other nodes, after which the store has been asked.
-    checked: Offset,
-}
-
-impl OrdersReader {
-    /// Reads the orders from `from` on. Also returns a time at which the store had no records
-    /// beyond the answer.
-    async fn read(
-        &mut self,
-        node: &Node,
-        from: Offset,
-        role: ReadRole,
-    ) -> (Result<Batch, StoreError>, Instant) {
-        let mut check_due = false;
-        loop {
-            let end = node.orders.borrow().freshness.end();
-            let known = from.max(self.checked);
-            let at_once = check_due || end > known;
-            let wait = if at_once { Duration::ZERO } else { with_jitter(role.max_wait()) };
-            let request = ReadRequest::new(Topic::Orders, from, wait);
-            let answering = request.answering.clone();
-            let sent = Instant::now();
-            tokio::select! {
-                read = (node.platform.store.read)(request) => {
-                    // The store has waited in vain before it returns no records.
-                    let waited = read.as_ref().is_ok_and(|batch| batch.records.is_empty());
-                    let at = if waited { (sent + wait).min(Instant::now()) } else { sent };
-                    if read.is_ok() {
-                        self.checked = self.checked.max(end);
-                    }
-                    return (read, at);
-                }
-                () = node.wait_for_missed_orders(known, &answering), if !at_once => {
-                    node.record_abandoned_read(from, "other nodes have newer orders");
-                }
-                () = node.wait_for_check(&answering), if !at_once => {
-                    node.record_abandoned_read(from, "a request may be valid under newer orders");
-                    check_due = true;
-                }
-            }
-        }
-    }
-}
-
 impl Node {
     /// Makes the next read of the table due at once, because this node needs a record that was just
     /// written.
@@ -173,14 +124,23 @@
         self.table.borrow().members.len() as u32
     }
 
-    /// Counts and logs a read of the orders from `from` that was given up before its answer was
-    /// complete.
-    fn record_abandoned_read(&self, from: Offset, why: &str) {
-        self.metrics.count_read(Topic::Orders, ReadResult::Abandoned);
+    /// Counts and logs a read that asks for orders from `from` on beside a read that waits.
+    pub fn record_probe(&self, from: Offset) {
+        self.metrics.order_probes.inc();
         let end = self.orders.borrow().freshness.end().0;
         let config = self.routes().map_or(0, |r| r.version.0);
-        self.metrics.read_log.write(|left_out| {
-            spdlog::info!("a read of the orders is abandoned", kv: { why, from = from.0, end, config, left_out });
+        self.metrics.probe_log.write(|left_out| {
+            spdlog::info!("the store is asked for newer orders", kv: { from = from.0, end, config, left_out });
+        });
+    }
+
+    /// Counts and logs a failure of such a read.
+    pub fn record_failed_probe(&self, error: &StoreError) {
+        self.metrics.count_read(Topic::Orders, ReadResult::Failed);
+        self.orders.send_modify(|orders| orders.failing = true);
+        let why = error.to_string();
+        self.metrics.probe_log.write(|left_out| {
+            spdlog::info!("the store does not tell whether there are newer orders", kv: { why = why.as_str(), left_out });
         });
     }
 
@@ -198,7 +158,7 @@
     }
 }
 
-fn with_jitter(longest: Duration) -> Duration {
+pub(super) fn with_jitter(longest: Duration) -> Duration {
     longest.mul_f64(1.0 - WAIT_JITTER * fastrand::f64())
 }
 
--- a/src/kelpwind/mesh/table_updates.rs
+++ b/src/kelpwind/mesh/table_updates.rs
@@ -1,7 +1,6 @@
 //! Notifications between nodes about new records in the store, so that each node needs to read the
 //! store less often.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -63,28 +62,12 @@
         }
     }
 
-    /// Returns [`ORDERS_READ_WAIT`] after another node announced orders from offset `from` on,
-    /// unless `answering` shows that this node's own read is returning them.
-    pub async fn wait_for_missed_orders(&self, from: Offset, answering: &Cell<bool>) {
+    /// Returns [`ORDERS_READ_WAIT`] after another node announced orders from offset `from` on.
+    pub async fn wait_for_missed_orders(&self, from: Offset) {
         let mut orders = self.orders.subscribe();
         // `wait_for` fails only if the sender is dropped, and `self` owns the sender.
         drop(orders.wait_for(|o| o.freshness.end() > from).await);
         sleep(ORDERS_READ_WAIT).await;
-        wait_while_answering(answering).await;
-    }
-
-    /// Returns when a request needs to know whether there are newer orders, unless `answering`
-    /// shows that this node's own read is about to tell.
-    pub async fn wait_for_check(&self, answering: &Cell<bool>) {
-        self.orders_check.notified().await;
-        wait_while_answering(answering).await;
-    }
-}
-
-/// Never returns if the answer to a read has begun to arrive, since the read then ends by itself.
-async fn wait_while_answering(answering: &Cell<bool>) {
-    if answering.get() {
-        std::future::pending().await
     }
 }
 
--- a/src/kelpwind/mesh/udp.rs
+++ b/src/kelpwind/mesh/udp.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::time::sleep;
 
@@ -56,7 +56,7 @@
                 None
             }
             Datagram::OrdersPublished { next } => {
-                self.orders.send_modify(|orders| orders.freshness.announce(next));
+                self.orders.send_modify(|orders| orders.freshness.announce(next, Instant::now()));
                 None
             }
             Datagram::LoadQuery { query, work } => self.answer_load_query(query, work),
--- a/tests/mesh/configuration.rs
+++ b/tests/mesh/configuration.rs
@@ -48,6 +48,7 @@
 #[rstest]
 #[case::slow_answers(150, 0)]
 #[case::large_configuration(25, 1400)]
+#[case::answers_that_begin_after_a_second(550, 0)]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configuration_reaches_a_node_that_takes_long_to_read_it(
     #[case] delay_ms: u64,
--- a/tests/testsuite/freshness.rs
+++ b/tests/testsuite/freshness.rs
@@ -26,9 +26,9 @@
     let now = Instant::now();
     let mut freshness = Freshness::default();
     freshness.observe(now, Offset(5));
-    freshness.announce(Offset(5));
+    freshness.announce(Offset(5), now);
     assert!(freshness.is_current(Offset(5), now));
-    freshness.announce(Offset(6));
+    freshness.announce(Offset(6), now);
     assert_eq!(freshness.end(), Offset(6));
     assert!(!freshness.is_current(Offset(5), now));
     assert!(freshness.is_current(Offset(6), now));
@@ -38,9 +38,21 @@
 fn what_other_nodes_have_read_does_not_make_a_copy_current() {
     let now = Instant::now();
     let mut freshness = Freshness::default();
-    freshness.announce(Offset(5));
+    freshness.announce(Offset(5), now);
     assert!(!freshness.is_current(Offset(5), now));
     freshness.observe(now, Offset(5));
-    freshness.announce(Offset(5));
+    freshness.announce(Offset(5), now);
     assert!(!freshness.is_current(Offset(5), now + Duration::from_millis(1)));
 }
+
+#[test]
+fn an_announcement_that_a_later_read_refutes_is_forgotten() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut freshness = Freshness::default();
+    freshness.announce(Offset(9), at(10));
+    freshness.observe(at(10), Offset(5));
+    assert!(!freshness.is_current(Offset(5), at(0)), "the read may be older");
+    freshness.observe(at(11), Offset(5));
+    assert!(freshness.is_current(Offset(5), at(11)));
+}
