Do not take a configuration that could not be decoded as read

Callers got 404 for the routes of a configuration that a node could not decode, for example because one row of 1,400 has an invalid time-out: the record was logged and skipped, the offset moved on, and the node counted as current.

A node now remembers that the newest configuration was skipped, until a newer one is in force.

a_route_of_a_configuration_that_cannot_be_decoded_is_not_refused_as_unknown failed before (left: 404, right: 503) and passes now; tests/mesh configuration: 12 passed.

--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -73,7 +73,8 @@
 pub(crate) fn caller_limits(node: &Node) -> Limits {
     let known = node.routes().map(|r| r.limits);
     let orders = *node.orders.borrow();
-    let outdated = known.is_none() || orders.failing || orders.next < orders.freshness.end();
+    let behind = orders.next < orders.freshness.end();
+    let outdated = known.is_none() || orders.failing || orders.skipped || behind;
     let mut limits = known.unwrap_or_default();
     if outdated {
         limits.idle_timeout = limits.idle_timeout.max(OUTDATED_IDLE_TIMEOUT);
--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -33,6 +33,8 @@
     pub freshness: Freshness,
     /// Whether the last read failed.
     pub failing: bool,
+    /// Whether the newest configuration could not be decoded.
+    pub skipped: bool,
 }
 
 impl OrdersProgress {
@@ -43,9 +45,9 @@
         self.failing = false;
     }
 
-    /// Whether this node has read all orders that were published before `since`.
+    /// Whether this node has read, and could decode, all orders that were published before `since`.
     fn is_current(&self, since: Instant) -> bool {
-        self.freshness.is_current(self.next, since)
+        !self.skipped && self.freshness.is_current(self.next, since)
     }
 }
 
@@ -76,7 +78,8 @@
         let known = orders.borrow().is_current(arrived);
         let since = if known || self.request_orders_check() { arrived } else { oldest };
         // A timeout is no error: the store has not confirmed the configuration.
-        let settled = orders.wait_for(|o| replaced() || o.failing || o.is_current(since));
+        let settled =
+            orders.wait_for(|o| replaced() || o.failing || o.skipped || o.is_current(since));
         let left = call.remaining.map_or(CONFIRM_TIMEOUT, |t| t.saturating_sub(ANSWER_MARGIN));
         drop(timeout(left.min(CONFIRM_TIMEOUT), settled).await);
         if replaced() {
@@ -100,15 +103,25 @@
         due
     }
 
-    /// Decodes a record of the orders topic. A record that cannot be decoded is logged and skipped.
-    pub fn decode_order(&self, record: &Record) -> Option<OperatorOrder> {
-        match (self.platform.decode_order)(record) {
-            Ok(order) => Some(order),
-            Err(why) => {
-                spdlog::error!("failed to decode a record of the orders topic", kv: { key = record.key.as_str(), offset = record.offset.0, why = why.as_str() });
-                None
+    /// Decodes records of the orders topic. One that cannot be decoded is logged and skipped, but a
+    /// configuration that was skipped is remembered, since it may allow what the last one does not.
+    pub fn decode_orders(&self, records: &[Record]) -> Vec<OperatorOrder> {
+        let mut skipped = self.orders.borrow().skipped;
+        let mut orders = Vec::new();
+        for record in records {
+            match (self.platform.decode_order)(record) {
+                Ok(order) => {
+                    skipped &= !matches!(order, OperatorOrder::Routes(_));
+                    orders.push(order);
+                }
+                Err(e) => {
+                    skipped |= e.routes;
+                    spdlog::error!("failed to decode a record of the orders topic", kv: { key = record.key.as_str(), offset = record.offset.0, why = e.why.as_str() });
+                }
             }
         }
+        self.orders.send_modify(|orders| orders.skipped = skipped);
+        orders
     }
 
     /// Puts drained failure domains back into use if `orders`, which holds the whole topic, no
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -121,6 +121,15 @@
     Other,
 }
 
+/// Why an operators' record cannot be decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderError {
+    /// Whether the record is a configuration.
+    pub routes: bool,
+    /// What is wrong with it.
+    pub why: String,
+}
+
 /// A call of the backend server to its node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ServerMessage {
@@ -353,8 +362,8 @@
 pub struct Platform {
     /// The store of both topics.
     pub store: Store,
-    /// Decodes a record of [`Topic::Orders`]. The error says why it cannot be read.
-    pub decode_order: fn(&Record) -> Result<OperatorOrder, String>,
+    /// Decodes a record of [`Topic::Orders`].
+    pub decode_order: fn(&Record) -> Result<OperatorOrder, OrderError>,
     /// Decodes a caller's request without its body.
     pub decode_request: fn(&http::request::Parts) -> Result<CallerRequest, Code>,
     /// Decodes a call of the backend server from its method, path and body.
--- a/src/kelpwind/mesh/store_watch.rs
+++ b/src/kelpwind/mesh/store_watch.rs
@@ -16,7 +16,7 @@
 use super::metrics::ReadResult;
 use super::node::Node;
 use super::orders_reader::OrdersReader;
-use super::platform_api::{OperatorOrder, ReadRequest, StoreError, Topic};
+use super::platform_api::{ReadRequest, StoreError, Topic};
 use crate::core::ids::Offset;
 use crate::table::polling::{self, ReadRole};
 use crate::table::{Record, Table};
@@ -167,8 +167,7 @@
     fn apply_records(self: &Rc<Self>, topic: Topic, records: &[Record], whole: bool, next: Offset) {
         match topic {
             Topic::Orders => {
-                let orders: Vec<OperatorOrder> =
-                    records.iter().filter_map(|r| self.decode_order(r)).collect();
+                let orders = self.decode_orders(records);
                 if whole {
                     self.restore_undrained_domains(&orders);
                 }
--- a/tests/mesh/configuration.rs
+++ b/tests/mesh/configuration.rs
@@ -111,3 +111,18 @@
     tokio::time::sleep(CONTACT_TIME).await;
     assert_eq!(status(&fleet, 0, "nowhere").await, 404);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_of_a_configuration_that_cannot_be_decoded_is_not_refused_as_unknown() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let invalid = r#"["new","new.example","/get/","safe",-1,1.0,2,2,"maps"]"#;
+    fleet.publish(SERVICES, invalid);
+    tokio::time::sleep(APPLY_TIME).await;
+    for host in 0..fleet.hosts.len() {
+        assert_eq!(status(&fleet, host, "new").await, 503);
+        assert_eq!(status(&fleet, host, "maps").await, 200);
+    }
+    fleet.publish(SERVICES, &rows(0));
+    until_new_route_served(&fleet, 0, APPLY_TIME).await;
+    assert_eq!(status(&fleet, 0, "nowhere").await, 404);
+}
