Confirm the end of the log without reading its records again

A node of a deployment on the log that is behind, on a slow link, read the records that its follower was reading once more for each question whether the state is current, up to five times a second, and dropped them: the transfer that it waits for got slower by its own questions. Found by the review, by reading; no test shows it.

The question now starts at the last end that is known, so it returns only what came since.

--- a/src/kelpwind/log/follow.rs
+++ b/src/kelpwind/log/follow.rs
@@ -165,13 +165,13 @@
     Ok(batch)
 }
 
-/// Reads the end of the log whenever a caller waits for the state to be confirmed. The follower
-/// applies the records. Runs until the node stops.
+/// Reads the end of the log whenever a caller waits for the state to be confirmed. The read begins
+/// at the last end that is known, since the follower reads the records before it. Runs until the
+/// node stops.
 pub async fn confirm(log: Arc<LogClient>, replica: Arc<Replica>) {
     loop {
         replica.confirmation_wanted().await;
-        let next = { replica.state().next };
-        if let Err(e) = read_from(&log, &replica, next, Duration::ZERO).await {
+        if let Err(e) = read_from(&log, &replica, replica.known_end(), Duration::ZERO).await {
             spdlog::warn!("failed to confirm that the state is current: {}", format_chain(&e));
         }
         tokio::time::sleep(CONFIRM_INTERVAL).await;
--- a/src/kelpwind/log/replica.rs
+++ b/src/kelpwind/log/replica.rs
@@ -167,6 +167,12 @@
         self.freshness.send_if_modified(|f| f.observe(began, end));
     }
 
+    /// Highest offset that the log is known to have reached.
+    pub fn known_end(&self) -> Offset {
+        let next = { self.state().next };
+        next.max(self.freshness.borrow().end())
+    }
+
     /// Waits until the state is known to include all records appended before `since`. Returns
     /// false if that is not known after [`CONFIRM_WAIT`].
     pub async fn confirm(&self, since: Instant) -> bool {
--- a/tests/mesh/http_limits.rs
+++ b/tests/mesh/http_limits.rs
@@ -18,6 +18,8 @@
 const CALLERS: u16 = 8304;
 const READINESS: u16 = 8302;
 const REPORTS: u16 = 8306;
+/// Time after which a confirmation that the configuration is the newest one no longer counts.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
 const LIMITS: Limits = Limits {
     head_bytes: 16 << 10,
     body_bytes: 64 << 20,
@@ -214,8 +216,6 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_head_that_a_newer_configuration_may_allow_is_not_refused_for_good() {
-    /// Time after which a confirmation that the configuration is the newest one no longer counts.
-    const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
     let fleet = start(LIMITS).await;
     fleet.set_faults(0, Faults { cut_forward: true, cut_backward: true, ..Faults::default() });
     sleep(CONFIRMATION_TIME).await;
@@ -223,6 +223,22 @@
     assert_eq!(Connection::open(&fleet, CALLERS).await.call(size).await, Some(503));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_a_newer_configuration_may_allow_is_not_refused_for_good() {
+    let fleet = start(Limits { body_bytes: 100, ..LIMITS }).await;
+    let body = "a".repeat(101);
+    let request = head(0).replace("X-Filler: ", "Content-Length: 101\r\nX-Filler: ") + &body;
+    for (cut, status) in [(false, "413"), (true, "503")] {
+        let faults = Faults { cut_forward: cut, cut_backward: cut, ..Faults::default() };
+        fleet.set_faults(0, faults);
+        sleep(CONFIRMATION_TIME).await;
+        let mut connection = Connection::open(&fleet, CALLERS).await;
+        connection.send(&request).await;
+        let answer = connection.answer().await.expect("an answer");
+        assert_eq!(answer.split(' ').nth(1), Some(status), "{answer}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_without_a_configuration_refuses_no_head_for_good() {
     let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
