--- a/tests/mesh/explain_request.rs
+++ b/tests/mesh/explain_request.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use kelpwind_stand_ins::proxy::Faults;
+
 use crate::platform::fleet::{CallResult, Fleet};
 
 /// Sample of the whole key range.
@@ -80,6 +82,28 @@
     assert!(state.is_some_and(|l| l.contains("draining=true")), "the cause is missing in:\n{text}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_a_node_cannot_judge_shows_what_it_has_read() {
+    let mut fleet = Fleet::start(&[("books", 2)], Duration::from_millis(20)).await;
+    fleet.set_faults(1, Faults { cut_forward: true, cut_backward: true, ..Faults::default() });
+    fleet.publish(&[("books", 2)], r#"["new","new.example","/get/","safe",2.5,1.0,2,2,"books"]"#);
+    // Longer than a confirmation of the configuration counts.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let result = fleet.call(1, "new", 1, false).await;
+    assert_eq!(result.status, 503, "{result:?}");
+    let text = fleet.explain(&result.id).expect("the request is in no log");
+    for part in [
+        "entry: not routed",
+        "code=212",
+        "host=new.example",
+        "orders=1",
+        "orders_end=2",
+        "config=1",
+    ] {
+        assert!(text.contains(part), "'{part}' is missing in:\n{text}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_served_when_the_nodes_output_is_not_read() {
     let mut fleet = Fleet::start(&[("books", 1)], Duration::from_millis(1)).await;
