--- a/src/kelpwind/core/mod.rs
+++ b/src/kelpwind/core/mod.rs
@@ -1,6 +1,6 @@
 //! Domain types that the other modules build on: identifiers, result codes, configuration objects,
-//! routes, log records, the replicated state and its freshness, and state charts. This module does no I/O and reads no
-//! clock.
+//! routes, log records, the replicated state and its freshness, and state charts. This module does
+//! no I/O and reads no clock.
 
 pub mod call;
 pub mod chart;
--- a/src/kelpwind/log/follow.rs
+++ b/src/kelpwind/log/follow.rs
@@ -6,8 +6,8 @@
 //! from a random other node at each retry. A record that any node has read thus reaches all nodes,
 //! in a number of rounds that grows with the logarithm of the number of nodes.
 //!
-//! A read that waits for records does not tell whether the state is current until it returns. When a
-//! caller needs to know, [`confirm`] reads the log once more without waiting; one read serves all
+//! A read that waits for records does not tell whether the state is current until it returns. When
+//! a caller needs to know, [`confirm`] reads the log once more without waiting; one read serves all
 //! who asked before it began.
 
 use std::convert::Infallible;
@@ -27,8 +27,8 @@
 
 /// How long a read waits for a new record.
 const READ_WAIT: Duration = Duration::from_secs(5);
-/// Time beyond its wait after which a read is overdue: other nodes are asked meanwhile, and the read
-/// goes on.
+/// Time beyond its wait after which a read is overdue: other nodes are asked meanwhile, and the
+/// read goes on.
 const READ_GRACE: Duration = Duration::from_secs(1);
 /// Delay between two attempts while the log is unavailable.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -190,8 +190,8 @@
     postcard::from_bytes(&frame[4..]).map(Some).map_err(|_| FrameError::Malformed)
 }
 
-/// Reads the next frame; `None` when the connection ends or a frame cannot be decoded. `on_bytes` is
-/// called whenever bytes arrive, which may be long before the frame is complete.
+/// Reads the next frame; `None` when the connection ends or a frame cannot be decoded. `on_bytes`
+/// is called whenever bytes arrive, which may be long before the frame is complete.
 pub(crate) async fn read_next<T: serde::de::DeserializeOwned>(
     reader: &mut (impl AsyncRead + Unpin),
     buffer: &mut BytesMut,
--- a/src/kelpwind/mesh/orders_reader.rs
+++ b/src/kelpwind/mesh/orders_reader.rs
@@ -2,10 +2,10 @@
 //!
 //! A read that waits for orders is not given up when there may be newer ones, that is, when another
 //! node announces some or a request needs to know. Its answer may be on the way already, and a
-//! transfer that is given up and requested again over a slow link, or from a store that is slow, may
-//! never end. But it may also wait on a connection that has gone silent. So a second read that does
-//! not wait, a probe, is sent beside it. The answer that begins first is received whole. The other
-//! read is dropped then, except that a read that waits goes on after a probe found nothing.
+//! transfer that is given up and requested again over a slow link, or from a store that is slow,
+//! may never end. But it may also wait on a connection that has gone silent. So a second read that
+//! does not wait, a probe, is sent beside it. The answer that begins first is received whole. The
+//! other read is dropped then, except that a read that waits goes on after a probe found nothing.
 
 use std::cell::Cell;
 use std::future::poll_fn;
--- a/src/kelpwind/net/pool.rs
+++ b/src/kelpwind/net/pool.rs
@@ -124,8 +124,8 @@
         Pool { local, idle: Mutex::default() }
     }
 
-    /// Sends a request and reads the complete response within the limits, over an idle connection if
-    /// there is one.
+    /// Sends a request and reads the complete response within the limits, over an idle connection
+    /// if there is one.
     pub async fn call(
         &self,
         addr: SocketAddr,
--- a/src/kelpwind/node/admin.rs
+++ b/src/kelpwind/node/admin.rs
@@ -148,9 +148,10 @@
     /// # Errors
     /// [`Code::StaleBase`] with the revisions published since the base and their authors;
     /// [`Code::StaleConfig`] when this node may lag behind the base, or behind the release of a key
-    /// range; [`Code::Dangerous`]; the first code of an invalid configuration; [`Code::Immutable`] when a
-    /// key range overlaps one that is being dropped and still has owners; [`Code::LogUnavailable`]
-    /// when the outcome is not known, in which case the change may still be applied.
+    /// range; [`Code::Dangerous`]; the first code of an invalid configuration; [`Code::Immutable`]
+    /// when a key range overlaps one that is being dropped and still has owners;
+    /// [`Code::LogUnavailable`] when the outcome is not known, in which case the change may still
+    /// be applied.
     pub async fn publish(&self, publish: PublishRequest) -> Result<PublishResult> {
         let arrived = Instant::now();
         let new = Config::try_from(publish.text.as_str()).map_err(|e| rejection(&e))?;
--- a/src/kelpwind/route/request.rs
+++ b/src/kelpwind/route/request.rs
@@ -139,8 +139,8 @@
         Ok(ResolvedRequest { call, policy, idempotent })
     }
 
-    /// Service and key named by the path; the second part is a key only if the service is divided by
-    /// key.
+    /// Service and key named by the path; the second part is a key only if the service is divided
+    /// by key.
     fn service_and_key(&self) -> Result<(ServiceName, Option<&str>)> {
         let path = self.path.split('?').next().unwrap_or_default();
         let mut parts = path.trim_start_matches('/').split('/');
