Add failing tests for keys held by two servers when one closes its listener

A simulated server can close its listener while its connections, reports and grants go on, and answer grants late, as a process that stops in an orderly way on a busy machine does.

--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -10,6 +10,7 @@
 mod http_limits;
 #[path = "../platform/mod.rs"]
 mod platform;
+mod server_lifecycle;
 
 use std::time::{Duration, Instant};
 
--- /dev/null
+++ b/tests/mesh/server_lifecycle.rs
@@ -0,0 +1,45 @@
+//! Backend servers that stop or restart beside their node.
+
+use std::time::Duration;
+
+use super::platform::fleet::Fleet;
+use super::{assert_no_violations, until_all_served};
+
+/// Processing time of a request at a backend server.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Delay of a grant's answer that is longer than the node waits for it.
+const LATE_ANSWER: Duration = Duration::from_millis(120);
+/// Services and their numbers of hosts; the first service is keyed.
+const SERVICES: &[(&str, u32)] = &[("books", 4)];
+
+/// A node must not take a closed listener for the end of the server's process.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_one_closes_its_listener() {
+    let fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    let server = fleet.hosts[0].server.as_ref().unwrap();
+    server.close_listener();
+    server.delay_grant_answers(LATE_ANSWER);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    until_all_served(&fleet, 1).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
+
+/// A second instance may start at the address before the first one has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_instances_at_one_address_hold_the_same_keys() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    let former = fleet.hosts[0].server.take().unwrap();
+    former.close_listener();
+    former.delay_grant_answers(LATE_ANSWER);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.start_server(0).await;
+    fleet.hosts[0].server.as_ref().unwrap().delay_grant_answers(LATE_ANSWER);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    former.crash();
+    until_all_served(&fleet, 1).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -12,6 +12,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -20,6 +21,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
 
 /// Most headers of a request that the simulated store and servers read.
 const HEADERS_MAX: usize = 400;
@@ -29,18 +32,42 @@
 /// A response with its complete body.
 pub type Reply = Response<Full<Bytes>>;
 
-/// Serves HTTP on `addr` until the returned task is aborted, which also closes its connections.
-pub async fn serve<H, F>(addr: SocketAddr, handle: H) -> tokio::task::AbortHandle
+/// A running HTTP server.
+pub struct Serving {
+    task: AbortHandle,
+    listener_closing: Arc<Notify>,
+}
+
+impl Serving {
+    /// Closes the listener; open connections go on.
+    pub fn close_listener(&self) {
+        self.listener_closing.notify_one();
+    }
+
+    /// Closes the listener and all connections.
+    pub fn abort(&self) {
+        self.task.abort();
+    }
+}
+
+/// Serves HTTP on `addr`.
+pub async fn serve<H, F>(addr: SocketAddr, handle: H) -> Serving
 where
     H: Fn(FullRequest) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Reply> + Send,
 {
     let listener = bind(addr).await;
+    let listener_closing = Arc::new(Notify::new());
+    let closing = listener_closing.clone();
     let serving = async move {
         let mut connections = tokio::task::JoinSet::new();
         loop {
             while connections.try_join_next().is_some() {}
-            let Ok((stream, _)) = listener.accept().await else { continue };
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = closing.notified() => break,
+            };
+            let Ok((stream, _)) = accepted else { continue };
             let handle = handle.clone();
             let service = service_fn(move |request: Request<hyper::body::Incoming>| {
                 let handle = handle.clone();
@@ -59,8 +86,10 @@
                     .await;
             });
         }
+        drop(listener);
+        while connections.join_next().await.is_some() {}
     };
-    tokio::spawn(serving).abort_handle()
+    Serving { task: tokio::spawn(serving).abort_handle(), listener_closing }
 }
 
 /// Opens a listener. Retries, since the server that was just aborted may not have closed its own
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use super::{FullRequest, Reply, query_param, reply, serve};
+use super::{FullRequest, Reply, Serving, query_param, reply, serve};
 
 /// Interval between liveness reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
@@ -82,7 +82,10 @@
     running: Mutex<u32>,
     draining: Mutex<bool>,
     reports_stopped: Mutex<bool>,
-    tasks: Mutex<Vec<AbortHandle>>,
+    /// Time from the arrival of a grant, which takes effect at once, to its answer.
+    grant_delay: Mutex<Duration>,
+    serving: Mutex<Option<Serving>>,
+    reporting: Mutex<Option<AbortHandle>>,
 }
 
 #[derive(Deserialize)]
@@ -116,7 +119,9 @@
             running: Mutex::new(0),
             draining: Mutex::new(false),
             reports_stopped: Mutex::new(false),
-            tasks: Mutex::default(),
+            grant_delay: Mutex::default(),
+            serving: Mutex::default(),
+            reporting: Mutex::default(),
         });
         let served = server.clone();
         let serving = serve(addr, move |request| {
@@ -126,13 +131,15 @@
         .await;
         let reporter = server.clone();
         let reporting = tokio::spawn(async move { reporter.report(node).await }).abort_handle();
-        server.tasks.lock().extend([serving, reporting]);
+        server.serving.lock().replace(serving);
+        server.reporting.lock().replace(reporting);
         server
     }
 
     /// Stops the server at once and drops its keys, as a crash does.
     pub fn crash(&self) {
-        self.tasks.lock().iter().for_each(AbortHandle::abort);
+        self.serving.lock().iter().for_each(Serving::abort);
+        self.reporting.lock().iter().for_each(AbortHandle::abort);
         let now = Instant::now();
         let mut held = self.history.held.lock();
         for i in self.grants.lock().drain(..) {
@@ -150,6 +157,16 @@
         *self.reports_stopped.lock() = true;
     }
 
+    /// Closes the listener; open connections, reports and keys stay.
+    pub fn close_listener(&self) {
+        self.serving.lock().iter().for_each(Serving::close_listener);
+    }
+
+    /// Delays all later answers to grants, which still take effect on arrival.
+    pub fn delay_grant_answers(&self, delay: Duration) {
+        *self.grant_delay.lock() = delay;
+    }
+
     async fn report(&self, node: SocketAddr) {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let born = since.as_millis() as u64;
@@ -175,7 +192,12 @@
 
     async fn answer(&self, request: FullRequest) -> Reply {
         match request.uri().path() {
-            "/-/grant" => self.grant(&request),
+            "/-/grant" => {
+                let answer = self.grant(&request);
+                let delay = *self.grant_delay.lock();
+                tokio::time::sleep(delay).await;
+                answer
+            }
             "/-/release" => self.release(&request).await,
             "/healthz" => {
                 let mut healthy = reply(200);
