Log and count why a backend server is detached, and how long it may still hold keys

With the logs of before, the hypotheses on two holders of the same keys could not be told apart: a node did not say why its server counts as gone, nor that the server may still hold keys when they are given to others. Now each change of the server is one line and one count with its reason and the longest remaining hold, so are the reclaiming of keys and the wait for the end of grants; grants are counted by result, with the time until they are confirmed.

--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use super::datagram::TableUpdate;
+use super::metrics::ServerChange;
 use super::node::Node;
 use super::platform_api::{BackendSession, Grant, GrantOutcome};
 use crate::core::ids::NodeId;
@@ -19,6 +20,7 @@
 use crate::lease::clock::{self, BootInstant};
 use crate::place::spread;
 use crate::table::keys::{Owner, Range, Span};
+use crate::table::member::Instance;
 use crate::table::{Table, WriteBatch};
 
 /// Time after which a grant without an answer is sent again. The server runs on the same host and
@@ -82,6 +84,9 @@
 
     /// Writes that keys of former runs belong to the present ones. Renewals continue meanwhile.
     fn reclaim(self: &Rc<Self>) {
+        let held_ms = self.held.borrow().remaining_hold(clock::now()).as_millis() as u64;
+        let up_ms = self.started.elapsed().as_millis() as u64;
+        spdlog::info!("keys of a former run or server are reclaimed", kv: { up_ms, held_ms });
         self.spawn_key_change(async |node| {
             node.commit("keys of a former run", Node::reclaimed_keys).await;
         });
@@ -171,6 +176,7 @@
     ) {
         let (span, token) = (grant.span, grant.token);
         let granted = (self.platform.backend.grant)(grant, session, GRANT_TIMEOUT).await;
+        self.metrics.count_grant(granted, clock::now().since(sent));
         let mut newly_active = false;
         for range in self.held.borrow_mut().parts_of(span, token) {
             range.granting = false;
@@ -195,7 +201,11 @@
         }
         match granted {
             GrantOutcome::Accepted if newly_active => {
-                spdlog::info!("the backend server holds keys", kv: { first = span.first, last = span.last, token = token.0 });
+                let instance = self.server_instance();
+                let id = instance.as_ref().map_or("", |i| i.id.as_str());
+                spdlog::info!("the backend server holds keys", kv: {
+                    id, session = session.0, first = span.first, last = span.last, token = token.0
+                });
                 self.notify_held_changed();
             }
             GrantOutcome::Accepted => {}
@@ -234,8 +244,7 @@
     /// ended and holds no keys.
     pub fn detach_server(&self) {
         if let Some(server) = self.server.take() {
-            let id = server.report.instance.id.as_str();
-            spdlog::warn!("the backend server is gone", kv: { id });
+            self.record_server_change(ServerChange::Refused, &server.report.instance);
             let mut held = self.held.borrow_mut();
             held.unlisted_until = BootInstant::default();
             for range in &mut held.ranges {
@@ -250,6 +259,17 @@
         }
     }
 
+    /// Counts and logs a change of the backend server, with the time for which a server beside this
+    /// node may still hold keys.
+    pub fn record_server_change(&self, change: ServerChange, instance: &Instance) {
+        self.metrics.count_server_change(change);
+        let held_ms = self.held.borrow().remaining_hold(clock::now()).as_millis() as u64;
+        let (id, born) = (instance.id.as_str(), instance.started_ms);
+        spdlog::info!("the backend server was attached, replaced or detached", kv: {
+            change = change.label(), id, born, held_ms
+        });
+    }
+
     /// Wakes the tasks that wait for keys to be granted or given up.
     pub fn notify_held_changed(&self) {
         self.held_changed.send_modify(|count| *count += 1);
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -3,6 +3,8 @@
 //! Each range of the table is granted as a whole. While part of a range is being moved, the range
 //! is tracked as several parts. This module reads the clock but does no I/O.
 
+use std::time::Duration;
+
 use super::platform_api::BackendSession;
 use crate::core::ids::Token;
 use crate::gate::grant_time;
@@ -71,6 +73,12 @@
         active.map(|r| r.span.width()).sum()
     }
 
+    /// How long the server may still hold any keys that it was granted.
+    pub fn remaining_hold(&self, now: BootInstant) -> Duration {
+        let unreleased = self.ranges.iter().filter(|r| !r.released).map(|r| r.held_until);
+        unreleased.fold(self.unlisted_until, BootInstant::max).since(now)
+    }
+
     fn find(&self, key: u16) -> Option<&HeldRange> {
         self.ranges.iter().find(|r| r.span.contains(key))
     }
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -4,12 +4,12 @@
 use std::time::{Duration, Instant};
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use super::node::Node;
-use super::platform_api::{Answer, Topic};
+use super::platform_api::{Answer, GrantOutcome, Topic};
 use super::request_state::Failure;
 use crate::core::codes::Code;
 use crate::core::ids::ServiceName;
@@ -18,6 +18,9 @@
 
 /// Upper bounds of the latency histogram's buckets.
 const LATENCY_BUCKETS_S: &[f64] = &[0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 5.0];
+/// Upper bounds of the buckets of the time until grants are answered. A grant may take 60 ms on its
+/// way to the server, and is given up after 90 ms.
+const GRANT_BUCKETS_S: &[f64] = &[0.001, 0.002, 0.005, 0.01, 0.03, 0.06, 0.09, 0.15, 0.3, 1.0];
 /// Maximum number of log lines of one kind per second. The next line states how many were left out.
 const LINES_PER_SECOND: u32 = 10;
 
@@ -57,6 +60,9 @@
     refusals_total: IntCounterVec,
     unrouted: IntCounterVec,
     store_reads: IntCounterVec,
+    grants: IntCounterVec,
+    grant_time: Histogram,
+    server_changes: IntCounterVec,
     /// Counts the takeovers that this node has started.
     pub takeovers: IntCounter,
     running: IntGauge,
@@ -95,6 +101,40 @@
     }
 }
 
+/// A change of the backend server beside the node; the value of a metric's label and a log key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ServerChange {
+    /// The first report of a server, or the first one after a server was detached.
+    Attached,
+    /// A report of another instance.
+    Replaced,
+    /// Nothing listens at its address.
+    Refused,
+    /// No report for too long.
+    Silent,
+}
+
+impl ServerChange {
+    pub fn label(self) -> &'static str {
+        match self {
+            ServerChange::Attached => "attached",
+            ServerChange::Replaced => "replaced",
+            ServerChange::Refused => "refused",
+            ServerChange::Silent => "silent",
+        }
+    }
+}
+
+fn grant_label(result: GrantOutcome) -> &'static str {
+    match result {
+        GrantOutcome::Accepted => "accepted",
+        GrantOutcome::StaleToken => "stale_token",
+        GrantOutcome::ServerDown => "server_down",
+        GrantOutcome::NotSent => "not_sent",
+        GrantOutcome::Unknown => "unknown",
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Metrics {
         let registry = Registry::new();
@@ -129,6 +169,26 @@
                 "Reads of the store by topic and result.",
                 &["topic", "result"],
             ),
+            grants: counters(
+                "kelpwind_grants_total",
+                "Grants of keys to the backend server by result.",
+                &["result"],
+            ),
+            grant_time: register(
+                &registry,
+                Histogram::with_opts(
+                    HistogramOpts::new(
+                        "kelpwind_grant_seconds",
+                        "Time from the making of a grant until the backend server confirms it.",
+                    )
+                    .buckets(GRANT_BUCKETS_S.to_vec()),
+                ),
+            ),
+            server_changes: counters(
+                "kelpwind_server_changes_total",
+                "Backend servers that were attached, replaced or detached, by kind of change.",
+                &["change"],
+            ),
             order_probes: register(
                 &registry,
                 IntCounter::new(
@@ -182,6 +242,19 @@
         self.store_reads.with_label_values(&[topic.name(), result.label()]).inc();
     }
 
+    /// Counts a grant, and records how long the server took to confirm it.
+    pub fn count_grant(&self, result: GrantOutcome, took: Duration) {
+        self.grants.with_label_values(&[grant_label(result)]).inc();
+        if result == GrantOutcome::Accepted {
+            self.grant_time.observe(took.as_secs_f64());
+        }
+    }
+
+    /// Counts a change of the backend server.
+    pub fn count_server_change(&self, change: ServerChange) {
+        self.server_changes.with_label_values(&[change.label()]).inc();
+    }
+
     /// Counts a request that the gate refused.
     pub fn count_refusal(&self, code: Code) {
         self.refusals_total.with_label_values(&[&code.number().to_string()]).inc();
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -80,6 +80,9 @@
         }
         let releases = parts.iter().map(|(span, token)| self.release(*span, *token));
         let handovers = futures_util::future::join_all(releases).await;
+        let released = handovers.iter().filter(|h| h.is_some()).count();
+        let held_ms = self.held.borrow().remaining_hold(clock::now()).as_millis() as u64;
+        spdlog::info!("keys wait for the end of their grants", kv: { keys = count, released, held_ms });
         self.wait_for_expiry().await;
         let me = self.recorded_owner();
         let written = self.commit("a planned move", |node, table| {
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::datagram::TableUpdate;
+use super::metrics::ServerChange;
 use super::node::{BackendStatus, Node};
 use super::platform_api::{ServerMessage, ServerReport};
 use super::reattach;
@@ -76,6 +77,11 @@
                 id, born, draining, slots = report.slots.0, number = report.number
             });
         }
+        if !same {
+            let replaced = self.server.borrow().is_some();
+            let change = if replaced { ServerChange::Replaced } else { ServerChange::Attached };
+            self.record_server_change(change, &report.instance);
+        }
         self.apply_report(report, same, leaving);
         if changed {
             self.announce_wake.notify_one();
@@ -179,8 +185,7 @@
         let silent =
             node.server.borrow().as_ref().is_some_and(|s| s.received.elapsed() > REPORT_TIMEOUT);
         if silent && let Some(server) = node.server.take() {
-            let id = server.report.instance.id.as_str();
-            spdlog::warn!("the backend server no longer reports", kv: { id });
+            node.record_server_change(ServerChange::Silent, &server.report.instance);
             node.announce_wake.notify_one();
             node.grants_wake.notify_one();
         }
