Do not take a closed listener for the end of the backend server

Besides, the node and the server's reports detached and attached the server several times a second, and each time keys were moved.

Cause: when a connection for a grant was refused, the node took the server's process for ended, forgot at once until when it may hold keys, and wrote the next owners. A server that stops in an orderly way closes its listener first, while its work, its open connections and its grants go on. The belief that the process has ended was never checked.

Now what servers may hold is tracked apart from the table (mesh/holds.rs): it ends by a confirmed release or by the passing of time, by nothing else, whether ranges are split, merged, given new tokens or lost. A server that refuses connections is detached, since nothing new can be sent to it, but its keys wait until its grants have expired; so do grants in another session. It is attached again when a report comes and its address takes connections.

Keys of a server that crashes are given to others up to 1.1 s later than before.

--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -145,7 +145,12 @@
     }
 
     /// Converts the server's result, and records the load and the service time that come with it.
-    fn to_outcome(&self, result: SendOutcome, slot: &Slot<'_>, began: Instant) -> Outcome {
+    fn to_outcome(
+        self: &Rc<Self>,
+        result: SendOutcome,
+        slot: &Slot<'_>,
+        began: Instant,
+    ) -> Outcome {
         let load = match &result {
             SendOutcome::Ran(_, load) | SendOutcome::NotRun(_, load, _) => Some(load),
             SendOutcome::Unknown(_) => None,
@@ -161,6 +166,9 @@
                 Outcome::Answer(answer)
             }
             SendOutcome::NotRun(code, _, reached_server) => {
+                if code == Code::Unreachable {
+                    self.check_listener();
+                }
                 let retry_after_ms = SERVER_RETRY_AFTER.as_millis() as u32 / 2;
                 Outcome::NotRun { code, retry_after_ms, reached_server, owner: None }
             }
--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -11,12 +11,13 @@
 use tokio::time::timeout;
 
 use super::datagram::TableUpdate;
+use super::held_ranges::HeldRanges;
+use super::holds::GrantNumber;
 use super::metrics::ServerChange;
 use super::node::Node;
 use super::platform_api::{BackendSession, Grant, GrantOutcome};
 use crate::core::ids::NodeId;
 use crate::gate::grant_time;
-use crate::lease::RENEW_INTERVAL;
 use crate::lease::clock::{self, BootInstant};
 use crate::place::spread;
 use crate::table::keys::{Owner, Range, Span};
@@ -44,8 +45,10 @@
         node.sync_held_ranges();
         node.send_grants();
         node.start_due_moves();
+        let next = node.held.borrow().next_due().map(|due| due.since(clock::now()));
+        let pause = next.filter(|p| !p.is_zero()).map_or(CHECK_INTERVAL, |p| p.min(CHECK_INTERVAL));
         // A timeout is the usual case: the next check is due.
-        let _ = timeout(CHECK_INTERVAL, node.grants_wake.notified()).await;
+        let _ = timeout(pause, node.grants_wake.notified()).await;
     }
 }
 
@@ -121,7 +124,8 @@
     }
 
     /// Sends the grants that are due. Ranges that were granted in an earlier session are not
-    /// renewed but get higher tokens, since the server may have restarted without them.
+    /// renewed but get higher tokens, since the server may have restarted without them. Keys that
+    /// another process may hold are granted once it cannot hold them any more.
     fn send_grants(self: &Rc<Self>) {
         let Some(ends) = self.lease.borrow().as_ref().and_then(|l| l.expires_at()) else { return };
         let now = clock::now();
@@ -130,29 +134,28 @@
         let session = (self.platform.backend.session)();
         let (mut due, mut from_former_session) = (Vec::new(), Vec::new());
         let mut held = self.held.borrow_mut();
-        let mut number = held.last_grant;
-        for range in &mut held.ranges {
-            if range.granting || range.leaving || range.due > now {
+        let HeldRanges { ranges, holds, last_grant, .. } = &mut *held;
+        for range in ranges {
+            if range.granting.is_some() || range.leaving || range.due > now {
                 continue;
             }
             if *range.session.get_or_insert(session) != session {
                 from_former_session.push(range.span);
                 continue;
             }
-            number += 1;
+            let held_elsewhere = holds.until_elsewhere(range.span, session);
+            if held_elsewhere > now {
+                range.due = held_elsewhere;
+                continue;
+            }
+            *last_grant += 1;
             let expiry = grant_time::latest_expiry(now, time);
-            range.granting = true;
-            range.released = false;
-            range.held_until = range.held_until.max(expiry);
-            range.unanswered.retain(|(_, until)| *until > now);
-            range.unanswered.push((number, expiry));
+            range.granting = Some(*last_grant);
             let (span, token) = (range.span, range.token);
-            due.push((
-                number,
-                Grant { span, token, until: expiry, handover: range.handover.clone() },
-            ));
+            holds.begin(*last_grant, span, session, expiry, now);
+            let handover = range.handover.clone();
+            due.push((*last_grant, Grant { span, token, until: expiry, handover }));
         }
-        held.last_grant = number;
         drop(held);
         for (number, grant) in due {
             let (node, active_until) = (self.clone(), now + time.mul_f64(CERTAIN_FRACTION));
@@ -170,7 +173,7 @@
     /// keys at least until `active_until`.
     async fn send_grant(
         self: Rc<Self>,
-        number: u64,
+        number: GrantNumber,
         grant: Grant,
         session: BackendSession,
         (sent, active_until): (BootInstant, BootInstant),
@@ -178,28 +181,7 @@
         let (span, token) = (grant.span, grant.token);
         let granted = (self.platform.backend.grant)(grant, session, GRANT_TIMEOUT).await;
         self.metrics.count_grant(granted, clock::now().since(sent));
-        let mut newly_active = false;
-        for range in self.held.borrow_mut().parts_of(span, token) {
-            range.granting = false;
-            if granted != GrantOutcome::Unknown {
-                range.unanswered.retain(|(open, _)| *open != number);
-            }
-            match granted {
-                GrantOutcome::Accepted => {
-                    let now = clock::now();
-                    newly_active = range.active_until.is_none_or(|until| until <= now);
-                    range.active_until = Some(
-                        range.active_until.map_or(active_until, |known| known.max(active_until)),
-                    );
-                    range.due = sent + RENEW_INTERVAL;
-                    range.handover = None;
-                }
-                GrantOutcome::Unknown | GrantOutcome::NotSent => range.due = clock::now(),
-                GrantOutcome::StaleToken | GrantOutcome::ServerDown => {
-                    range.due = clock::now() + RENEW_INTERVAL
-                }
-            }
-        }
+        let newly_active = self.held.borrow_mut().end_grant(number, granted, sent, active_until);
         match granted {
             GrantOutcome::Accepted if newly_active => {
                 let instance = self.server_instance();
@@ -224,7 +206,7 @@
             GrantOutcome::NotSent => {
                 spdlog::debug!("failed to send a grant to the backend server", kv: { first = span.first, token = token.0 });
             }
-            GrantOutcome::ServerDown => self.detach_server(),
+            GrantOutcome::Unreachable => self.detach_unreachable_server(),
         }
     }
 
@@ -241,19 +223,12 @@
         changed.then(|| WriteBatch::put_keys(table, &service, &keys))
     }
 
-    /// Detaches the backend server. Called when nothing listens at its address, so its process has
-    /// ended and holds no keys.
-    pub fn detach_server(&self) {
+    /// Detaches the backend server, because nothing listens at its address. It may go on with its
+    /// work, so its keys stay with it until its grants expire.
+    pub fn detach_unreachable_server(&self) {
         if let Some(server) = self.server.take() {
             self.record_server_change(ServerChange::Refused, &server.report.instance);
-            let mut held = self.held.borrow_mut();
-            held.unlisted_until = BootInstant::default();
-            for range in &mut held.ranges {
-                range.active_until = None;
-                range.held_until = BootInstant::default();
-                range.unanswered.clear();
-            }
-            drop(held);
+            self.unreachable_server.replace(Some(server.report.instance));
             self.notify_held_changed();
             self.announce_wake.notify_one();
             self.grants_wake.notify_one();
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -1,15 +1,17 @@
 //! The key ranges that the backend server holds, and until when.
 //!
 //! Each range of the table is granted as a whole. While part of a range is being moved, the range
-//! is tracked as several parts. This module reads the clock but does no I/O.
+//! is tracked as several parts. What a server may hold beyond that is tracked by [`super::holds`].
+//! This module reads the clock but does no I/O.
 
 use std::time::Duration;
 
-use super::platform_api::BackendSession;
+use super::holds::{GrantNumber, Holds};
+use super::platform_api::{BackendSession, GrantOutcome};
 use crate::core::ids::Token;
 use crate::gate::grant_time;
-use crate::lease::LEASE_DURATION;
 use crate::lease::clock::{self, BootInstant};
+use crate::lease::{LEASE_DURATION, RENEW_INTERVAL};
 use crate::table::keys::{Range, Span};
 
 /// A range, or part of one, that the table assigns to this node and its server.
@@ -25,17 +27,10 @@
     pub handover: Option<String>,
     /// The server certainly holds the keys until then; `None` while no grant is confirmed.
     pub active_until: Option<BootInstant>,
-    /// The latest moment at which the server may still hold the keys under any grant that was sent.
-    pub held_until: BootInstant,
-    /// Numbers of grants without an answer, each with the latest moment at which it may be in
-    /// force.
-    pub unanswered: Vec<(u64, BootInstant)>,
-    /// Whether the server has confirmed that it released the keys.
-    pub released: bool,
     /// When the next grant is due.
     pub due: BootInstant,
-    /// Whether a grant is in flight.
-    pub granting: bool,
+    /// Number of the grant in flight.
+    pub granting: Option<GrantNumber>,
     /// Whether the keys are being moved to another owner.
     pub leaving: bool,
 }
@@ -48,9 +43,9 @@
     /// Whether a change of ownership or of tokens is in progress.
     pub(super) changing: bool,
     /// Number of the last grant.
-    pub(super) last_grant: u64,
-    /// The latest moment at which the server may still hold ranges that are no longer listed.
-    pub(super) unlisted_until: BootInstant,
+    pub(super) last_grant: GrantNumber,
+    /// What servers may hold, whether or not it is listed.
+    pub(super) holds: Holds,
 }
 
 impl HeldRanges {
@@ -75,8 +70,7 @@
 
     /// How long the server may still hold any keys that it was granted.
     pub fn remaining_hold(&self, now: BootInstant) -> Duration {
-        let unreleased = self.ranges.iter().filter(|r| !r.released).map(|r| r.held_until);
-        unreleased.fold(self.unlisted_until, BootInstant::max).since(now)
+        self.holds.until_all().since(now)
     }
 
     fn find(&self, key: u16) -> Option<&HeldRange> {
@@ -94,41 +88,69 @@
                     let same = k.token == range.token;
                     let due = if same { k.due } else { BootInstant::default() };
                     let session = k.session.filter(|_| same);
-                    parts.push(HeldRange { span, token: range.token, session, due, ..k.clone() });
+                    let granting = k.granting.filter(|_| same);
+                    let token = range.token;
+                    parts.push(HeldRange { span, token, session, due, granting, ..k.clone() });
                 }
             }
             fill_gaps(&mut parts, range);
-            if parts.iter().all(|p| !p.leaving && !p.granting) {
+            if parts.iter().all(|p| !p.leaving && p.granting.is_none()) {
                 parts = vec![merge(range.span, parts)];
             }
             self.ranges.append(&mut parts);
         }
-        let kept =
-            |k: &HeldRange| self.ranges.iter().any(|r| r.span.intersection(k.span).is_some());
-        let unlisted = known.iter().filter(|k| !k.released && !kept(k)).map(|k| k.held_until);
-        self.unlisted_until = unlisted.fold(self.unlisted_until, BootInstant::max);
     }
 
     /// Assumes that a former run of this process granted keys just before `now`.
     pub fn assume_former_grants(&mut self, now: BootInstant) {
-        self.unlisted_until = grant_time::latest_expiry(now, LEASE_DURATION);
+        self.holds.assume_former(grant_time::latest_expiry(now, LEASE_DURATION));
     }
 
-    /// The ranges that a grant of a span covers. The range may have been split since the grant was
-    /// sent.
-    pub(super) fn parts_of(
+    /// When the next grant of a range that is not being moved is due.
+    pub(super) fn next_due(&self) -> Option<BootInstant> {
+        let granted = self.ranges.iter().filter(|r| r.granting.is_none() && !r.leaving);
+        granted.map(|r| r.due).min()
+    }
+
+    /// Records the outcome of a grant that was sent at `sent`, and by which the server, if it has
+    /// accepted it, holds the keys at least until `active_until`. Returns whether it did not
+    /// certainly hold them before.
+    pub(super) fn end_grant(
         &mut self,
-        span: Span,
-        token: Token,
-    ) -> impl Iterator<Item = &mut HeldRange> {
-        self.ranges
-            .iter_mut()
-            .filter(move |r| r.token == token && r.span.intersection(span).is_some())
+        number: GrantNumber,
+        outcome: GrantOutcome,
+        sent: BootInstant,
+        active_until: BootInstant,
+    ) -> bool {
+        match outcome {
+            GrantOutcome::Accepted => self.holds.accept(number),
+            GrantOutcome::Unknown => {}
+            GrantOutcome::StaleToken | GrantOutcome::NotSent | GrantOutcome::Unreachable => {
+                self.holds.reject(number);
+            }
+        }
+        let now = clock::now();
+        let mut newly_active = false;
+        // The range may have been split since the grant was sent.
+        for range in self.ranges.iter_mut().filter(|r| r.granting == Some(number)) {
+            range.granting = None;
+            range.due = match outcome {
+                GrantOutcome::Accepted => sent + RENEW_INTERVAL,
+                GrantOutcome::Unknown | GrantOutcome::NotSent => now,
+                GrantOutcome::StaleToken | GrantOutcome::Unreachable => now + RENEW_INTERVAL,
+            };
+            if outcome == GrantOutcome::Accepted {
+                newly_active = range.active_until.is_none_or(|until| until <= now);
+                range.active_until = range.active_until.max(Some(active_until));
+                range.handover = None;
+            }
+        }
+        newly_active
     }
 
     /// Whether a grant is in flight for a range that is being moved.
     pub(super) fn is_granting(&self) -> bool {
-        self.ranges.iter().any(|r| r.leaving && r.granting)
+        self.ranges.iter().any(|r| r.leaving && r.granting.is_some())
     }
 }
 
@@ -141,11 +163,8 @@
             session: None,
             handover: range.handover.clone(),
             active_until: None,
-            held_until: BootInstant::default(),
-            unanswered: Vec::new(),
-            released: false,
             due: BootInstant::default(),
-            granting: false,
+            granting: None,
             leaving: false,
         }
     }
@@ -168,18 +187,14 @@
     parts.extend(gaps.into_iter().map(|span| HeldRange { span, ..HeldRange::new(range) }));
 }
 
-/// Merges the parts of a range. The whole is certainly held for as long as every part certainly is,
-/// and may be held for as long as any part may be.
+/// Merges the parts of a range. The whole is certainly held for as long as every part certainly is.
 fn merge(span: Span, parts: Vec<HeldRange>) -> HeldRange {
     let active_until = parts.iter().map(|p| p.active_until).min().flatten();
     let due = parts.iter().map(|p| p.due).min().unwrap_or_default();
     let session = parts.iter().filter_map(|p| p.session).min();
-    let held_until = parts.iter().map(|p| p.held_until).max().unwrap_or_default();
-    let mut unanswered: Vec<(u64, BootInstant)> =
-        parts.iter().flat_map(|p| p.unanswered.clone()).collect();
-    unanswered.sort_unstable();
-    unanswered.dedup();
-    HeldRange { span, session, active_until, due, held_until, unanswered, ..parts[0].clone() }
+    let same = parts.iter().all(|p| p.handover == parts[0].handover);
+    let handover = parts[0].handover.clone().filter(|_| same);
+    HeldRange { span, session, active_until, due, handover, ..parts[0].clone() }
 }
 
 /// Splits a range into its parts inside, before and after `part`, and marks the inner one as
--- /dev/null
+++ b/src/kelpwind/mesh/holds.rs
@@ -0,0 +1,112 @@
+//! What the backend servers beside this node may hold, by the grants that were sent.
+//!
+//! The table says which keys this node owns, and changes at any time. What a server may hold changes
+//! only by a grant, by its confirmed release, and by the passing of time, so it is tracked apart
+//! from the table: for each key, the latest moment at which a server may hold it is known until that
+//! moment has passed, however ranges are split, merged, given new tokens or lost. This module reads
+//! no clock and does no I/O.
+
+use super::platform_api::BackendSession;
+use crate::lease::clock::BootInstant;
+use crate::table::keys::{KEY_MAX, Span};
+
+/// Number of a grant, unique within a run of the node.
+pub type GrantNumber = u64;
+
+/// A grant that may be in force.
+#[derive(Clone, Debug)]
+struct Hold {
+    span: Span,
+    /// Session in which it was granted; `None` for grants of a former run of the node.
+    session: Option<BackendSession>,
+    /// Number of the grant while it has no answer, so that it may yet be applied.
+    open: Option<GrantNumber>,
+    /// Time from which the server cannot hold the keys under this grant.
+    until: BootInstant,
+}
+
+/// The grants that may be in force.
+#[derive(Debug, Default)]
+pub struct Holds {
+    holds: Vec<Hold>,
+}
+
+impl Holds {
+    /// Records that a grant is sent, and drops the holds that have expired.
+    pub fn begin(
+        &mut self,
+        number: GrantNumber,
+        span: Span,
+        session: BackendSession,
+        until: BootInstant,
+        now: BootInstant,
+    ) {
+        self.holds.retain(|h| h.until > now);
+        self.holds.push(Hold { span, session: Some(session), open: Some(number), until });
+    }
+
+    /// Records that the server has accepted a grant.
+    pub fn accept(&mut self, number: GrantNumber) {
+        let Some(i) = self.holds.iter().position(|h| h.open == Some(number)) else { return };
+        let mut accepted = self.holds.swap_remove(i);
+        accepted.open = None;
+        self.holds.retain(|h| {
+            let renewed = h.open.is_none() && h.session == accepted.session;
+            !(renewed && h.span == accepted.span && h.until <= accepted.until)
+        });
+        self.holds.push(accepted);
+    }
+
+    /// Records that a grant was not sent, or was rejected.
+    pub fn reject(&mut self, number: GrantNumber) {
+        self.holds.retain(|h| h.open != Some(number));
+    }
+
+    /// Records that the process of a session has released a span. Grants without an answer may be
+    /// applied after the release.
+    pub fn release(&mut self, span: Span, session: BackendSession) {
+        let mut kept = Vec::with_capacity(self.holds.len());
+        for hold in self.holds.drain(..) {
+            if hold.open.is_some() || hold.session != Some(session) {
+                kept.push(hold);
+                continue;
+            }
+            let rest = hold.span.subtract(span);
+            kept.extend(rest.into_iter().map(|span| Hold { span, ..hold.clone() }));
+        }
+        self.holds = kept;
+    }
+
+    /// Assumes that a former run of this node has granted all keys until `until`.
+    pub fn assume_former(&mut self, until: BootInstant) {
+        let span = Span { first: 0, last: KEY_MAX };
+        self.holds.push(Hold { span, session: None, open: None, until });
+    }
+
+    /// Records that the grants of a former run went to the process of a session.
+    pub fn confirm_former(&mut self, session: BackendSession) {
+        for hold in self.holds.iter_mut().filter(|h| h.session.is_none()) {
+            hold.session = Some(session);
+        }
+    }
+
+    /// Time from which no server can hold any key of a span.
+    pub fn until(&self, span: Span) -> BootInstant {
+        self.latest(|h| h.span.intersection(span).is_some())
+    }
+
+    /// Time from which no process but that of a session can hold any key of a span.
+    pub fn until_elsewhere(&self, span: Span, session: BackendSession) -> BootInstant {
+        self.latest(|h| h.session != Some(session) && h.span.intersection(span).is_some())
+    }
+
+    /// Time from which no server can hold any key.
+    pub fn until_all(&self) -> BootInstant {
+        self.latest(|_| true)
+    }
+
+    fn latest(&self, counts: impl Fn(&Hold) -> bool) -> BootInstant {
+        let counted = self.holds.iter().filter(|h| counts(h)).map(|h| h.until);
+        counted.fold(BootInstant::default(), BootInstant::max)
+    }
+}
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -129,7 +129,7 @@
     match result {
         GrantOutcome::Accepted => "accepted",
         GrantOutcome::StaleToken => "stale_token",
-        GrantOutcome::ServerDown => "server_down",
+        GrantOutcome::Unreachable => "unreachable",
         GrantOutcome::NotSent => "not_sent",
         GrantOutcome::Unknown => "unknown",
     }
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -15,6 +15,7 @@
 //! * [`reports`] and [`reattach`]: the backend server's reports and the node's own record.
 //! * [`lease`], [`takeover`], [`grants`], [`plan`], [`balance`], [`moves`] and [`held_ranges`]:
 //!   which node owns which keys, and until when.
+//! * [`holds`]: until when a backend server here may hold keys, whoever owns them.
 //! * [`selection`]: the choice among the targets of a service.
 //! * [`request_state`]: attempts and retries of one request at the entry.
 //! * [`frame`], [`send_queue`], [`serve`], [`datagram`] and [`udp`]: connections and datagrams
@@ -31,6 +32,7 @@
 pub(crate) mod gate;
 pub(crate) mod grants;
 pub(crate) mod held_ranges;
+pub mod holds;
 pub(crate) mod http;
 pub(crate) mod lease;
 pub(crate) mod link;
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -9,7 +9,7 @@
 
 use tokio::time::{sleep, timeout};
 
-use super::held_ranges::{self, HeldRange};
+use super::held_ranges;
 use super::node::Node;
 use super::platform_api::ReleaseOutcome;
 use crate::core::ids::Token;
@@ -80,10 +80,7 @@
         }
         let releases = parts.iter().map(|(span, token)| self.release(*span, *token));
         let handovers = futures_util::future::join_all(releases).await;
-        let released = handovers.iter().filter(|h| h.is_some()).count();
-        let held_ms = self.held.borrow().remaining_hold(clock::now()).as_millis() as u64;
-        spdlog::info!("keys wait for the end of their grants", kv: { keys = count, released, held_ms });
-        self.wait_for_expiry().await;
+        self.wait_for_expiry(&moves).await;
         let me = self.recorded_owner();
         let written = self.commit("a planned move", |node, table| {
             let service = node.service();
@@ -155,30 +152,28 @@
             ranges.append(&mut rest);
         }
         if self.server.borrow().is_none() {
-            // No server holds the keys, so there is nothing to release. Token 0 marks that.
+            // There is no server to ask for a release. Token 0 marks that.
             parts = moves.iter().map(|(span, _)| (*span, Token(0))).collect();
         }
         held.ranges = ranges;
         parts
     }
 
-    /// Asks the server to release a span, and returns its handover data. `None` also when it does
-    /// not confirm the release: the keys then stay with it until its grants expire.
+    /// Asks the server to release a span, and returns its handover data. Keys whose release is not
+    /// confirmed stay with the server until its grants expire.
     async fn release(&self, span: Span, token: Token) -> Option<String> {
         for _ in 0..RELEASE_ATTEMPTS {
             if self.server.borrow().is_none() || token == Token(0) {
                 return None;
             }
+            let session = (self.platform.backend.session)();
             match (self.platform.backend.release)(span, token, RELEASE_TIMEOUT).await {
                 ReleaseOutcome::Released(handover) => {
-                    for range in &mut self.held.borrow_mut().ranges {
-                        range.released |= range.leaving
-                            && range.token == token
-                            && range.span.intersection(span).is_some();
+                    if (self.platform.backend.session)() == session {
+                        self.held.borrow_mut().holds.release(span, session);
                     }
                     return handover;
                 }
-                ReleaseOutcome::ServerDown => return None,
                 ReleaseOutcome::Unknown => {
                     spdlog::warn!("the backend server did not answer a release", kv: { first = span.first, token = token.0 });
                 }
@@ -187,18 +182,19 @@
         None
     }
 
-    /// Waits until the server can no longer hold any leaving range. A released range may become
-    /// active again by a grant without an answer; any other is held until all its grants expire.
-    async fn wait_for_expiry(&self) {
+    /// Waits until no server beside this node can hold the keys to move. Keys that were released
+    /// may become active again by a grant without an answer.
+    async fn wait_for_expiry(&self, moves: &[(Span, Owner)]) {
         let until = {
-            let held = self.held.borrow();
-            let leaving = held.ranges.iter().filter(|r| r.leaving);
-            let unanswered = |r: &HeldRange| r.unanswered.iter().map(|(_, until)| *until).max();
-            let last = |r: &HeldRange| {
-                if r.released { unanswered(r).unwrap_or_default() } else { r.held_until }
-            };
-            leaving.map(last).fold(held.unlisted_until, BootInstant::max)
+            let holds = &self.held.borrow().holds;
+            let spans = moves.iter().map(|(span, _)| holds.until(*span));
+            spans.max().unwrap_or_default()
         };
+        let left = until.since(clock::now());
+        if !left.is_zero() {
+            let held_ms = left.as_millis() as u64;
+            spdlog::info!("keys to move wait for the end of their grants", kv: { ranges = moves.len(), held_ms });
+        }
         loop {
             let left = until.since(clock::now());
             if left.is_zero() {
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -89,6 +89,10 @@
     pub table_read_requested: Cell<Option<Instant>>,
     /// The backend server; `None` until it reports.
     pub server: RefCell<Option<BackendStatus>>,
+    /// The instance that was detached because it could not be connected to.
+    pub unreachable_server: RefCell<Option<Instance>>,
+    /// Whether a check is in progress whether the backend server's listener is open.
+    pub checking_listener: Cell<bool>,
     /// Wakes the task that writes this node's record.
     pub announce_wake: Notify,
     /// Wakes the task that grants keys to the backend server.
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -250,8 +250,9 @@
     Accepted,
     /// The server has seen a higher token for some of the keys.
     StaleToken,
-    /// Nothing listens at the server's address, so no server process is running.
-    ServerDown,
+    /// Nothing listens at the server's address. The process may still run, and hold what it was
+    /// granted.
+    Unreachable,
     /// Nothing was sent: the session had ended, too little time was left, or no connection could be
     /// opened.
     NotSent,
@@ -264,8 +265,6 @@
 pub enum ReleaseOutcome {
     /// No work runs on the keys any more. Carries the state for the next holder, if any.
     Released(Option<String>),
-    /// Nothing listens at the server's address.
-    ServerDown,
     /// The server did not answer in time, or not in a readable way.
     Unknown,
 }
@@ -297,6 +296,8 @@
     pub grant: Box<dyn Fn(Grant, BackendSession, Duration) -> LocalFuture<GrantOutcome>>,
     /// Takes keys back, within a time limit. The server answers once no work runs on them.
     pub release: Box<dyn Fn(Span, Token, Duration) -> LocalFuture<ReleaseOutcome>>,
+    /// Whether new connections to the server's address are not refused.
+    pub is_listening: Box<dyn Fn() -> LocalFuture<bool>>,
     /// Checks the server's health at the given path.
     pub health: HealthFn,
 }
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -34,7 +34,7 @@
 
 impl Node {
     /// Handles a call of the backend server.
-    pub fn handle_message(&self, message: ServerMessage) {
+    pub fn handle_message(self: &Rc<Self>, message: ServerMessage) {
         match message {
             ServerMessage::Report(report) => self.handle_report(report),
             ServerMessage::Leaving(id) => self.handle_leaving(&id),
@@ -42,7 +42,7 @@
     }
 
     /// Applies a report unless it is outdated or of another server.
-    fn handle_report(&self, report: ServerReport) {
+    fn handle_report(self: &Rc<Self>, report: ServerReport) {
         let (service, domain) = {
             let settings = self.settings.borrow();
             (settings.service.clone(), settings.domain.clone())
@@ -65,6 +65,10 @@
                 return;
             }
         }
+        if self.unreachable_server.borrow().as_ref() == Some(&report.instance) {
+            self.reconnect(report);
+            return;
+        }
         let now = Instant::now();
         let since = before.as_ref().filter(|_| same).and_then(|b| b.leaving_since);
         let leaving = since.or(report.draining.then_some(now));
@@ -105,6 +109,35 @@
         self.server.replace(Some(BackendStatus { report, received, leaving_since: leaving }));
     }
 
+    /// Attaches a server that had closed its listener, and that goes on reporting, once it listens
+    /// again.
+    fn reconnect(self: &Rc<Self>, report: ServerReport) {
+        let node = self.clone();
+        tokio::task::spawn_local(async move {
+            let listens = (node.platform.backend.is_listening)().await;
+            let current = node.unreachable_server.borrow().as_ref() == Some(&report.instance);
+            if listens && current {
+                node.unreachable_server.take();
+                node.handle_report(report);
+            }
+        });
+    }
+
+    /// Detaches the server of a service divided by key if nothing listens at its address any more.
+    /// It may go on with the requests that it has.
+    pub fn check_listener(self: &Rc<Self>) {
+        if !self.is_keyed() || self.checking_listener.replace(true) {
+            return;
+        }
+        let node = self.clone();
+        tokio::task::spawn_local(async move {
+            if !(node.platform.backend.is_listening)().await {
+                node.detach_unreachable_server();
+            }
+            node.checking_listener.set(false);
+        });
+    }
+
     /// Treats the server as cold, because it may have lost its state while its failure domain was
     /// drained. Ends with the answer to a health check, at the latest after the usual cold start.
     pub fn assume_cold(self: &Rc<Self>) {
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -103,6 +103,8 @@
         table_read_due: Notify::new(),
         table_read_requested: Cell::new(None),
         server: RefCell::new(None),
+        unreachable_server: RefCell::new(None),
+        checking_listener: Cell::new(false),
         announce_wake: Notify::new(),
         grants_wake: Notify::new(),
         held_changed: watch::Sender::new(0),
