Grant keys only to a process that is known to be the server, or after the former one's grants

What callers saw: two instances of a server held the same keys, under the same token too (rule OWNER), when one started at the address before the other had ended; or keys went to other owners while the former instance held them.

Cause: the node took the process at the server's address for the one it knew. A connection opened within 20 ms after the former one had been closed, or while that one was open, continued the session, although a server that stops closes its listener first and another may listen by then. A new instance that reported was granted the keys at once, over the connection to the former one. A release counted whoever confirmed it.

Now a connection continues the session only if the process at its end has told the server's id: over a request that it ran for that id, or in a health check. Otherwise a new session begins, in which keys are granted only after the grants of others have expired; so it does when another instance is attached. Only the session's own process confirms a release. A restarted node asks for the id over the connection on which it then grants, and so need not wait for the grants of its former run if the same server answers. Requests no longer use idle connections to a former instance.

What is relied on: no two servers that run use the same id, and none starts again under its id and listens within 20 ms.

--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -15,7 +15,7 @@
 use super::holds::GrantNumber;
 use super::metrics::ServerChange;
 use super::node::Node;
-use super::platform_api::{BackendSession, Grant, GrantOutcome};
+use super::platform_api::{BackendSession, Grant, GrantOutcome, ServerRef};
 use crate::core::ids::NodeId;
 use crate::gate::grant_time;
 use crate::lease::clock::{self, BootInstant};
@@ -24,9 +24,9 @@
 use crate::table::member::Instance;
 use crate::table::{Table, WriteBatch};
 
-/// Time after which a grant without an answer is sent again. The server runs on the same host and
-/// answers within milliseconds, but a host with too much to do may take a tenth of a second. After
-/// it, a lease leaves time for two more grants.
+/// Time after which a grant without an answer is sent again, over another connection to the same
+/// process. The server runs on the same host and answers within milliseconds, but a host with too
+/// much to do may take a tenth of a second. After it, a lease leaves time for two more grants.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Fraction of a grant's time for which the server certainly holds the keys: its clock may run 2%
 /// fast.
@@ -123,6 +123,12 @@
         changed.then(|| WriteBatch::put_keys(table, &service, &keys))
     }
 
+    /// The backend server that is attached; `None` while there is none, or its service is unknown.
+    pub fn server_ref(&self) -> Option<Rc<ServerRef>> {
+        let id = self.server_instance()?.id;
+        Some(Rc::new(ServerRef { id, health_path: self.health_path()? }))
+    }
+
     /// Sends the grants that are due. Ranges that were granted in an earlier session are not
     /// renewed but get higher tokens, since the server may have restarted without them. Keys that
     /// another process may hold are granted once it cannot hold them any more.
@@ -131,6 +137,7 @@
         let now = clock::now();
         let longest = self.settings.borrow().bounds.max_grant;
         let Some(time) = grant_time::grant_duration(ends, now, longest) else { return };
+        let Some(server) = self.server_ref() else { return };
         let session = (self.platform.backend.session)();
         let (mut due, mut from_former_session) = (Vec::new(), Vec::new());
         let mut held = self.held.borrow_mut();
@@ -153,8 +160,8 @@
             range.granting = Some(*last_grant);
             let (span, token) = (range.span, range.token);
             holds.begin(*last_grant, span, session, expiry, now);
-            let handover = range.handover.clone();
-            due.push((*last_grant, Grant { span, token, until: expiry, handover }));
+            let (server, handover) = (server.clone(), range.handover.clone());
+            due.push((*last_grant, Grant { server, span, token, until: expiry, handover }));
         }
         drop(held);
         for (number, grant) in due {
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -163,17 +163,19 @@
     /// confirmed stay with the server until its grants expire.
     async fn release(&self, span: Span, token: Token) -> Option<String> {
         for _ in 0..RELEASE_ATTEMPTS {
-            if self.server.borrow().is_none() || token == Token(0) {
-                return None;
-            }
+            let server = self.server_ref().filter(|_| token != Token(0))?;
             let session = (self.platform.backend.session)();
-            match (self.platform.backend.release)(span, token, RELEASE_TIMEOUT).await {
+            match (self.platform.backend.release)(server, span, token, RELEASE_TIMEOUT).await {
                 ReleaseOutcome::Released(handover) => {
                     if (self.platform.backend.session)() == session {
                         self.held.borrow_mut().holds.release(span, session);
                     }
                     return handover;
                 }
+                ReleaseOutcome::Unconfirmed(handover) => {
+                    spdlog::warn!("another process may have released keys", kv: { first = span.first, token = token.0 });
+                    return handover;
+                }
                 ReleaseOutcome::Unknown => {
                     spdlog::warn!("the backend server did not answer a release", kv: { first = span.first, token = token.0 });
                 }
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -89,6 +89,8 @@
     pub table_read_requested: Cell<Option<Instant>>,
     /// The backend server; `None` until it reports.
     pub server: RefCell<Option<BackendStatus>>,
+    /// The instance that last was the backend server.
+    pub last_instance: RefCell<Option<Instance>>,
     /// The instance that was detached because it could not be connected to.
     pub unreachable_server: RefCell<Option<Instance>>,
     /// Whether a check is in progress whether the backend server's listener is open.
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -223,9 +223,21 @@
     Unknown(Code),
 }
 
+/// The backend server that a call is meant for, and where to ask the process at the address for its
+/// id.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerRef {
+    /// Id of the server.
+    pub id: String,
+    /// Path of the health check, whose answer states the id.
+    pub health_path: String,
+}
+
 /// A grant of keys to the backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Grant {
+    /// The server that is to hold the keys.
+    pub server: Rc<ServerRef>,
     /// The granted keys.
     pub span: Span,
     /// Fencing token.
@@ -238,8 +250,8 @@
 }
 
 /// An uninterrupted contact with the backend server. Within one session the server is the same
-/// process. A new session may be a restarted process, under the same id or another, that holds no
-/// keys.
+/// process. A new session may be with another process, under the same id or another, that holds no
+/// keys, while the former one still runs and holds what it was granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BackendSession(pub u64);
 
@@ -250,11 +262,11 @@
     Accepted,
     /// The server has seen a higher token for some of the keys.
     StaleToken,
-    /// Nothing listens at the server's address. The process may still run, and hold what it was
-    /// granted.
+    /// Nothing listens at the server's address and no connection to it is open. The process may
+    /// still run, and hold what it was granted.
     Unreachable,
-    /// Nothing was sent: the session had ended, too little time was left, or no connection could be
-    /// opened.
+    /// Nothing was sent: the session had ended, too little time was left, or no connection to the
+    /// same process could be opened.
     NotSent,
     /// There was no readable answer, so the grant may be in force.
     Unknown,
@@ -263,8 +275,12 @@
 /// The result of releasing keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReleaseOutcome {
-    /// No work runs on the keys any more. Carries the state for the next holder, if any.
+    /// The process that was granted the keys in the current session holds them no longer, and no
+    /// work runs on them. Carries the state for the next holder, if any.
     Released(Option<String>),
+    /// Some process has released the keys, but whether it is the one that was granted them is not
+    /// known.
+    Unconfirmed(Option<String>),
     /// The server did not answer in time, or not in a readable way.
     Unknown,
 }
@@ -285,6 +301,12 @@
 /// Checks the server's health at a path, within a time limit.
 pub type HealthFn = Box<dyn Fn(&str, Duration) -> LocalFuture<Option<Health>>>;
 
+/// Releases a span that was granted to a server under a token, within a time limit.
+pub type ReleaseFn =
+    Box<dyn Fn(Rc<ServerRef>, Span, Token, Duration) -> LocalFuture<ReleaseOutcome>>;
+/// Checks the server's health over the connection for grants.
+pub type IdentifyFn = Box<dyn Fn(&str, Duration) -> LocalFuture<Option<(Health, BackendSession)>>>;
+
 /// The backend server beside the node.
 pub struct Backend {
     /// Sends a request to the server with the given id, which is told to stop at the deadline.
@@ -292,10 +314,15 @@
     pub send: SendFn,
     /// Returns the current session.
     pub session: Box<dyn Fn() -> BackendSession>,
+    /// Ends the current session, so that the next grant goes to the process that listens by then.
+    pub end_session: Box<dyn Fn()>,
+    /// Checks the server's health at a path over the connection for grants, within a time limit.
+    /// Also returns the session with the process that answered.
+    pub identify: IdentifyFn,
     /// Grants keys or renews a grant, within a session and a time limit.
     pub grant: Box<dyn Fn(Grant, BackendSession, Duration) -> LocalFuture<GrantOutcome>>,
     /// Takes keys back, within a time limit. The server answers once no work runs on them.
-    pub release: Box<dyn Fn(Span, Token, Duration) -> LocalFuture<ReleaseOutcome>>,
+    pub release: ReleaseFn,
     /// Whether new connections to the server's address are not refused.
     pub is_listening: Box<dyn Fn() -> LocalFuture<bool>>,
     /// Checks the server's health at the given path.
--- a/src/kelpwind/mesh/reattach.rs
+++ b/src/kelpwind/mesh/reattach.rs
@@ -46,13 +46,22 @@
         else {
             return;
         };
-        let health = (self.platform.backend.health)(&spec.health_path, REATTACH_TIMEOUT).await;
+        let backend = &self.platform.backend;
+        let (health, session) = if self.is_keyed() {
+            let answer = (backend.identify)(&spec.health_path, REATTACH_TIMEOUT).await;
+            answer.map_or((None, None), |(health, session)| (Some(health), Some(session)))
+        } else {
+            ((backend.health)(&spec.health_path, REATTACH_TIMEOUT).await, None)
+        };
         let id = former.instance.id.as_str();
         let same = |id: &Option<String>| id.as_ref() == Some(&former.instance.id);
         let Some(health) = health.filter(|h| h.healthy && same(&h.id)) else {
             spdlog::info!("the former run's backend server is not healthy or was replaced", kv: { id });
             return;
         };
+        if let Some(session) = session {
+            self.held.borrow_mut().holds.confirm_former(session);
+        }
         if self.server.borrow().is_some() {
             return;
         }
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -106,6 +106,12 @@
             None => {}
         }
         drop(queue);
+        let instance = report.instance.clone();
+        let last = self.last_instance.replace(Some(instance.clone()));
+        if last.is_some_and(|last| last != instance) {
+            // The connection for grants may lead to the former instance.
+            (self.platform.backend.end_session)();
+        }
         self.server.replace(Some(BackendStatus { report, received, leaving_since: leaving }));
     }
 
@@ -138,6 +144,12 @@
         });
     }
 
+    /// Path of the health check of this node's service.
+    pub fn health_path(&self) -> Option<String> {
+        let service = self.service();
+        self.routes()?.services.get(&service).map(|s| s.health_path.clone())
+    }
+
     /// Treats the server as cold, because it may have lost its state while its failure domain was
     /// drained. Ends with the answer to a health check, at the latest after the usual cold start.
     pub fn assume_cold(self: &Rc<Self>) {
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -103,6 +103,7 @@
         table_read_due: Notify::new(),
         table_read_requested: Cell::new(None),
         server: RefCell::new(None),
+        last_instance: RefCell::new(None),
         unreachable_server: RefCell::new(None),
         checking_listener: Cell::new(false),
         announce_wake: Notify::new(),
--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -96,6 +96,7 @@
     reusable: bool,
     idle_until: Option<Instant>,
     stall_timeout: Option<Duration>,
+    peer: Option<String>,
 }
 
 /// A response, which may be that of an earlier request.
@@ -130,6 +131,7 @@
             reusable: true,
             idle_until: None,
             stall_timeout: None,
+            peer: None,
         })
     }
 
@@ -139,6 +141,19 @@
         self.stall_timeout = Some(limit);
     }
 
+    /// The id under which the process at the other end has identified itself; `None` if it has not.
+    /// A connection leads to one process for as long as it is open.
+    pub fn peer(&self) -> Option<&str> {
+        self.peer.as_deref()
+    }
+
+    /// Records the id under which the process at the other end has identified itself.
+    pub fn set_peer(&mut self, id: &str) {
+        if self.peer() != Some(id) {
+            self.peer = Some(id.to_owned());
+        }
+    }
+
     /// Whether another request may be sent: the connection is open and reusable, within the idle
     /// timeout that the other end announced, and has no unread bytes.
     pub fn is_ready(&mut self, now: Instant) -> bool {
--- a/tests/mesh/server_lifecycle.rs
+++ b/tests/mesh/server_lifecycle.rs
@@ -3,12 +3,17 @@
 use std::time::Duration;
 
 use super::platform::fleet::Fleet;
+use super::platform::server::Closing;
 use super::{assert_no_violations, until_all_served, until_served};
 
 /// Processing time of a request at a backend server.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 /// Delay of a grant's answer on a host with too much to do.
 const LATE_ANSWER: Duration = Duration::from_millis(120);
+/// A key that is served again within this time counts as served.
+const SERVED_WITHIN: Duration = Duration::from_secs(2);
+/// Time from its start to its first report of a server that the node does not know of meanwhile.
+const LATE_REPORT: Duration = Duration::from_secs(2);
 /// Services and their numbers of hosts; the first service is keyed.
 const SERVICES: &[(&str, u32)] = &[("books", 4)];
 
@@ -38,6 +43,8 @@
     fleet.start_server(0).await;
     fleet.hosts[0].server.as_ref().unwrap().delay_grant_answers(LATE_ANSWER);
     tokio::time::sleep(Duration::from_secs(5)).await;
+    let took = until_served(&fleet, 1, 0).await;
+    assert!(took < SERVED_WITHIN, "served after {took:?} beside the former instance");
     former.crash();
     until_all_served(&fleet, 1).await;
     callers.iter().for_each(|c| c.abort());
@@ -49,8 +56,6 @@
 async fn keys_of_a_server_that_answers_grants_late_are_not_served() {
     /// Time until all grants that were answered without delay have expired.
     const EXPIRY: Duration = Duration::from_millis(1500);
-    /// A key that is served again within this time counts as served.
-    const SERVED_WITHIN: Duration = Duration::from_secs(2);
     let fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
     fleet.hosts[0].server.as_ref().unwrap().delay_grant_answers(LATE_ANSWER);
     tokio::time::sleep(EXPIRY).await;
@@ -58,3 +63,37 @@
     assert!(took < SERVED_WITHIN, "served after {took:?}");
     assert_no_violations(&fleet);
 }
+
+/// A connection opened right after the former one was closed may lead to another process.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_instance_gets_the_token_of_the_one_that_closed_the_connection() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    let former = fleet.hosts[0].server.take().unwrap();
+    former.close_listener();
+    fleet.start_server_reporting_after(0, LATE_REPORT).await;
+    former.close_with(Closing::Grants);
+    tokio::time::sleep(LATE_REPORT * 2).await;
+    former.crash();
+    until_all_served(&fleet, 1).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
+
+/// A release must be confirmed by the process that was granted the keys.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_release_confirmed_by_the_next_instance_moves_keys_that_the_former_one_holds() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let former = fleet.hosts[0].server.take().unwrap();
+    former.close_with(Closing::Others);
+    for _ in 0..20 {
+        fleet.call(0, "books", 0, false).await;
+    }
+    former.close_listener();
+    fleet.start_server_reporting_after(0, LATE_REPORT).await;
+    former.drain();
+    tokio::time::sleep(LATE_REPORT).await;
+    former.crash();
+    until_all_served(&fleet, 1).await;
+    assert_no_violations(&fleet);
+}
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -69,6 +69,18 @@
     pub report_delay: Duration,
 }
 
+/// Which answers a server closes the connection with.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Closing {
+    /// None.
+    #[default]
+    None,
+    /// Those to grants.
+    Grants,
+    /// Those to all other requests.
+    Others,
+}
+
 /// A running server.
 pub struct Server {
     /// ID of the server's process.
@@ -84,6 +96,7 @@
     reports_stopped: Mutex<bool>,
     /// Time from the arrival of a grant, which takes effect at once, to its answer.
     grant_delay: Mutex<Duration>,
+    closing: Mutex<Closing>,
     serving: Mutex<Option<Serving>>,
     reporting: Mutex<Option<AbortHandle>>,
 }
@@ -120,6 +133,7 @@
             draining: Mutex::new(false),
             reports_stopped: Mutex::new(false),
             grant_delay: Mutex::default(),
+            closing: Mutex::default(),
             serving: Mutex::default(),
             reporting: Mutex::default(),
         });
@@ -167,6 +181,11 @@
         *self.grant_delay.lock() = delay;
     }
 
+    /// Closes connections with the answers to some of the later requests.
+    pub fn close_with(&self, answers: Closing) {
+        *self.closing.lock() = answers;
+    }
+
     async fn report(&self, node: SocketAddr) {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let born = since.as_millis() as u64;
@@ -191,6 +210,20 @@
     }
 
     async fn answer(&self, request: FullRequest) -> Reply {
+        let is_grant = request.uri().path() == "/-/grant";
+        let mut answer = self.answer_open(request).await;
+        let closes = match *self.closing.lock() {
+            Closing::None => false,
+            Closing::Grants => is_grant,
+            Closing::Others => !is_grant,
+        };
+        if closes {
+            answer.headers_mut().insert("connection", http::HeaderValue::from_static("close"));
+        }
+        answer
+    }
+
+    async fn answer_open(&self, request: FullRequest) -> Reply {
         match request.uri().path() {
             "/-/grant" => {
                 let answer = self.grant(&request);
