Keep the bookkeeping of grants and releases in one module

Marking a range as granted, ending a grant, recording a release and computing when nothing that is being moved may still be held were spread over grants.rs and moves.rs, so no test without a whole deployment could reach them. They are now methods of `HeldRanges` and `HeldRange`, which tests/testsuite reaches as it does the other modules without I/O. Nothing that a node does changes.

--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -135,11 +135,7 @@
             }
             number += 1;
             let expiry = grant_time::latest_expiry(now, time);
-            range.granting = true;
-            range.released = false;
-            range.held_until = range.held_until.max(expiry);
-            range.unanswered.retain(|(_, until)| *until > now);
-            range.unanswered.push((number, expiry));
+            range.begin_grant(number, expiry, now);
             let (span, token) = (range.span, range.token);
             due.push((
                 number,
@@ -172,11 +168,8 @@
         let (span, token) = (grant.span, grant.token);
         let granted = (self.platform.backend.grant)(grant, session, GRANT_TIMEOUT).await;
         let mut newly_active = false;
-        for range in self.held.borrow_mut().parts_of(span, token) {
-            range.granting = false;
-            if granted != GrantOutcome::Unknown {
-                range.unanswered.retain(|(open, _)| *open != number);
-            }
+        let answered = granted != GrantOutcome::Unknown;
+        for range in self.held.borrow_mut().end_grant(number, (span, token), answered) {
             match granted {
                 GrantOutcome::Accepted => {
                     let now = clock::now();
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -12,7 +12,7 @@
 
 /// A range, or part of one, that the table assigns to this node and its server.
 #[derive(Clone, Debug)]
-pub(super) struct HeldRange {
+pub struct HeldRange {
     /// The keys.
     pub span: Span,
     /// Fencing token under which this node owns them.
@@ -40,15 +40,15 @@
 
 /// The ranges that this node owns.
 #[derive(Debug, Default)]
-pub(crate) struct HeldRanges {
+pub struct HeldRanges {
     /// The ranges, split where parts are being moved.
-    pub(super) ranges: Vec<HeldRange>,
+    pub ranges: Vec<HeldRange>,
     /// Whether a change of ownership or of tokens is in progress.
-    pub(super) changing: bool,
+    pub changing: bool,
     /// Number of the last grant.
-    pub(super) last_grant: u64,
+    pub last_grant: u64,
     /// The latest moment at which the server may still hold ranges that are no longer listed.
-    pub(super) unlisted_until: BootInstant,
+    pub unlisted_until: BootInstant,
 }
 
 impl HeldRanges {
@@ -75,9 +75,21 @@
         self.ranges.iter().find(|r| r.span.contains(key))
     }
 
+    /// The latest moment at which the server may still hold a key under any grant that was sent.
+    pub fn held_until(&self, key: u16) -> BootInstant {
+        let listed = self.find(key).map(HeldRange::latest_hold).unwrap_or_default();
+        listed.max(self.unlisted_until)
+    }
+
+    /// Time from which the server cannot hold any key that is being moved.
+    pub fn leaving_until(&self) -> BootInstant {
+        let leaving = self.ranges.iter().filter(|r| r.leaving);
+        leaving.map(HeldRange::latest_hold).fold(self.unlisted_until, BootInstant::max)
+    }
+
     /// Replaces the list by the ranges that the table assigns to this node. The state of a range,
     /// or of its parts that are being moved, is kept.
-    pub(super) fn sync<'a>(&mut self, owned: impl Iterator<Item = &'a Range>) {
+    pub fn sync<'a>(&mut self, owned: impl Iterator<Item = &'a Range>) {
         let known = std::mem::take(&mut self.ranges);
         for range in owned {
             let mut parts: Vec<HeldRange> = Vec::new();
@@ -106,20 +118,35 @@
         self.unlisted_until = grant_time::latest_expiry(now, LEASE_DURATION);
     }
 
-    /// The ranges that a grant of a span covers. The range may have been split since the grant was
-    /// sent.
-    pub(super) fn parts_of(
+    /// Ends a grant of a span, and returns the ranges that it covered: the range may have been
+    /// split since the grant was sent. Without an answer the grant may still be applied.
+    pub fn end_grant(
         &mut self,
-        span: Span,
-        token: Token,
+        number: u64,
+        (span, token): (Span, Token),
+        answered: bool,
     ) -> impl Iterator<Item = &mut HeldRange> {
-        self.ranges
-            .iter_mut()
-            .filter(move |r| r.token == token && r.span.intersection(span).is_some())
+        let covered =
+            move |r: &&mut HeldRange| r.token == token && r.span.intersection(span).is_some();
+        self.ranges.iter_mut().filter(covered).map(move |range| {
+            range.granting = false;
+            if answered {
+                range.unanswered.retain(|(open, _)| *open != number);
+            }
+            range
+        })
+    }
+
+    /// Records that the server has confirmed the release of a span that is being moved.
+    pub fn record_release(&mut self, span: Span, token: Token) {
+        for range in &mut self.ranges {
+            range.released |=
+                range.leaving && range.token == token && range.span.intersection(span).is_some();
+        }
     }
 
     /// Whether a grant is in flight for a range that is being moved.
-    pub(super) fn is_granting(&self) -> bool {
+    pub fn is_granting(&self) -> bool {
         self.ranges.iter().any(|r| r.leaving && r.granting)
     }
 }
@@ -141,6 +168,22 @@
             leaving: false,
         }
     }
+
+    /// Records that a grant is sent, which is in force until `expiry` at the latest.
+    pub fn begin_grant(&mut self, number: u64, expiry: BootInstant, now: BootInstant) {
+        self.granting = true;
+        self.released = false;
+        self.held_until = self.held_until.max(expiry);
+        self.unanswered.retain(|(_, until)| *until > now);
+        self.unanswered.push((number, expiry));
+    }
+
+    /// The latest moment at which the server may still hold the keys. Keys that were released may
+    /// become active again by a grant without an answer; others are held until all grants expire.
+    fn latest_hold(&self) -> BootInstant {
+        let unanswered = self.unanswered.iter().map(|(_, until)| *until).max();
+        if self.released { unanswered.unwrap_or_default() } else { self.held_until }
+    }
 }
 
 /// Adds new parts where the known ones leave gaps, so that the parts cover the whole range.
@@ -176,7 +219,7 @@
 
 /// Splits a range into its parts inside, before and after `part`, and marks the inner one as
 /// leaving.
-pub(super) fn split(range: HeldRange, part: Span) -> Vec<HeldRange> {
+pub fn split(range: HeldRange, part: Span) -> Vec<HeldRange> {
     let Some(inner) = range.span.intersection(part) else { return vec![range] };
     let rest = range.span.subtract(inner);
     let mut parts: Vec<HeldRange> =
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -30,7 +30,7 @@
 pub(crate) mod frame;
 pub(crate) mod gate;
 pub(crate) mod grants;
-pub(crate) mod held_ranges;
+pub mod held_ranges;
 pub(crate) mod http;
 pub(crate) mod lease;
 pub(crate) mod link;
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -9,7 +9,7 @@
 
 use tokio::time::{sleep, timeout};
 
-use super::held_ranges::{self, HeldRange};
+use super::held_ranges;
 use super::node::Node;
 use super::platform_api::ReleaseOutcome;
 use crate::core::ids::Token;
@@ -168,11 +168,7 @@
             }
             match (self.platform.backend.release)(span, token, RELEASE_TIMEOUT).await {
                 ReleaseOutcome::Released(handover) => {
-                    for range in &mut self.held.borrow_mut().ranges {
-                        range.released |= range.leaving
-                            && range.token == token
-                            && range.span.intersection(span).is_some();
-                    }
+                    self.held.borrow_mut().record_release(span, token);
                     return handover;
                 }
                 ReleaseOutcome::ServerDown => return None,
@@ -184,18 +180,9 @@
         None
     }
 
-    /// Waits until the server can no longer hold any leaving range. A released range may become
-    /// active again by a grant without an answer; any other is held until all its grants expire.
+    /// Waits until the server can no longer hold any leaving range.
     async fn wait_for_expiry(&self) {
-        let until = {
-            let held = self.held.borrow();
-            let leaving = held.ranges.iter().filter(|r| r.leaving);
-            let unanswered = |r: &HeldRange| r.unanswered.iter().map(|(_, until)| *until).max();
-            let last = |r: &HeldRange| {
-                if r.released { unanswered(r).unwrap_or_default() } else { r.held_until }
-            };
-            leaving.map(last).fold(held.unlisted_until, BootInstant::max)
-        };
+        let until = self.held.borrow().leaving_until();
         loop {
             let left = until.since(clock::now());
             if left.is_zero() {
--- /dev/null
+++ b/tests/testsuite/held_ranges.rs
@@ -0,0 +1,67 @@
+//! Bookkeeping of the keys that a backend server holds: until when the server may hold a key is
+//! never forgotten too early.
+
+use std::time::Duration;
+
+use kelpwind::core::ids::Token;
+use kelpwind::lease::clock::BootInstant;
+use kelpwind::mesh::held_ranges::{HeldRanges, split};
+use kelpwind::table::keys::{Range, Span};
+
+/// Duration of a grant.
+const GRANT: Duration = Duration::from_millis(1000);
+
+fn at(millis: u64) -> BootInstant {
+    BootInstant::from_micros(millis * 1000)
+}
+
+fn span(first: u16, last: u16) -> Span {
+    Span { first, last }
+}
+
+/// A range of the table. This module sees only ranges of its own node, so the owner is left out.
+fn range(first: u16, last: u16, token: u64) -> Range {
+    Range { span: span(first, last), owner: None, token: Token(token), handover: None }
+}
+
+fn synced(ranges: &[Range]) -> HeldRanges {
+    let mut held = HeldRanges::default();
+    held.sync(ranges.iter());
+    held
+}
+
+/// Sends a grant of the listed range that starts at `first`, and returns its number.
+fn grant(held: &mut HeldRanges, first: u16, now: BootInstant) -> u64 {
+    held.last_grant += 1;
+    let number = held.last_grant;
+    let range = held.ranges.iter_mut().find(|r| r.span.first == first).unwrap();
+    assert!(!range.granting && !range.leaving);
+    range.begin_grant(number, now + GRANT, now);
+    number
+}
+
+/// Sends a grant of the listed range that starts at `first`, which the server answers.
+fn answered_grant(held: &mut HeldRanges, first: u16, now: BootInstant) {
+    let known = held.ranges.iter().find(|r| r.span.first == first).unwrap();
+    let (span, token) = (known.span, known.token);
+    let number = grant(held, first, now);
+    held.end_grant(number, (span, token), true).for_each(|r| r.active_until = Some(now + GRANT));
+}
+
+/// Begins to move a span.
+fn leave(held: &mut HeldRanges, moved: Span) {
+    held.ranges = held.ranges.drain(..).flat_map(|r| split(r, moved)).collect();
+}
+
+/// Otherwise each move would wait until the grants expire.
+#[test]
+fn released_keys_without_an_unanswered_grant_need_no_wait() {
+    let mut held = synced(&[range(0, 9, 1)]);
+    answered_grant(&mut held, 0, at(10));
+    leave(&mut held, span(0, 4));
+    held.record_release(span(0, 4), Token(1));
+    assert_eq!(held.leaving_until(), at(0));
+    held.sync([range(5, 9, 1)].iter());
+    assert_eq!(held.held_until(3), at(0));
+    assert_eq!(held.held_until(7), at(10) + GRANT);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod durability;
 mod fault_sequences;
 mod freshness;
+mod held_ranges;
 mod lease_model;
 mod malformed_input;
 mod ownership;
