Count a merged range as released only when all its parts are

When a planned move is not written, its ranges stay and are merged with the rest at the next look at the table. The merged range took `released` from its first part, so after a move of the first keys the whole range counted as released, and a move of the whole before the next renewal, whose releases are not confirmed, wrote the next owner at once although the server held the other keys for the rest of their grants.

a_merged_range_is_held_although_its_first_part_was_released failed before (0 ms instead of 1,000 ms to wait).

--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -214,7 +214,17 @@
         parts.iter().flat_map(|p| p.unanswered.clone()).collect();
     unanswered.sort_unstable();
     unanswered.dedup();
-    HeldRange { span, session, active_until, due, held_until, unanswered, ..parts[0].clone() }
+    let released = parts.iter().all(|p| p.released);
+    HeldRange {
+        span,
+        session,
+        active_until,
+        due,
+        held_until,
+        unanswered,
+        released,
+        ..parts[0].clone()
+    }
 }
 
 /// Splits a range into its parts inside, before and after `part`, and marks the inner one as
--- a/tests/testsuite/held_ranges.rs
+++ b/tests/testsuite/held_ranges.rs
@@ -53,6 +53,26 @@
     held.ranges = held.ranges.drain(..).flat_map(|r| split(r, moved)).collect();
 }
 
+/// Ends a move whose record was not written.
+fn stay(held: &mut HeldRanges) {
+    held.ranges.iter_mut().for_each(|r| r.leaving = false);
+}
+
+/// A release of part of a range must not count as one of the whole range.
+#[test]
+fn a_merged_range_is_held_although_its_first_part_was_released() {
+    let table = [range(0, 9, 1)];
+    let mut held = synced(&table);
+    answered_grant(&mut held, 0, at(0));
+    leave(&mut held, span(0, 4));
+    held.record_release(span(0, 4), Token(1));
+    assert_eq!(held.leaving_until(), at(0));
+    stay(&mut held);
+    held.sync(table.iter());
+    leave(&mut held, span(0, 9));
+    assert_eq!(held.leaving_until(), at(0) + GRANT);
+}
+
 /// Otherwise each move would wait until the grants expire.
 #[test]
 fn released_keys_without_an_unanswered_grant_need_no_wait() {
