Keep handover data that any part of a merged range has not passed on

A range that grows is merged from keys that the server has, whose handover data was passed on, and keys that are new. The merged range took the data of its first part, so that of the new keys was dropped unless they came first, and the server was slow with them as if they came from nowhere.

a_merged_range_keeps_handover_data_that_a_later_part_has_not_passed_on failed before.

--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -215,6 +215,7 @@
     unanswered.sort_unstable();
     unanswered.dedup();
     let released = parts.iter().all(|p| p.released);
+    let handover = parts.iter().find_map(|p| p.handover.clone());
     HeldRange {
         span,
         session,
@@ -223,6 +224,7 @@
         held_until,
         unanswered,
         released,
+        handover,
         ..parts[0].clone()
     }
 }
--- a/tests/testsuite/held_ranges.rs
+++ b/tests/testsuite/held_ranges.rs
@@ -73,6 +73,17 @@
     assert_eq!(held.leaving_until(), at(0) + GRANT);
 }
 
+/// The former owner's data would be lost, and the server would hold the keys without it.
+#[test]
+fn a_merged_range_keeps_handover_data_that_a_later_part_has_not_passed_on() {
+    let mut held = synced(&[range(0, 4, 1)]);
+    answered_grant(&mut held, 0, at(0));
+    let new = Range { handover: Some("data".to_owned()), ..range(0, 9, 2) };
+    held.sync([new].iter());
+    assert_eq!(held.ranges.len(), 1);
+    assert_eq!(held.ranges[0].handover.as_deref(), Some("data"));
+}
+
 /// Otherwise each move would wait until the grants expire.
 #[test]
 fn released_keys_without_an_unanswered_grant_need_no_wait() {
