Keep until when a range is held when its token falls

The table that a node reads may lag behind what it has read before, or lack a record for a moment. A known range whose token was above that of the table was then replaced by one that was never granted: until when the server may hold the keys was lost, and a range that was being moved was granted again while the move went on and waited for nothing.

The state of the server does not depend on what the table says, so it is kept. A release under the lower token may not end grants under the higher one; until when those may be in force is kept apart, where no release shortens it.

a_range_whose_token_falls_is_held_until_its_grants_expire and a_range_that_is_being_moved_keeps_leaving_when_its_token_falls failed before.

--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -93,8 +93,12 @@
         let known = std::mem::take(&mut self.ranges);
         for range in owned {
             let mut parts: Vec<HeldRange> = Vec::new();
-            for k in known.iter().filter(|k| k.token <= range.token) {
+            for k in &known {
                 if let Some(span) = k.span.intersection(range.span) {
+                    if k.token > range.token {
+                        // The table lags. A release under its token does not end older grants.
+                        self.unlisted_until = self.unlisted_until.max(k.latest_hold());
+                    }
                     let same = k.token == range.token;
                     let due = if same { k.due } else { BootInstant::default() };
                     let session = k.session.filter(|_| same);
--- a/tests/testsuite/held_ranges.rs
+++ b/tests/testsuite/held_ranges.rs
@@ -84,6 +84,30 @@
     assert_eq!(held.ranges[0].handover.as_deref(), Some("data"));
 }
 
+/// The table of a node may lag behind what it has known before.
+#[test]
+fn a_range_whose_token_falls_is_held_until_its_grants_expire() {
+    let mut held = synced(&[range(0, 9, 7)]);
+    answered_grant(&mut held, 0, at(0));
+    held.sync([range(0, 9, 5)].iter());
+    assert_eq!(held.held_until(3), at(0) + GRANT);
+    // A release under the lower token does not confirm that of the higher one.
+    leave(&mut held, span(0, 9));
+    held.record_release(span(0, 9), Token(5));
+    assert_eq!(held.leaving_until(), at(0) + GRANT);
+}
+
+/// The move writes the next owner as soon as nothing is leaving that may still be held.
+#[test]
+fn a_range_that_is_being_moved_keeps_leaving_when_its_token_falls() {
+    let mut held = synced(&[range(0, 9, 7)]);
+    answered_grant(&mut held, 0, at(0));
+    leave(&mut held, span(0, 4));
+    held.sync([range(0, 9, 5)].iter());
+    let leaving: Vec<Span> = held.ranges.iter().filter(|r| r.leaving).map(|r| r.span).collect();
+    assert_eq!(leaving, [span(0, 4)]);
+}
+
 /// Otherwise each move would wait until the grants expire.
 #[test]
 fn released_keys_without_an_unanswered_grant_need_no_wait() {
