Keep until when keys are held that leave the list in part, or after a release

`unlisted_until` took over from a range only when none of its keys was listed any more. Of a range that shrank, the part that left was forgotten, and when it came back under another token and was moved on, the move did not wait for the grants under the former one. It also ignored ranges that were released, whose unanswered grants may still be applied.

the_part_by_which_a_range_shrinks_is_held_until_its_grants_expire and released_keys_that_leave_the_list_are_held_until_unanswered_grants_expire failed before.

--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -111,9 +111,11 @@
             }
             self.ranges.append(&mut parts);
         }
-        let kept =
-            |k: &HeldRange| self.ranges.iter().any(|r| r.span.intersection(k.span).is_some());
-        let unlisted = known.iter().filter(|k| !k.released && !kept(k)).map(|k| k.held_until);
+        let is_listed = |k: &HeldRange| {
+            let common = self.ranges.iter().filter_map(|r| r.span.intersection(k.span));
+            common.map(Span::width).sum::<u32>() == k.span.width()
+        };
+        let unlisted = known.iter().filter(|k| !is_listed(k)).map(HeldRange::latest_hold);
         self.unlisted_until = unlisted.fold(self.unlisted_until, BootInstant::max);
     }
 
--- a/tests/testsuite/held_ranges.rs
+++ b/tests/testsuite/held_ranges.rs
@@ -108,6 +108,31 @@
     assert_eq!(leaving, [span(0, 4)]);
 }
 
+/// Keys that leave the list without a release may come back and be moved on.
+#[test]
+fn the_part_by_which_a_range_shrinks_is_held_until_its_grants_expire() {
+    let mut held = synced(&[range(0, 9, 1)]);
+    answered_grant(&mut held, 0, at(0));
+    held.sync([range(0, 4, 1)].iter());
+    assert_eq!(held.held_until(7), at(0) + GRANT);
+    held.sync([range(0, 4, 1), range(5, 9, 2)].iter());
+    leave(&mut held, span(5, 9));
+    assert_eq!(held.leaving_until(), at(0) + GRANT);
+}
+
+/// A grant without an answer may take effect after the release.
+#[test]
+fn released_keys_that_leave_the_list_are_held_until_unanswered_grants_expire() {
+    let mut held = synced(&[range(0, 9, 1)]);
+    let number = grant(&mut held, 0, at(0));
+    assert_eq!(held.end_grant(number, (span(0, 9), Token(1)), false).count(), 1);
+    leave(&mut held, span(0, 9));
+    held.record_release(span(0, 9), Token(1));
+    assert_eq!(held.leaving_until(), at(0) + GRANT);
+    held.sync(std::iter::empty());
+    assert_eq!(held.held_until(3), at(0) + GRANT);
+}
+
 /// Otherwise each move would wait until the grants expire.
 #[test]
 fn released_keys_without_an_unanswered_grant_need_no_wait() {
