End a grant although its range got another token meanwhile

The answer to a grant was looked up by the token it was sent under. When the table raised the token before the answer came, e.g. because another instance of the server reported, the answer was not found: the range stayed marked as being granted, so it was never granted again, and a move of it waited for ever for the grant to end.

A range now has the number of its grant in flight, by which the answer is found whatever happened to the range. Only a range that still has the token counts as held by the answer; one with another token is granted at once.

--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -126,7 +126,7 @@
         let mut held = self.held.borrow_mut();
         let mut number = held.last_grant;
         for range in &mut held.ranges {
-            if range.granting || range.leaving || range.due > now {
+            if range.in_flight.is_some() || range.leaving || range.due > now {
                 continue;
             }
             if *range.session.get_or_insert(session) != session {
@@ -169,7 +169,7 @@
         let granted = (self.platform.backend.grant)(grant, session, GRANT_TIMEOUT).await;
         let mut newly_active = false;
         let answered = granted != GrantOutcome::Unknown;
-        for range in self.held.borrow_mut().end_grant(number, (span, token), answered) {
+        for range in self.held.borrow_mut().end_grant(number, token, answered) {
             match granted {
                 GrantOutcome::Accepted => {
                     let now = clock::now();
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -32,8 +32,8 @@
     pub released: bool,
     /// When the next grant is due.
     pub due: BootInstant,
-    /// Whether a grant is in flight.
-    pub granting: bool,
+    /// Number of the grant in flight, if there is one.
+    pub in_flight: Option<u64>,
     /// Whether the keys are being moved to another owner.
     pub leaving: bool,
 }
@@ -106,7 +106,7 @@
                 }
             }
             fill_gaps(&mut parts, range);
-            if parts.iter().all(|p| !p.leaving && !p.granting) {
+            if parts.iter().all(|p| !p.leaving && p.in_flight.is_none()) {
                 parts = vec![merge(range.span, parts)];
             }
             self.ranges.append(&mut parts);
@@ -124,23 +124,20 @@
         self.unlisted_until = grant_time::latest_expiry(now, LEASE_DURATION);
     }
 
-    /// Ends a grant of a span, and returns the ranges that it covered: the range may have been
-    /// split since the grant was sent. Without an answer the grant may still be applied.
-    pub fn end_grant(
-        &mut self,
-        number: u64,
-        (span, token): (Span, Token),
-        answered: bool,
-    ) -> impl Iterator<Item = &mut HeldRange> {
-        let covered =
-            move |r: &&mut HeldRange| r.token == token && r.span.intersection(span).is_some();
-        self.ranges.iter_mut().filter(covered).map(move |range| {
-            range.granting = false;
+    /// Ends a grant that was sent under `token`. Without an answer it may still be applied. Returns
+    /// the ranges that still have this token: since the grant was sent, a range may have been split
+    /// or got another token.
+    pub fn end_grant(&mut self, number: u64, token: Token, answered: bool) -> Vec<&mut HeldRange> {
+        let covered = self.ranges.iter_mut().filter(|r| r.in_flight == Some(number));
+        let mut covered: Vec<_> = covered.collect();
+        for range in &mut covered {
+            range.in_flight = None;
             if answered {
                 range.unanswered.retain(|(open, _)| *open != number);
             }
-            range
-        })
+        }
+        covered.retain(|r| r.token == token);
+        covered
     }
 
     /// Records that the server has confirmed the release of a span that is being moved.
@@ -153,7 +150,7 @@
 
     /// Whether a grant is in flight for a range that is being moved.
     pub fn is_granting(&self) -> bool {
-        self.ranges.iter().any(|r| r.leaving && r.granting)
+        self.ranges.iter().any(|r| r.leaving && r.in_flight.is_some())
     }
 }
 
@@ -170,14 +167,14 @@
             unanswered: Vec::new(),
             released: false,
             due: BootInstant::default(),
-            granting: false,
+            in_flight: None,
             leaving: false,
         }
     }
 
     /// Records that a grant is sent, which is in force until `expiry` at the latest.
     pub fn begin_grant(&mut self, number: u64, expiry: BootInstant, now: BootInstant) {
-        self.granting = true;
+        self.in_flight = Some(number);
         self.released = false;
         self.held_until = self.held_until.max(expiry);
         self.unanswered.retain(|(_, until)| *until > now);
