Count a release only for exactly the keys released, with no grant in flight

A confirmed release counted for every leaving range that it touched, also for keys beyond it, and also while a grant of the keys was in flight, which the server may apply after it has answered the release. The answer to that grant then removed the last sign that the server may hold the keys.

a_release_does_not_count_while_a_grant_of_the_keys_is_in_flight and a_release_of_fewer_keys_than_are_leaving_does_not_count failed before (0 ms instead of 1,000 ms to wait).

--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -140,11 +140,12 @@
         covered
     }
 
-    /// Records that the server has confirmed the release of a span that is being moved.
+    /// Records that the server has confirmed the release of a span that is being moved. Counts only
+    /// for ranges within the span that have no grant in flight, which the server may apply later.
     pub fn record_release(&mut self, span: Span, token: Token) {
-        for range in &mut self.ranges {
-            range.released |=
-                range.leaving && range.token == token && range.span.intersection(span).is_some();
+        let covered = |r: &&mut HeldRange| r.span.intersection(span) == Some(r.span);
+        for range in self.ranges.iter_mut().filter(covered) {
+            range.released |= range.leaving && range.token == token && range.in_flight.is_none();
         }
     }
 
--- a/tests/testsuite/held_ranges.rs
+++ b/tests/testsuite/held_ranges.rs
@@ -149,6 +149,27 @@
     assert!(held.ranges.iter().all(|r| r.due == BootInstant::default()));
 }
 
+/// The server may apply a grant that is in flight after it has answered the release.
+#[test]
+fn a_release_does_not_count_while_a_grant_of_the_keys_is_in_flight() {
+    let mut held = synced(&[range(0, 9, 1)]);
+    let number = grant(&mut held, 0, at(0));
+    leave(&mut held, span(0, 9));
+    held.record_release(span(0, 9), Token(1));
+    held.end_grant(number, Token(1), true);
+    assert_eq!(held.leaving_until(), at(0) + GRANT);
+}
+
+/// A release of some keys must not count as one of others that are tracked with them.
+#[test]
+fn a_release_of_fewer_keys_than_are_leaving_does_not_count() {
+    let mut held = synced(&[range(0, 9, 1)]);
+    answered_grant(&mut held, 0, at(0));
+    leave(&mut held, span(0, 9));
+    held.record_release(span(0, 4), Token(1));
+    assert_eq!(held.leaving_until(), at(0) + GRANT);
+}
+
 /// Otherwise each move would wait until the grants expire.
 #[test]
 fn released_keys_without_an_unanswered_grant_need_no_wait() {
