Do not count released keys as held by the server

After a move that is not written, the keys stay with this node. Until their next grant the node sent requests for them to the server, which had released them and refused them.

released_keys_are_not_certainly_held failed before.

--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -145,7 +145,10 @@
     pub fn record_release(&mut self, span: Span, token: Token) {
         let covered = |r: &&mut HeldRange| r.span.intersection(span) == Some(r.span);
         for range in self.ranges.iter_mut().filter(covered) {
-            range.released |= range.leaving && range.token == token && range.in_flight.is_none();
+            if range.leaving && range.token == token && range.in_flight.is_none() {
+                range.released = true;
+                range.active_until = None;
+            }
         }
     }
 
--- a/tests/testsuite/held_ranges.rs
+++ b/tests/testsuite/held_ranges.rs
@@ -170,6 +170,19 @@
     assert_eq!(held.leaving_until(), at(0) + GRANT);
 }
 
+/// Requests for released keys would be refused by the server.
+#[test]
+fn released_keys_are_not_certainly_held() {
+    let now = kelpwind::lease::clock::now();
+    let mut held = synced(&[range(0, 9, 1)]);
+    answered_grant(&mut held, 0, now);
+    assert!(held.is_active(3));
+    leave(&mut held, span(0, 9));
+    held.record_release(span(0, 9), Token(1));
+    stay(&mut held);
+    assert!(!held.is_active(3));
+}
+
 /// Otherwise each move would wait until the grants expire.
 #[test]
 fn released_keys_without_an_unanswered_grant_need_no_wait() {
