Keep until when keys are held when a node abandons its lease

A node whose keys must leave while the store does not answer drops its list and starts a new incarnation. It dropped with the list until when its server may hold the keys, those included that were not part of the move. If it gets the keys back and moves them again, the move now waits.

keys_of_a_cleared_list_are_held_until_their_grants_expire failed with the list just cleared.

--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -119,6 +119,11 @@
         self.unlisted_until = unlisted.fold(self.unlisted_until, BootInstant::max);
     }
 
+    /// Removes all ranges from the list.
+    pub fn clear(&mut self) {
+        self.sync(std::iter::empty());
+    }
+
     /// Assumes that a former run of this process granted keys just before `now`.
     pub fn assume_former_grants(&mut self, now: BootInstant) {
         self.unlisted_until = grant_time::latest_expiry(now, LEASE_DURATION);
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -123,7 +123,7 @@
     /// assign the keys to others. If the record is written after all, it moves the same keys.
     fn abandon_lease(&self) {
         self.start_incarnation("its keys must move while the store does not answer");
-        self.held.borrow_mut().ranges.clear();
+        self.held.borrow_mut().clear();
         self.notify_held_changed();
     }
 
--- a/tests/testsuite/held_ranges.rs
+++ b/tests/testsuite/held_ranges.rs
@@ -183,6 +183,15 @@
     assert!(!held.is_active(3));
 }
 
+/// The node may get the keys back in its next incarnation, and move them on.
+#[test]
+fn keys_of_a_cleared_list_are_held_until_their_grants_expire() {
+    let mut held = synced(&[range(0, 9, 1)]);
+    answered_grant(&mut held, 0, at(0));
+    held.clear();
+    assert_eq!(held.held_until(3), at(0) + GRANT);
+}
+
 /// Otherwise each move would wait until the grants expire.
 #[test]
 fn released_keys_without_an_unanswered_grant_need_no_wait() {
