Test the bookkeeping of held ranges against a model of each key

The invariant is written at the head of the module.

`assume_former_grants` no longer shortens what is known.

--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -2,6 +2,12 @@
 //!
 //! Each range of the table is granted as a whole. While part of a range is being moved, the range
 //! is tracked as several parts. This module reads the clock but does no I/O.
+//!
+//! Invariant: for every key, the latest moment at which the server may still hold it under any grant
+//! that was sent is not forgotten before it has passed, whatever the table says and however ranges
+//! are split, merged, shrunk, given other tokens or removed from the list. Only a confirmed release
+//! of exactly these keys, with no grant in flight, shortens it, and not below the expiry of a grant
+//! without an answer.
 
 use super::platform_api::BackendSession;
 use crate::core::ids::Token;
@@ -126,7 +132,8 @@
 
     /// Assumes that a former run of this process granted keys just before `now`.
     pub fn assume_former_grants(&mut self, now: BootInstant) {
-        self.unlisted_until = grant_time::latest_expiry(now, LEASE_DURATION);
+        let until = grant_time::latest_expiry(now, LEASE_DURATION);
+        self.unlisted_until = self.unlisted_until.max(until);
     }
 
     /// Ends a grant that was sent under `token`. Without an answer it may still be applied. Returns
--- a/tests/testsuite/held_ranges.rs
+++ b/tests/testsuite/held_ranges.rs
@@ -7,6 +7,7 @@
 use kelpwind::lease::clock::BootInstant;
 use kelpwind::mesh::held_ranges::{HeldRange, HeldRanges, split};
 use kelpwind::table::keys::{Range, Span};
+use proptest::prelude::*;
 
 /// Duration of a grant.
 const GRANT: Duration = Duration::from_millis(1000);
@@ -204,3 +205,255 @@
     assert_eq!(held.held_until(3), at(0));
     assert_eq!(held.held_until(7), at(10) + GRANT);
 }
+
+/// Keys of the model.
+const KEYS: u16 = 16;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(u64),
+    /// The node reads the table: widths and tokens of its ranges; those without a token belong to
+    /// others.
+    Sync(Vec<(u16, Option<u64>)>),
+    /// The node reads the same table again.
+    Reread,
+    /// Grants for this many milliseconds go out for the ranges in the bit set.
+    Grant(u16, u64),
+    /// The call of a grant ends, with or without an answer.
+    EndGrant(usize, bool),
+    BeginMove(u16, u16),
+    SendRelease(usize),
+    ConfirmRelease(usize),
+    EndMove,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let ranges = prop::collection::vec((1..=8u16, prop::option::weighted(0.8, 1..=6u64)), 2..6);
+    prop_oneof![
+        3 => (1u64..500).prop_map(Step::Wait),
+        1 => ranges.prop_map(Step::Sync),
+        2 => Just(Step::Reread),
+        6 => (any::<u16>(), 150u64..1200).prop_map(|(set, millis)| Step::Grant(set, millis)),
+        10 => (0usize..8, prop::bool::weighted(0.8)).prop_map(|(i, yes)| Step::EndGrant(i, yes)),
+        2 => (0..KEYS, 1..=KEYS).prop_map(|(first, width)| Step::BeginMove(first, width)),
+        6 => (0usize..8).prop_map(Step::SendRelease),
+        6 => (0usize..8).prop_map(Step::ConfirmRelease),
+        1 => Just(Step::EndMove),
+    ]
+}
+
+/// A grant that the server may have applied or may yet apply.
+#[derive(Clone, Debug)]
+struct SentGrant {
+    number: u64,
+    token: Token,
+    expiry: BootInstant,
+    /// Whether the server has answered, so that it cannot apply the grant any more.
+    answered: bool,
+}
+
+/// A release that the server may have carried out at any time since it was sent.
+struct SentRelease {
+    span: Span,
+    token: Token,
+    /// Numbers of the grants that it certainly ends.
+    ended: Vec<u64>,
+}
+
+struct World {
+    now: BootInstant,
+    held: HeldRanges,
+    table: Vec<Range>,
+    /// For each key, the grants that were sent and not certainly ended.
+    grants: Vec<Vec<SentGrant>>,
+    /// Numbers of the grants whose calls have not ended, with their spans and tokens.
+    in_flight: Vec<(u64, Span, Token)>,
+    /// The spans that are being moved.
+    moving: Vec<(Span, Token)>,
+    releases: Vec<SentRelease>,
+    /// Number of keys that a release has freed before their grants expired, as the list knows.
+    freed: usize,
+}
+
+impl World {
+    fn new() -> World {
+        World {
+            now: at(10_000),
+            held: synced(&[range(0, KEYS - 1, 1)]),
+            table: vec![range(0, KEYS - 1, 1)],
+            grants: vec![Vec::new(); usize::from(KEYS)],
+            in_flight: Vec::new(),
+            moving: Vec::new(),
+            releases: Vec::new(),
+            freed: 0,
+        }
+    }
+
+    fn run(&mut self, step: &Step) {
+        match step {
+            Step::Wait(millis) => {
+                self.now = self.now + Duration::from_millis(*millis);
+                let now = self.now;
+                self.grants.iter_mut().for_each(|g| g.retain(|g| g.expiry > now));
+            }
+            Step::Sync(ranges) => self.sync(ranges),
+            Step::Reread => self.held.sync(self.table.iter()),
+            Step::Grant(set, millis) => self.grant(*set, Duration::from_millis(*millis)),
+            Step::EndGrant(i, answered) => self.end_grant(*i, *answered),
+            Step::BeginMove(first, width) => {
+                let last = first.saturating_add(*width - 1).min(KEYS - 1);
+                self.begin_move(span(*first, last));
+            }
+            Step::SendRelease(i) => self.send_release(*i),
+            Step::ConfirmRelease(i) => self.confirm_release(*i),
+            Step::EndMove => {
+                stay(&mut self.held);
+                self.moving.clear();
+                self.releases.clear();
+            }
+        }
+    }
+
+    fn sync(&mut self, ranges: &[(u16, Option<u64>)]) {
+        let mut table = Vec::new();
+        let mut first = 0;
+        for (width, token) in ranges {
+            let last = (first + width - 1).min(KEYS - 1);
+            table.extend(token.map(|token| range(first, last, token)));
+            first = last + 1;
+            if first == KEYS {
+                break;
+            }
+        }
+        self.held.sync(table.iter());
+        self.table = table;
+    }
+
+    fn grant(&mut self, set: u16, duration: Duration) {
+        let (now, expiry) = (self.now, self.now + duration);
+        for (i, range) in self.held.ranges.iter_mut().enumerate().take(16) {
+            if set >> i & 1 == 0 || range.in_flight.is_some() || range.leaving {
+                continue;
+            }
+            self.held.last_grant += 1;
+            let number = self.held.last_grant;
+            range.begin_grant(number, expiry, now);
+            let (span, token) = (range.span, range.token);
+            self.in_flight.push((number, span, token));
+            let sent = SentGrant { number, token, expiry, answered: false };
+            for key in span.first..=span.last {
+                self.grants[usize::from(key)].push(sent.clone());
+            }
+        }
+    }
+
+    fn end_grant(&mut self, i: usize, answered: bool) {
+        if self.in_flight.is_empty() {
+            return;
+        }
+        let (number, _, token) = self.in_flight.swap_remove(i % self.in_flight.len());
+        self.held.end_grant(number, token, answered);
+        for grant in self.grants.iter_mut().flatten().filter(|g| g.number == number) {
+            grant.answered = answered;
+        }
+    }
+
+    fn begin_move(&mut self, moved: Span) {
+        if !self.moving.is_empty() {
+            return;
+        }
+        leave(&mut self.held, moved);
+        let leaving = self.held.ranges.iter().filter(|r| r.leaving);
+        self.moving = leaving.map(|r| (r.span, r.token)).collect();
+    }
+
+    fn send_release(&mut self, i: usize) {
+        if self.moving.is_empty() || self.held.is_granting() {
+            return;
+        }
+        let (span, token) = self.moving[i % self.moving.len()];
+        let keys = usize::from(span.first)..=usize::from(span.last);
+        let grants = self.grants[keys].iter().flatten();
+        let ended = grants.filter(|g| g.answered && g.token <= token).map(|g| g.number).collect();
+        self.releases.push(SentRelease { span, token, ended });
+    }
+
+    fn confirm_release(&mut self, i: usize) {
+        if self.releases.is_empty() {
+            return;
+        }
+        let release = self.releases.swap_remove(i % self.releases.len());
+        self.held.record_release(release.span, release.token);
+        for key in release.span.first..=release.span.last {
+            let before = self.held_until(key);
+            self.grants[usize::from(key)].retain(|g| !release.ended.contains(&g.number));
+            self.freed += usize::from(before > self.now && self.held.held_until(key) <= self.now);
+        }
+    }
+
+    /// The latest moment at which the server may hold a key.
+    fn held_until(&self, key: u16) -> BootInstant {
+        let grants = &self.grants[usize::from(key)];
+        grants.iter().map(|g| g.expiry).max().unwrap_or_default()
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        let unfinished = |r: &HeldRange| {
+            self.in_flight.iter().any(|(_, span, _)| span.intersection(r.span).is_some())
+        };
+        for range in &self.held.ranges {
+            prop_assert!(
+                range.in_flight.is_none() || unfinished(range),
+                "never granted again: {range:?}"
+            );
+        }
+        for key in 0..KEYS {
+            let (known, may) = (self.held.held_until(key), self.held_until(key));
+            prop_assert!(may <= self.now || may <= known, "key {key}: {known} forgets {may}");
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1000,
+        rng_seed: prop::test_runner::RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn when_the_server_may_hold_a_key_is_never_forgotten(
+        steps in prop::collection::vec(step(), 20..100)
+    ) {
+        let mut world = World::new();
+        for step in &steps {
+            world.run(step);
+            world.check()?;
+        }
+    }
+}
+
+/// Guards against a property test that passes only because its steps never lead to releases that
+/// count, to keys held under several grants, or to ranges of several parts.
+#[test]
+fn the_model_reaches_releases_and_splits() {
+    use proptest::strategy::ValueTree;
+    use proptest::test_runner::TestRunner;
+
+    let mut runner = TestRunner::deterministic();
+    let (mut freed, mut split, mut shared) = (0, 0, 0);
+    for _ in 0..300 {
+        let steps = prop::collection::vec(step(), 20..100).new_tree(&mut runner).unwrap();
+        let mut world = World::new();
+        for step in &steps.current() {
+            world.run(step);
+            split += usize::from(world.held.ranges.iter().any(|r| r.leaving));
+            shared += usize::from(world.grants.iter().any(|g| g.len() > 1));
+        }
+        freed += world.freed;
+    }
+    println!("freed {freed}, split {split}, shared {shared}");
+    assert!(freed >= 100 && split >= 100 && shared >= 100);
+}
