--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -141,9 +141,11 @@
         let session = (self.platform.backend.session)();
         let (mut due, mut from_former_session) = (Vec::new(), Vec::new());
         let mut held = self.held.borrow_mut();
-        let HeldRanges { ranges, holds, last_grant, .. } = &mut *held;
-        for range in ranges {
-            if range.granting.is_some() || range.leaving || range.due > now {
+        held.holds.prune(now);
+        for i in 0..held.ranges.len() {
+            let HeldRanges { ranges, holds, .. } = &mut *held;
+            let range = &mut ranges[i];
+            if range.in_flight.is_some() || range.leaving || range.due > now {
                 continue;
             }
             if *range.session.get_or_insert(session) != session {
@@ -155,13 +157,10 @@
                 range.due = held_elsewhere;
                 continue;
             }
-            *last_grant += 1;
             let expiry = grant_time::latest_expiry(now, time);
-            range.granting = Some(*last_grant);
-            let (span, token) = (range.span, range.token);
-            holds.begin(*last_grant, span, session, expiry, now);
-            let (server, handover) = (server.clone(), range.handover.clone());
-            due.push((*last_grant, Grant { server, span, token, until: expiry, handover }));
+            let (span, token, handover) = (range.span, range.token, range.handover.clone());
+            let grant = Grant { server: server.clone(), span, token, until: expiry, handover };
+            due.push((held.begin_grant(i, session, expiry), grant));
         }
         drop(held);
         for (number, grant) in due {
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::holds::{GrantNumber, Holds};
+use super::holds::{GrantNumber, Holds, Release};
 use super::platform_api::{BackendSession, GrantOutcome};
 use crate::core::ids::Token;
 use crate::gate::grant_time;
@@ -16,7 +16,7 @@
 
 /// A range, or part of one, that the table assigns to this node and its server.
 #[derive(Clone, Debug)]
-pub(super) struct HeldRange {
+pub struct HeldRange {
     /// The keys.
     pub span: Span,
     /// Fencing token under which this node owns them.
@@ -30,22 +30,22 @@
     /// When the next grant is due.
     pub due: BootInstant,
     /// Number of the grant in flight.
-    pub granting: Option<GrantNumber>,
+    pub in_flight: Option<GrantNumber>,
     /// Whether the keys are being moved to another owner.
     pub leaving: bool,
 }
 
 /// The ranges that this node owns.
 #[derive(Debug, Default)]
-pub(crate) struct HeldRanges {
+pub struct HeldRanges {
     /// The ranges, split where parts are being moved.
-    pub(super) ranges: Vec<HeldRange>,
+    pub ranges: Vec<HeldRange>,
     /// Whether a change of ownership or of tokens is in progress.
-    pub(super) changing: bool,
+    pub changing: bool,
     /// Number of the last grant.
-    pub(super) last_grant: GrantNumber,
+    pub last_grant: GrantNumber,
     /// What servers may hold, whether or not it is listed.
-    pub(super) holds: Holds,
+    pub holds: Holds,
 }
 
 impl HeldRanges {
@@ -73,28 +73,44 @@
         self.holds.until_all().since(now)
     }
 
+    /// Time from which no server can hold a key.
+    pub fn held_until(&self, key: u16) -> BootInstant {
+        self.holds.until(Span { first: key, last: key })
+    }
+
+    /// Time from which no server can hold any listed key that is being moved.
+    pub fn leaving_until(&self) -> BootInstant {
+        let leaving = self.ranges.iter().filter(|r| r.leaving).map(|r| self.holds.until(r.span));
+        leaving.max().unwrap_or_default()
+    }
+
+    /// Removes all ranges from the list.
+    pub fn clear(&mut self) {
+        self.ranges.clear();
+    }
+
     fn find(&self, key: u16) -> Option<&HeldRange> {
         self.ranges.iter().find(|r| r.span.contains(key))
     }
 
     /// Replaces the list by the ranges that the table assigns to this node. The state of a range,
     /// or of its parts that are being moved, is kept.
-    pub(super) fn sync<'a>(&mut self, owned: impl Iterator<Item = &'a Range>) {
+    pub fn sync<'a>(&mut self, owned: impl Iterator<Item = &'a Range>) {
         let known = std::mem::take(&mut self.ranges);
         for range in owned {
             let mut parts: Vec<HeldRange> = Vec::new();
-            for k in known.iter().filter(|k| k.token <= range.token) {
+            for k in &known {
                 if let Some(span) = k.span.intersection(range.span) {
                     let same = k.token == range.token;
                     let due = if same { k.due } else { BootInstant::default() };
                     let session = k.session.filter(|_| same);
-                    let granting = k.granting.filter(|_| same);
+                    let in_flight = k.in_flight.filter(|_| same);
                     let token = range.token;
-                    parts.push(HeldRange { span, token, session, due, granting, ..k.clone() });
+                    parts.push(HeldRange { span, token, session, due, in_flight, ..k.clone() });
                 }
             }
             fill_gaps(&mut parts, range);
-            if parts.iter().all(|p| !p.leaving && p.granting.is_none()) {
+            if parts.iter().all(|p| !p.leaving && p.in_flight.is_none()) {
                 parts = vec![merge(range.span, parts)];
             }
             self.ranges.append(&mut parts);
@@ -107,15 +123,31 @@
     }
 
     /// When the next grant of a range that is not being moved is due.
-    pub(super) fn next_due(&self) -> Option<BootInstant> {
-        let granted = self.ranges.iter().filter(|r| r.granting.is_none() && !r.leaving);
+    pub fn next_due(&self) -> Option<BootInstant> {
+        let granted = self.ranges.iter().filter(|r| r.in_flight.is_none() && !r.leaving);
         granted.map(|r| r.due).min()
     }
 
+    /// Records that a grant of a listed range is sent in a session, which is in force until
+    /// `expiry` at the latest. Returns its number.
+    pub fn begin_grant(
+        &mut self,
+        index: usize,
+        session: BackendSession,
+        expiry: BootInstant,
+    ) -> GrantNumber {
+        self.last_grant += 1;
+        let number = self.last_grant;
+        let range = &mut self.ranges[index];
+        range.in_flight = Some(number);
+        self.holds.begin(number, (range.span, range.token), session, expiry);
+        number
+    }
+
     /// Records the outcome of a grant that was sent at `sent`, and by which the server, if it has
     /// accepted it, holds the keys at least until `active_until`. Returns whether it did not
     /// certainly hold them before.
-    pub(super) fn end_grant(
+    pub fn end_grant(
         &mut self,
         number: GrantNumber,
         outcome: GrantOutcome,
@@ -132,8 +164,8 @@
         let now = clock::now();
         let mut newly_active = false;
         // The range may have been split since the grant was sent.
-        for range in self.ranges.iter_mut().filter(|r| r.granting == Some(number)) {
-            range.granting = None;
+        for range in self.ranges.iter_mut().filter(|r| r.in_flight == Some(number)) {
+            range.in_flight = None;
             range.due = match outcome {
                 GrantOutcome::Accepted => sent + RENEW_INTERVAL,
                 GrantOutcome::Unknown | GrantOutcome::NotSent => now,
@@ -148,9 +180,18 @@
         newly_active
     }
 
+    /// Records that a release was confirmed by the process that it was sent to.
+    pub fn record_release(&mut self, span: Span, release: &Release) {
+        self.holds.record_release(release);
+        let released = |r: &&mut HeldRange| r.leaving && r.span.intersection(span).is_some();
+        for range in self.ranges.iter_mut().filter(released) {
+            range.active_until = None;
+        }
+    }
+
     /// Whether a grant is in flight for a range that is being moved.
-    pub(super) fn is_granting(&self) -> bool {
-        self.ranges.iter().any(|r| r.leaving && r.granting.is_some())
+    pub fn is_granting(&self) -> bool {
+        self.ranges.iter().any(|r| r.leaving && r.in_flight.is_some())
     }
 }
 
@@ -164,7 +205,7 @@
             handover: range.handover.clone(),
             active_until: None,
             due: BootInstant::default(),
-            granting: None,
+            in_flight: None,
             leaving: false,
         }
     }
@@ -192,14 +233,13 @@
     let active_until = parts.iter().map(|p| p.active_until).min().flatten();
     let due = parts.iter().map(|p| p.due).min().unwrap_or_default();
     let session = parts.iter().filter_map(|p| p.session).min();
-    let same = parts.iter().all(|p| p.handover == parts[0].handover);
-    let handover = parts[0].handover.clone().filter(|_| same);
+    let handover = parts.iter().find_map(|p| p.handover.clone());
     HeldRange { span, session, active_until, due, handover, ..parts[0].clone() }
 }
 
 /// Splits a range into its parts inside, before and after `part`, and marks the inner one as
 /// leaving.
-pub(super) fn split(range: HeldRange, part: Span) -> Vec<HeldRange> {
+pub fn split(range: HeldRange, part: Span) -> Vec<HeldRange> {
     let Some(inner) = range.span.intersection(part) else { return vec![range] };
     let rest = range.span.subtract(inner);
     let mut parts: Vec<HeldRange> =
--- a/src/kelpwind/mesh/holds.rs
+++ b/src/kelpwind/mesh/holds.rs
@@ -7,6 +7,7 @@
 //! no clock and does no I/O.
 
 use super::platform_api::BackendSession;
+use crate::core::ids::Token;
 use crate::lease::clock::BootInstant;
 use crate::table::keys::{KEY_MAX, Span};
 
@@ -16,11 +17,14 @@
 /// A grant that may be in force.
 #[derive(Clone, Debug)]
 struct Hold {
+    /// Number of the grant; `None` for grants of a former run of the node.
+    number: Option<GrantNumber>,
     span: Span,
-    /// Session in which it was granted; `None` for grants of a former run of the node.
+    token: Token,
+    /// Session in which it was granted; `None` if it is not known.
     session: Option<BackendSession>,
-    /// Number of the grant while it has no answer, so that it may yet be applied.
-    open: Option<GrantNumber>,
+    /// Whether it has no answer, so that it may yet be applied.
+    open: bool,
     /// Time from which the server cannot hold the keys under this grant.
     until: BootInstant,
 }
@@ -31,47 +35,63 @@
     holds: Vec<Hold>,
 }
 
+/// A release that was sent.
+#[derive(Clone, Debug)]
+pub struct Release {
+    span: Span,
+    /// The grants that it ends. Those without an answer may be applied after it.
+    ended: Vec<GrantNumber>,
+}
+
 impl Holds {
-    /// Records that a grant is sent, and drops the holds that have expired.
+    /// Records that a grant of a span is sent in a session.
     pub fn begin(
         &mut self,
         number: GrantNumber,
-        span: Span,
+        (span, token): (Span, Token),
         session: BackendSession,
         until: BootInstant,
-        now: BootInstant,
     ) {
+        let (number, session) = (Some(number), Some(session));
+        self.holds.push(Hold { number, span, token, session, open: true, until });
+    }
+
+    /// Drops the holds that have expired.
+    pub fn prune(&mut self, now: BootInstant) {
         self.holds.retain(|h| h.until > now);
-        self.holds.push(Hold { span, session: Some(session), open: Some(number), until });
     }
 
     /// Records that the server has accepted a grant.
     pub fn accept(&mut self, number: GrantNumber) {
-        let Some(i) = self.holds.iter().position(|h| h.open == Some(number)) else { return };
+        let Some(i) = self.holds.iter().position(|h| h.number == Some(number)) else { return };
         let mut accepted = self.holds.swap_remove(i);
-        accepted.open = None;
-        self.holds.retain(|h| {
-            let renewed = h.open.is_none() && h.session == accepted.session;
-            !(renewed && h.span == accepted.span && h.until <= accepted.until)
-        });
+        accepted.open = false;
+        let key = |h: &Hold| (h.open, h.span, h.token, h.session);
+        self.holds.retain(|h| key(h) != key(&accepted) || h.until > accepted.until);
         self.holds.push(accepted);
     }
 
     /// Records that a grant was not sent, or was rejected.
     pub fn reject(&mut self, number: GrantNumber) {
-        self.holds.retain(|h| h.open != Some(number));
+        self.holds.retain(|h| h.number != Some(number));
+    }
+
+    /// The release of a span and a token, to be sent to the process of a session.
+    pub fn release(&self, span: Span, token: Token, session: BackendSession) -> Release {
+        let ends = |h: &&Hold| !h.open && h.token <= token && h.session == Some(session);
+        let ended = self.holds.iter().filter(ends).filter_map(|h| h.number).collect();
+        Release { span, ended }
     }
 
-    /// Records that the process of a session has released a span. Grants without an answer may be
-    /// applied after the release.
-    pub fn release(&mut self, span: Span, session: BackendSession) {
+    /// Records that a release was confirmed by the process that it was sent to.
+    pub fn record_release(&mut self, release: &Release) {
         let mut kept = Vec::with_capacity(self.holds.len());
         for hold in self.holds.drain(..) {
-            if hold.open.is_some() || hold.session != Some(session) {
+            if !hold.number.is_some_and(|number| release.ended.contains(&number)) {
                 kept.push(hold);
                 continue;
             }
-            let rest = hold.span.subtract(span);
+            let rest = hold.span.subtract(release.span);
             kept.extend(rest.into_iter().map(|span| Hold { span, ..hold.clone() }));
         }
         self.holds = kept;
@@ -80,7 +100,8 @@
     /// Assumes that a former run of this node has granted all keys until `until`.
     pub fn assume_former(&mut self, until: BootInstant) {
         let span = Span { first: 0, last: KEY_MAX };
-        self.holds.push(Hold { span, session: None, open: None, until });
+        let (number, session, token) = (None, None, Token(0));
+        self.holds.push(Hold { number, span, token, session, open: false, until });
     }
 
     /// Records that the grants of a former run went to the process of a session.
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -31,7 +31,7 @@
 pub(crate) mod frame;
 pub(crate) mod gate;
 pub(crate) mod grants;
-pub(crate) mod held_ranges;
+pub mod held_ranges;
 pub mod holds;
 pub(crate) mod http;
 pub(crate) mod lease;
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -123,7 +123,7 @@
     /// assign the keys to others. If the record is written after all, it moves the same keys.
     fn abandon_lease(&self) {
         self.start_incarnation("its keys must move while the store does not answer");
-        self.held.borrow_mut().ranges.clear();
+        self.held.borrow_mut().clear();
         self.notify_held_changed();
     }
 
@@ -165,10 +165,11 @@
         for _ in 0..RELEASE_ATTEMPTS {
             let server = self.server_ref().filter(|_| token != Token(0))?;
             let session = (self.platform.backend.session)();
+            let release = self.held.borrow().holds.release(span, token, session);
             match (self.platform.backend.release)(server, span, token, RELEASE_TIMEOUT).await {
                 ReleaseOutcome::Released(handover) => {
                     if (self.platform.backend.session)() == session {
-                        self.held.borrow_mut().holds.release(span, session);
+                        self.held.borrow_mut().record_release(span, &release);
                     }
                     return handover;
                 }
