Allow grants the time that recent ones took to take effect

What callers saw: two servers held the same keys when the first one reads grants 200 ms late, as on a host with too much to do. Cause: a node reckoned that any grant takes effect within 60 ms, so its estimate of when the keys are free was too early, for grants that were answered late and for those that had no answer yet.

Now the node measures how long grants take (the longest of the last 2 to 4 s), gives later ones that much time, and reckons the end of an answered grant from its answer at the latest.

--- a/src/kelpwind/gate/grant_time.rs
+++ b/src/kelpwind/gate/grant_time.rs
@@ -12,20 +12,68 @@
 
 /// Factor by which a server may exceed a grant: its clock may run 2% slow.
 const CLOCK_DRIFT: f64 = 1.02;
-/// Allowance for the transit of a grant to the server.
-const TRANSIT_MAX: Duration = Duration::from_millis(60);
+/// Least allowance for the time until a grant takes effect at the server.
+const TRANSIT_MIN: Duration = Duration::from_millis(60);
+/// Time after which the transit times of former grants no longer count. Covers several renewals.
+const TRANSIT_WINDOW: Duration = Duration::from_secs(2);
 /// Shortest grant that is sent.
 const GRANT_MIN: Duration = Duration::from_millis(150);
 
-/// Duration of the longest grant that expires before the lease ends at `lease_end`; `None` if it
-/// would be too short. `max` is the longest grant that servers accept.
-pub fn grant_duration(lease_end: BootInstant, now: BootInstant, max: Duration) -> Option<Duration> {
-    let left = lease_end.since(now).saturating_sub(TRANSIT_MAX);
+/// How long recent grants took until they were answered. A host with too much to do delays the next
+/// ones as well, so that much is allowed for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TransitTimes {
+    window_start: BootInstant,
+    current: Duration,
+    former: Duration,
+}
+
+impl TransitTimes {
+    /// Records the time from the sending of a grant to its answer, or until no answer was awaited
+    /// any more.
+    pub fn record(&mut self, took: Duration, now: BootInstant) {
+        self.advance(now);
+        self.current = self.current.max(took);
+    }
+
+    /// The time to allow for until a grant takes effect.
+    pub fn allowance(&mut self, now: BootInstant) -> Duration {
+        self.advance(now);
+        TRANSIT_MIN.max(self.current).max(self.former)
+    }
+
+    fn advance(&mut self, now: BootInstant) {
+        let age = now.since(self.window_start);
+        if age >= TRANSIT_WINDOW {
+            let recent = age < TRANSIT_WINDOW * 2;
+            self.former = if recent { self.current } else { Duration::ZERO };
+            (self.window_start, self.current) = (now, Duration::ZERO);
+        }
+    }
+}
+
+/// Duration of the longest grant that expires before the lease ends at `lease_end`, if it takes
+/// effect within `transit`; `None` if it would be too short. `max` is the longest grant that servers
+/// accept.
+pub fn grant_duration(
+    lease_end: BootInstant,
+    now: BootInstant,
+    max: Duration,
+    transit: Duration,
+) -> Option<Duration> {
+    let left = lease_end.since(now).saturating_sub(transit);
     let duration = left.div_f64(CLOCK_DRIFT).min(max);
     (duration >= GRANT_MIN).then_some(duration)
 }
 
-/// Time from which a server cannot hold the keys of a grant that was sent at `sent` for `duration`.
-pub fn latest_expiry(sent: BootInstant, duration: Duration) -> BootInstant {
-    sent + duration.mul_f64(CLOCK_DRIFT) + TRANSIT_MAX
+/// Time from which a server cannot hold the keys of a grant that was sent at `sent` for `duration`
+/// and takes effect within `transit`.
+pub fn latest_expiry(sent: BootInstant, duration: Duration, transit: Duration) -> BootInstant {
+    sent + duration.mul_f64(CLOCK_DRIFT) + transit
+}
+
+/// The same for any grant that a former run of this node sent before `now` under a lease of
+/// `duration`.
+pub fn former_expiry(now: BootInstant, duration: Duration) -> BootInstant {
+    latest_expiry(now, duration, TRANSIT_MIN)
 }
--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -136,7 +136,8 @@
         let Some(ends) = self.lease.borrow().as_ref().and_then(|l| l.expires_at()) else { return };
         let now = clock::now();
         let longest = self.settings.borrow().bounds.max_grant;
-        let Some(time) = grant_time::grant_duration(ends, now, longest) else { return };
+        let transit = self.transit_times.borrow_mut().allowance(now);
+        let Some(time) = grant_time::grant_duration(ends, now, longest, transit) else { return };
         let Some(server) = self.server_ref() else { return };
         let session = (self.platform.backend.session)();
         let (mut due, mut from_former_session) = (Vec::new(), Vec::new());
@@ -157,16 +158,16 @@
                 range.due = held_elsewhere;
                 continue;
             }
-            let expiry = grant_time::latest_expiry(now, time);
+            let until = grant_time::latest_expiry(now, time, transit);
             let (span, token, handover) = (range.span, range.token, range.handover.clone());
-            let grant = Grant { server: server.clone(), span, token, until: expiry, handover };
-            due.push((held.begin_grant(i, session, expiry), grant));
+            let grant = Grant { server: server.clone(), span, token, until, transit, handover };
+            due.push((held.begin_grant(i, session, until), grant));
         }
         drop(held);
         for (number, grant) in due {
-            let (node, active_until) = (self.clone(), now + time.mul_f64(CERTAIN_FRACTION));
+            let node = self.clone();
             tokio::task::spawn_local(async move {
-                node.send_grant(number, grant, session, (now, active_until)).await;
+                node.send_grant(number, grant, session, (now, time)).await;
             });
         }
         if !from_former_session.is_empty() && !self.is_changing_keys() {
@@ -175,19 +176,28 @@
         }
     }
 
-    /// Sends a grant that was made at `sent`. Once the server confirms it, the server holds the
-    /// keys at least until `active_until`.
+    /// Sends a grant that was made at `made` for `time`. Once the server confirms it, the server
+    /// certainly holds the keys for nearly that time from then on.
     async fn send_grant(
         self: Rc<Self>,
         number: GrantNumber,
         grant: Grant,
         session: BackendSession,
-        (sent, active_until): (BootInstant, BootInstant),
+        (made, time): (BootInstant, Duration),
     ) {
         let (span, token) = (grant.span, grant.token);
-        let granted = (self.platform.backend.grant)(grant, session, GRANT_TIMEOUT).await;
-        self.metrics.count_grant(granted, clock::now().since(sent));
-        let newly_active = self.held.borrow_mut().end_grant(number, granted, sent, active_until);
+        let result = (self.platform.backend.grant)(grant, session, GRANT_TIMEOUT).await;
+        let (granted, now) = (result.outcome, clock::now());
+        self.metrics.count_grant(granted, result.took);
+        self.transit_times.borrow_mut().record(result.took, now);
+        let newly_active = {
+            let mut held = self.held.borrow_mut();
+            if granted == GrantOutcome::Accepted {
+                // It took effect before its answer, but perhaps not long before.
+                held.holds.extend(number, grant_time::latest_expiry(now, time, Duration::ZERO));
+            }
+            held.end_grant(number, granted, made, made + time.mul_f64(CERTAIN_FRACTION))
+        };
         match granted {
             GrantOutcome::Accepted if newly_active => {
                 let instance = self.server_instance();
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -119,7 +119,7 @@
 
     /// Assumes that a former run of this process granted keys just before `now`.
     pub fn assume_former_grants(&mut self, now: BootInstant) {
-        self.holds.assume_former(grant_time::latest_expiry(now, LEASE_DURATION));
+        self.holds.assume_former(grant_time::former_expiry(now, LEASE_DURATION));
     }
 
     /// When the next grant of a range that is not being moved is due.
--- a/src/kelpwind/mesh/holds.rs
+++ b/src/kelpwind/mesh/holds.rs
@@ -61,6 +61,13 @@
         self.holds.retain(|h| h.until > now);
     }
 
+    /// Records that a grant may be in force until `until`.
+    pub fn extend(&mut self, number: GrantNumber, until: BootInstant) {
+        for hold in self.holds.iter_mut().filter(|h| h.number == Some(number)) {
+            hold.until = hold.until.max(until);
+        }
+    }
+
     /// Records that the server has accepted a grant.
     pub fn accept(&mut self, number: GrantNumber) {
         let Some(i) = self.holds.iter().position(|h| h.number == Some(number)) else { return };
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -179,7 +179,7 @@
                 Histogram::with_opts(
                     HistogramOpts::new(
                         "kelpwind_grant_seconds",
-                        "Time from the making of a grant until the backend server confirms it.",
+                        "Time from the sending of a grant until the backend server confirms it.",
                     )
                     .buckets(GRANT_BUCKETS_S.to_vec()),
                 ),
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -22,6 +22,7 @@
 use super::serve::Sessions;
 use crate::core::ids::{DomainName, Holder, Incarnation, NodeId, Offset, ServiceName};
 use crate::core::routes::Routes;
+use crate::gate::grant_time::TransitTimes;
 use crate::gate::queue::RequestQueue;
 use crate::lease::clock;
 use crate::lease::holder::Lease;
@@ -109,6 +110,8 @@
     pub queue_wake: Notify,
     /// Keys that the backend server holds.
     pub held: RefCell<HeldRanges>,
+    /// How long recent grants took.
+    pub transit_times: RefCell<TransitTimes>,
     /// Owners of keys that are no longer members, and since when.
     pub departed_owners: RefCell<HashMap<Holder, Instant>>,
     /// Recently requested keys.
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -245,6 +245,8 @@
     /// Latest time at which the server may still hold the keys. A grant that is delayed before it
     /// is sent is therefore sent with a shorter duration.
     pub until: BootInstant,
+    /// Time within which it is expected to take effect.
+    pub transit: Duration,
     /// State that the previous holder handed over.
     pub handover: Option<String>,
 }
@@ -255,6 +257,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BackendSession(pub u64);
 
+/// The end of a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GrantResult {
+    /// Whether it took effect.
+    pub outcome: GrantOutcome,
+    /// Time from its sending to its answer, or until no answer was awaited any more; zero if it was
+    /// not sent.
+    pub took: Duration,
+}
+
 /// The result of sending a grant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GrantOutcome {
@@ -301,6 +313,8 @@
 /// Checks the server's health at a path, within a time limit.
 pub type HealthFn = Box<dyn Fn(&str, Duration) -> LocalFuture<Option<Health>>>;
 
+/// Grants keys within a session and a time limit.
+pub type GrantFn = Box<dyn Fn(Grant, BackendSession, Duration) -> LocalFuture<GrantResult>>;
 /// Releases a span that was granted to a server under a token, within a time limit.
 pub type ReleaseFn =
     Box<dyn Fn(Rc<ServerRef>, Span, Token, Duration) -> LocalFuture<ReleaseOutcome>>;
@@ -320,7 +334,7 @@
     /// Also returns the session with the process that answered.
     pub identify: IdentifyFn,
     /// Grants keys or renews a grant, within a session and a time limit.
-    pub grant: Box<dyn Fn(Grant, BackendSession, Duration) -> LocalFuture<GrantOutcome>>,
+    pub grant: GrantFn,
     /// Takes keys back, within a time limit. The server answers once no work runs on them.
     pub release: ReleaseFn,
     /// Whether new connections to the server's address are not refused.
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -113,6 +113,7 @@
         tickets: RefCell::default(),
         queue_wake: Notify::new(),
         held: RefCell::new(held),
+        transit_times: RefCell::default(),
         departed_owners: RefCell::default(),
         demand: RefCell::default(),
         load_query: RefCell::default(),
--- a/tests/mesh/server_lifecycle.rs
+++ b/tests/mesh/server_lifecycle.rs
@@ -97,3 +97,24 @@
     until_all_served(&fleet, 1).await;
     assert_no_violations(&fleet);
 }
+
+/// A grant that takes effect late also expires late.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_of_a_server_that_reads_grants_late_are_moved_before_its_grants_expire() {
+    /// Time from the arrival of a grant until it takes effect.
+    const LATE_EFFECT: Duration = Duration::from_millis(200);
+    let fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let server = fleet.hosts[0].server.as_ref().unwrap();
+    server.delay_grants(LATE_EFFECT);
+    server.close_with(Closing::Others);
+    for _ in 0..20 {
+        fleet.call(0, "books", 0, false).await;
+    }
+    // No connection for a release is left.
+    server.close_listener();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    server.drain();
+    until_all_served(&fleet, 1).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_no_violations(&fleet);
+}
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -96,6 +96,8 @@
     reports_stopped: Mutex<bool>,
     /// Time from the arrival of a grant, which takes effect at once, to its answer.
     grant_delay: Mutex<Duration>,
+    /// Time from the arrival of a grant until it takes effect.
+    read_delay: Mutex<Duration>,
     closing: Mutex<Closing>,
     serving: Mutex<Option<Serving>>,
     reporting: Mutex<Option<AbortHandle>>,
@@ -133,6 +135,7 @@
             draining: Mutex::new(false),
             reports_stopped: Mutex::new(false),
             grant_delay: Mutex::default(),
+            read_delay: Mutex::default(),
             closing: Mutex::default(),
             serving: Mutex::default(),
             reporting: Mutex::default(),
@@ -181,6 +184,11 @@
         *self.grant_delay.lock() = delay;
     }
 
+    /// Delays the effect of all later grants, and their answers, as on a host with too much to do.
+    pub fn delay_grants(&self, delay: Duration) {
+        *self.read_delay.lock() = delay;
+    }
+
     /// Closes connections with the answers to some of the later requests.
     pub fn close_with(&self, answers: Closing) {
         *self.closing.lock() = answers;
@@ -226,6 +234,8 @@
     async fn answer_open(&self, request: FullRequest) -> Reply {
         match request.uri().path() {
             "/-/grant" => {
+                let reading = *self.read_delay.lock();
+                tokio::time::sleep(reading).await;
                 let answer = self.grant(&request);
                 let delay = *self.grant_delay.lock();
                 tokio::time::sleep(delay).await;
--- a/tests/testsuite/decisions.rs
+++ b/tests/testsuite/decisions.rs
@@ -240,3 +240,24 @@
     assert_eq!([urgency(0), urgency(1), urgency(2)], [Urgency::None, Urgency::Soon, Urgency::Now]);
     assert_eq!(set::urgency(&set[..3], &set, |_| true), Urgency::Now);
 }
+
+/// A grant that takes effect later than it is given time for outlasts the lease.
+#[test]
+fn grants_end_before_the_lease_on_a_host_that_delays_them() {
+    use kelpwind::gate::grant_time::{TransitTimes, grant_duration};
+    use kelpwind::lease::clock::BootInstant;
+
+    const DELAY: Duration = Duration::from_millis(200);
+    let at = |millis: u64| BootInstant::from_micros(millis * 1000);
+    let (lease_end, longest) = (at(11_050), Duration::from_secs(10));
+    let mut times = TransitTimes::default();
+    times.record(DELAY, at(9_000));
+    let transit = times.allowance(at(10_000));
+    let duration = grant_duration(lease_end, at(10_000), longest, transit).unwrap();
+    assert!(at(10_000) + DELAY + duration.mul_f64(1.02) <= lease_end);
+    // The delay counts for some seconds after the last slow grant.
+    times.record(Duration::from_millis(1), at(12_000));
+    assert_eq!(times.allowance(at(12_500)), DELAY);
+    times.record(Duration::from_millis(1), at(14_500));
+    assert!(times.allowance(at(15_000)) < DELAY);
+}
