Bound what a check of a connection reads

The node's only thread checks the connection for grants every 100 ms (`Conn::is_open`), and each check discarded bytes as long as some arrived.

A check now reads 64 KiB at most. With more unread bytes the connection counts as closed and the session with the server ends: the end of the connection can only be seen behind these bytes, and a process that has ended leaves megabytes of them in the kernel's buffers, so it must not be granted keys on the assumption that it still runs.

--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -23,6 +23,9 @@
 const BODY_BYTES_MAX: usize = 64 << 20;
 /// Buffer space reserved for each read, in bytes.
 const READ_BYTES: usize = 8 << 10;
+/// Most unread bytes that one check of a connection discards: several late responses to grants, and
+/// read in well under a millisecond.
+const DISCARD_BYTES_MAX: usize = 64 << 10;
 /// Number of responses to other requests at which the exchange fails.
 const MISMATCHES_MAX: usize = 3;
 /// Idle time before the first keepalive probe. With the interval and count below, the connection to
@@ -152,17 +155,21 @@
         matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Whether the other end has not closed the connection. Any unread bytes are discarded, after
-    /// which the connection is not reusable.
+    /// Whether the other end is known not to have closed the connection. Unread bytes are discarded,
+    /// after which the connection is not reusable. With more than [`DISCARD_BYTES_MAX`] of them the
+    /// connection counts as closed, because its end may follow them.
     pub fn is_open(&mut self) -> bool {
-        let mut discarded = [0; 256];
-        loop {
-            match self.stream.try_read(&mut discarded) {
+        let mut buffer = [0; 4 << 10];
+        let mut discarded = 0;
+        while discarded <= DISCARD_BYTES_MAX {
+            match self.stream.try_read(&mut buffer) {
                 Ok(0) => return false,
-                Ok(_) => self.reusable = false,
+                Ok(size) => discarded += size,
                 Err(e) => return e.kind() == io::ErrorKind::WouldBlock,
             }
+            self.reusable = false;
         }
+        false
     }
 
     /// Whether the last exchange left the connection in a state that allows another one.
--- /dev/null
+++ b/tests/testsuite/endless_answers.rs
@@ -0,0 +1,205 @@
+//! Servers that send bytes without end, of an answer or of none, until the other end closes.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use kelpwind::net::http1::{Conn, Head};
+use tokio::time::{sleep, timeout};
+
+/// Time for which a server sends at most, so that a test that fails ends.
+const SERVER_LIFETIME: Duration = Duration::from_secs(8);
+/// Time within which an answer that has no end is given up at full speed.
+const GIVE_UP: Duration = Duration::from_secs(3);
+/// Bytes that the kernel's buffers of a connection hold at most.
+const KERNEL_BYTES: usize = 12 << 20;
+/// Size of each write at full speed, in bytes.
+const WRITE_BYTES: usize = 64 << 10;
+const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// What a server sends to a request: `start` once, then `unit` up to `limit` bytes, and then nothing
+/// with the connection left open.
+#[derive(Clone, Copy)]
+struct Script {
+    start: &'static str,
+    unit: &'static str,
+    /// Pause after each unit; none at full speed.
+    pause: Option<Duration>,
+    limit: usize,
+}
+
+impl Script {
+    const fn endless(start: &'static str, unit: &'static str) -> Script {
+        Script { start, unit, pause: None, limit: usize::MAX }
+    }
+}
+
+/// A server that runs a script on each connection, in threads of its own.
+struct EndlessServer {
+    addr: SocketAddr,
+    written: Arc<AtomicUsize>,
+    /// Connections that have ended.
+    closed: Arc<AtomicUsize>,
+}
+
+impl EndlessServer {
+    fn start(script: Script) -> EndlessServer {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (written, closed) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let server = EndlessServer { addr, written: written.clone(), closed: closed.clone() };
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (written, closed) = (written.clone(), closed.clone());
+                std::thread::spawn(move || {
+                    run_script(stream.unwrap(), script, &written);
+                    closed.fetch_add(1, Ordering::Relaxed);
+                });
+            }
+        });
+        server
+    }
+
+    fn written(&self) -> usize {
+        self.written.load(Ordering::Relaxed)
+    }
+
+    /// Waits until a connection has ended, well before the server itself ends it.
+    async fn until_closed(&self) {
+        let until = Instant::now() + Duration::from_secs(1);
+        while self.closed.load(Ordering::Relaxed) == 0 {
+            assert!(Instant::now() < until, "the connection is open after 1 s");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+fn run_script(mut stream: std::net::TcpStream, script: Script, written: &AtomicUsize) {
+    let until = Instant::now() + SERVER_LIFETIME;
+    stream.set_write_timeout(Some(SERVER_LIFETIME)).unwrap();
+    if !stream.read(&mut [0; 4096]).is_ok_and(|size| size > 0) {
+        return;
+    }
+    let block = match script.pause {
+        Some(_) => script.unit.to_owned(),
+        None => script.unit.repeat(WRITE_BYTES / script.unit.len()),
+    };
+    let mut next = script.start;
+    let mut left = script.limit;
+    while Instant::now() < until && left > 0 {
+        if stream.write_all(next.as_bytes()).is_err() {
+            return;
+        }
+        written.fetch_add(next.len(), Ordering::Relaxed);
+        left = left.saturating_sub(next.len());
+        next = &block;
+        script.pause.into_iter().for_each(std::thread::sleep);
+    }
+    stream.set_read_timeout(Some(SERVER_LIFETIME)).unwrap();
+    // The connection ends when the other end closes it.
+    let _ = stream.read(&mut [0]);
+}
+
+fn is_mine(head: &Head) -> bool {
+    head.header("id") == Some("mine")
+}
+
+/// Sends a request to a server with this script, and checks that the answer is given up after
+/// `read_max` bytes at most.
+async fn assert_given_up(script: Script, read_max: usize) {
+    let server = EndlessServer::start(script);
+    let mut conn = Conn::open(server.addr, None).await.unwrap();
+    let answer = timeout(GIVE_UP, conn.exchange("GET", REQUEST, &[], is_mine)).await;
+    let answer = answer.unwrap_or_else(|_| {
+        panic!("not given up within {GIVE_UP:?}, after {} bytes", server.written())
+    });
+    assert!(answer.is_err());
+    drop(conn);
+    server.until_closed().await;
+    let written = server.written();
+    assert!(written <= read_max + KERNEL_BYTES, "given up after {written} bytes only");
+}
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nid: mine\r\ntransfer-encoding: chunked\r\n\r\n";
+
+#[tokio::test]
+async fn an_endless_status_line_is_given_up() {
+    assert_given_up(Script::endless("HTTP/1.1 200 ", "x"), 64 << 10).await;
+}
+
+#[tokio::test]
+async fn endless_bytes_that_are_no_answer_are_given_up() {
+    assert_given_up(Script::endless("\r\n", "\r\n"), 64 << 10).await;
+    assert_given_up(Script::endless("x", "x"), 64 << 10).await;
+}
+
+#[tokio::test]
+async fn an_endless_header_is_given_up() {
+    assert_given_up(Script::endless("HTTP/1.1 200 OK\r\nid: ", "x"), 64 << 10).await;
+}
+
+#[tokio::test]
+async fn endless_headers_are_given_up() {
+    assert_given_up(Script::endless("HTTP/1.1 200 OK\r\n", "a: b\r\n"), 64 << 10).await;
+}
+
+#[tokio::test]
+async fn endless_responses_to_other_requests_are_given_up() {
+    let unit = "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 0\r\n\r\n";
+    assert_given_up(Script::endless(unit, unit), 64 << 10).await;
+}
+
+#[tokio::test]
+async fn an_endless_body_is_given_up() {
+    let start = "HTTP/1.1 200 OK\r\nid: mine\r\n\r\n";
+    assert_given_up(Script::endless(start, "x"), 64 << 20).await;
+    let chunk = format!("1000\r\n{}\r\n", "x".repeat(0x1000));
+    assert_given_up(Script::endless(CHUNKED, chunk.leak()), 65 << 20).await;
+}
+
+/// The node has one thread, so an exchange must not keep others from running.
+#[tokio::test]
+async fn other_tasks_go_on_while_an_endless_body_arrives() {
+    let server = EndlessServer::start(Script::endless("HTTP/1.1 200 OK\r\nid: mine\r\n\r\n", "x"));
+    let ticker = async {
+        let mut longest = Duration::ZERO;
+        loop {
+            let began = Instant::now();
+            sleep(Duration::from_millis(1)).await;
+            longest = longest.max(began.elapsed());
+            if server.closed.load(Ordering::Relaxed) > 0 {
+                return longest;
+            }
+        }
+    };
+    let exchange = async {
+        let mut conn = Conn::open(server.addr, None).await.unwrap();
+        assert!(conn.exchange("GET", REQUEST, &[], is_mine).await.is_err());
+    };
+    let (longest, ()) = tokio::join!(ticker, exchange);
+    assert!(longest < Duration::from_millis(300), "no other task ran for {longest:?}");
+}
+
+/// The node checks connections on its only thread.
+#[tokio::test]
+async fn checking_a_connection_reads_endless_bytes() {
+    const CHECKS: usize = 100;
+    const READ_MAX: usize = 64 << 10;
+    let start = "HTTP/1.1 200 OK\r\nid: mine\r\ncontent-length: 0\r\n\r\n";
+    let server = EndlessServer::start(Script::endless(start, "x"));
+    let mut conn = Conn::open(server.addr, None).await.unwrap();
+    conn.exchange("GET", REQUEST, &[], is_mine).await.unwrap();
+    sleep(Duration::from_millis(200)).await;
+    let before = server.written();
+    assert!(!conn.is_ready(Instant::now()));
+    for _ in 0..CHECKS {
+        conn.is_open();
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert!(!conn.is_reusable());
+    sleep(Duration::from_millis(200)).await;
+    let read = server.written() - before;
+    assert!(read < CHECKS * READ_MAX + KERNEL_BYTES, "{CHECKS} checks have read {read} bytes");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod deduplication;
 mod drains;
 mod durability;
+mod endless_answers;
 mod fault_sequences;
 mod freshness;
 mod lease_model;
