Bound the interim responses before an answer

The 1xx heads of a response may now have 64 KiB together, as its own head may.

The new error `TooLarge` tells limits from bytes that are no HTTP.

--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -17,7 +17,8 @@
 
 /// Maximum number of headers of a response.
 const HEADERS_MAX: usize = 64;
-/// Largest head of a response, in bytes.
+/// Largest head of a response, in bytes, and largest size of the 1xx heads before it together. The
+/// node takes heads of this size from callers too.
 const HEAD_BYTES_MAX: usize = 64 << 10;
 /// Largest body of a response, in bytes.
 const BODY_BYTES_MAX: usize = 64 << 20;
@@ -77,6 +78,8 @@
     Truncated,
     /// the answer is not HTTP/1.1
     Malformed,
+    /// the answer is over a size limit
+    TooLarge,
 }
 
 impl std::error::Error for ExchangeError {
@@ -279,12 +282,16 @@
     method: &str,
     belongs: &impl Fn(&Head) -> bool,
 ) -> Result<Received> {
+    let mut interim_bytes = 0;
     let head = loop {
-        let head = read_head(reader, buffer).await?;
-        // 1xx heads precede the final response.
+        let (head, size) = read_head(reader, buffer).await?;
         if head.status >= 200 {
             break head;
         }
+        interim_bytes += size;
+        if interim_bytes > HEAD_BYTES_MAX {
+            return Err(ExchangeError::TooLarge);
+        }
     };
     let belongs = belongs(&head);
     let (body, closed) = match framing(&head, method)? {
@@ -296,7 +303,11 @@
     Ok(Received { response: Response { head, body }, belongs, closed })
 }
 
-async fn read_head<R: AsyncReadExt + Unpin>(reader: &mut R, buffer: &mut BytesMut) -> Result<Head> {
+/// Reads one head; also returns its size.
+async fn read_head<R: AsyncReadExt + Unpin>(
+    reader: &mut R,
+    buffer: &mut BytesMut,
+) -> Result<(Head, usize)> {
     loop {
         let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
         let mut parsed = httparse::Response::new(&mut headers);
@@ -307,7 +318,7 @@
                     |h: &httparse::Header<'_>| (h.name.to_owned(), Bytes::copy_from_slice(h.value));
                 let headers = parsed.headers.iter().map(copy).collect();
                 buffer.advance(size);
-                return Ok(Head { status, headers });
+                return Ok((Head { status, headers }, size));
             }
             Ok(httparse::Status::Partial) if buffer.len() < HEAD_BYTES_MAX => {}
             _ => return Err(ExchangeError::Malformed),
--- a/tests/testsuite/connection.rs
+++ b/tests/testsuite/connection.rs
@@ -117,6 +117,7 @@
             ExchangeError::Closed => "closed",
             ExchangeError::Truncated => "truncated",
             ExchangeError::Malformed => "malformed",
+            ExchangeError::TooLarge => "too large",
             ExchangeError::Unsent(_) | ExchangeError::Broken(_) => "broken",
         };
         assert_eq!(kind, expected, "{bytes:?}");
--- a/tests/testsuite/endless_answers.rs
+++ b/tests/testsuite/endless_answers.rs
@@ -145,6 +145,12 @@
     assert_given_up(Script::endless("HTTP/1.1 200 OK\r\n", "a: b\r\n"), 64 << 10).await;
 }
 
+#[tokio::test]
+async fn endless_interim_responses_are_given_up() {
+    let unit = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    assert_given_up(Script::endless(unit, unit), 64 << 10).await;
+}
+
 #[tokio::test]
 async fn endless_responses_to_other_requests_are_given_up() {
     let unit = "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 0\r\n\r\n";
