Bound the chunk extensions of an answer

The line before a chunk was buffered without limit and parsed anew after each read, and extensions did not count towards the size of the body. A chunk extension without end made a request outlast its deadline, which the parser, busy with a line of megabytes, let pass: a call of 440 ms took 0.88 to 1.03 s (debug build, 3 of 3 runs), and the connection kept reading, up to 25 MB in 3 s. Chunks of one byte with an extension each read 131 to 154 MB in 3 s.

The extensions of a response may now have 16 KiB together, hyper's limit. an_endless_chunk_extension_is_given_up and endless_chunk_extensions_are_given_up failed in 3 of 3 runs before, and pass in 3 of 3 with this change.

--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -20,6 +20,10 @@
 /// Largest head of a response, in bytes, and largest size of the 1xx heads before it together. The
 /// node takes heads of this size from callers too.
 const HEAD_BYTES_MAX: usize = 64 << 10;
+/// Largest size of the chunk extensions of a response together, in bytes, as hyper limits them.
+const EXTENSION_BYTES_MAX: usize = 16 << 10;
+/// Size of a chunk's line without extensions: 16 digits at most, and the end of the line.
+const CHUNK_LINE_BYTES: usize = 18;
 /// Largest body of a response, in bytes.
 const BODY_BYTES_MAX: usize = 64 << 20;
 /// Buffer space reserved for each read, in bytes.
@@ -399,10 +403,14 @@
     stall: Option<Duration>,
 ) -> Result<Bytes> {
     let mut body = BytesMut::new();
+    let mut extension_bytes = 0;
     loop {
         let (start, size) = match httparse::parse_chunk_size(buffer) {
             Ok(httparse::Status::Complete((start, size))) => (start, size as usize),
             Ok(httparse::Status::Partial) => {
+                if buffer.len() > EXTENSION_BYTES_MAX {
+                    return Err(ExchangeError::TooLarge);
+                }
                 if fill_buffer(reader, buffer, stall).await? == 0 {
                     return Err(ExchangeError::Truncated);
                 }
@@ -411,6 +419,10 @@
             Err(_) => return Err(ExchangeError::Malformed),
         };
         buffer.advance(start);
+        extension_bytes += start.saturating_sub(CHUNK_LINE_BYTES);
+        if extension_bytes > EXTENSION_BYTES_MAX {
+            return Err(ExchangeError::TooLarge);
+        }
         if size == 0 {
             read_trailers(reader, buffer, stall).await?;
             return Ok(body.freeze());
--- a/tests/testsuite/endless_answers.rs
+++ b/tests/testsuite/endless_answers.rs
@@ -157,6 +157,18 @@
     assert_given_up(Script::endless(unit, unit), 64 << 10).await;
 }
 
+#[tokio::test]
+async fn an_endless_chunk_extension_is_given_up() {
+    let start = "HTTP/1.1 200 OK\r\nid: mine\r\ntransfer-encoding: chunked\r\n\r\n1;";
+    assert_given_up(Script::endless(start, "x"), 64 << 10).await;
+}
+
+#[tokio::test]
+async fn endless_chunk_extensions_are_given_up() {
+    let unit = "1;xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\na\r\n";
+    assert_given_up(Script::endless(CHUNKED, unit), 64 << 10).await;
+}
+
 #[tokio::test]
 async fn an_endless_body_is_given_up() {
     let start = "HTTP/1.1 200 OK\r\nid: mine\r\n\r\n";
