Bound the trailers of an answer

Trailers were skipped for as long as they came, and one trailer line was buffered without limit and searched from its beginning after each read. an_endless_trailer_is_given_up and endless_trailers_are_given_up failed in 3 of 3 runs (not given up within 3 s, after 24 to 39 MB of one line and 67 to 81 MB of many); they pass in 3 of 3 with this change. The trailers of a response may now have 16 KiB together, hyper's limit.

--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -24,6 +24,8 @@
 const EXTENSION_BYTES_MAX: usize = 16 << 10;
 /// Size of a chunk's line without extensions: 16 digits at most, and the end of the line.
 const CHUNK_LINE_BYTES: usize = 18;
+/// Largest size of the trailers of a response together, in bytes, as hyper limits them.
+const TRAILER_BYTES_MAX: usize = 16 << 10;
 /// Largest body of a response, in bytes.
 const BODY_BYTES_MAX: usize = 64 << 20;
 /// Buffer space reserved for each read, in bytes.
@@ -443,14 +445,19 @@
     buffer: &mut BytesMut,
     stall: Option<Duration>,
 ) -> Result<()> {
+    let mut read = 0;
     loop {
         if let Some(end) = buffer.windows(2).position(|w| w == b"\r\n") {
             buffer.advance(end + 2);
             if end == 0 {
                 return Ok(());
             }
+            read += end + 2;
             continue;
         }
+        if read + buffer.len() > TRAILER_BYTES_MAX {
+            return Err(ExchangeError::TooLarge);
+        }
         if fill_buffer(reader, buffer, stall).await? == 0 {
             return Err(ExchangeError::Truncated);
         }
--- a/tests/testsuite/endless_answers.rs
+++ b/tests/testsuite/endless_answers.rs
@@ -169,6 +169,18 @@
     assert_given_up(Script::endless(CHUNKED, unit), 64 << 10).await;
 }
 
+#[tokio::test]
+async fn an_endless_trailer_is_given_up() {
+    let start = "HTTP/1.1 200 OK\r\nid: mine\r\ntransfer-encoding: chunked\r\n\r\n0\r\na: ";
+    assert_given_up(Script::endless(start, "x"), 64 << 10).await;
+}
+
+#[tokio::test]
+async fn endless_trailers_are_given_up() {
+    let start = "HTTP/1.1 200 OK\r\nid: mine\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+    assert_given_up(Script::endless(start, "a: b\r\n"), 64 << 10).await;
+}
+
 #[tokio::test]
 async fn an_endless_body_is_given_up() {
     let start = "HTTP/1.1 200 OK\r\nid: mine\r\n\r\n";
