Bound the memory for bodies that arrive at once

Each answer may have 64 MB, so a few bodies without end exceed a node's memory of 260 MB.

Bodies of answers to other requests are counted but not kept, and chunks are no longer buffered twice.

--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -7,12 +7,14 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::timeout;
 
 /// Maximum number of headers of a response.
@@ -26,8 +28,13 @@
 const CHUNK_LINE_BYTES: usize = 18;
 /// Largest size of the trailers of a response together, in bytes, as hyper limits them.
 const TRAILER_BYTES_MAX: usize = 16 << 10;
-/// Buffer space reserved for each read, in bytes.
+/// Buffer space reserved for each read of a head, in bytes.
 const READ_BYTES: usize = 8 << 10;
+/// Buffer space reserved for each read of a body, in bytes.
+const BODY_READ_BYTES: usize = 64 << 10;
+/// Size up to which bodies do not count towards the memory for bodies, in bytes, so that large ones
+/// never displace usual ones.
+const SMALL_BODY_BYTES: usize = 256 << 10;
 /// Most unread bytes that one check of a connection discards: several late responses to grants, and
 /// read in well under a millisecond.
 const DISCARD_BYTES_MAX: usize = 64 << 10;
@@ -52,11 +59,23 @@
     pub const MAX: BodyLimit = BodyLimit(64 << 20);
 }
 
+/// Memory for the bodies that several connections read at once; clones share it. The default has
+/// room for one body of the largest size.
+#[derive(Clone, Debug)]
+pub struct BodyMemory(Arc<Semaphore>);
+
+impl Default for BodyMemory {
+    fn default() -> BodyMemory {
+        BodyMemory(Arc::new(Semaphore::new(BodyLimit::MAX.0)))
+    }
+}
+
 /// Limits of the responses that a connection reads.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Limits {
     stall_timeout: Option<Duration>,
     body: BodyLimit,
+    memory: BodyMemory,
 }
 
 /// Status and headers of a response.
@@ -155,7 +174,11 @@
             buffer: BytesMut::new(),
             reusable: true,
             idle_until: None,
-            limits: Limits { stall_timeout: None, body: BodyLimit::MAX },
+            limits: Limits {
+                stall_timeout: None,
+                body: BodyLimit::MAX,
+                memory: BodyMemory::default(),
+            },
         })
     }
 
@@ -170,6 +193,12 @@
         self.limits.body = limit;
     }
 
+    /// Sets the memory for bodies, which is the connection's own by default. A response that finds no
+    /// room in it fails.
+    pub fn set_body_memory(&mut self, memory: BodyMemory) {
+        self.limits.memory = memory;
+    }
+
     /// Whether another request may be sent: the connection is open and reusable, within the idle
     /// timeout that the other end announced, and has no unread bytes.
     pub fn is_ready(&mut self, now: Instant) -> bool {
@@ -227,7 +256,7 @@
         }
         let mut sent = !request.has_remaining();
         let mut mismatches = 0;
-        let limits = self.limits;
+        let limits = &self.limits;
         loop {
             let response = if sent {
                 read_response(&mut self.stream, &mut self.buffer, limits, method, &belongs).await?
@@ -303,7 +332,7 @@
 async fn read_response<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    limits: Limits,
+    limits: &Limits,
     method: &str,
     belongs: &impl Fn(&Head) -> bool,
 ) -> Result<Received> {
@@ -319,15 +348,70 @@
         }
     };
     let belongs = belongs(&head);
-    let (body, closed) = match framing(&head, method, limits.body)? {
-        Framing::None => (Bytes::new(), false),
-        Framing::Length(size) => (read_exactly(reader, buffer, limits, size).await?, false),
-        Framing::Chunked => (read_chunks(reader, buffer, limits).await?, false),
-        Framing::UntilClose => (read_to_end(reader, buffer, limits).await?, true),
-    };
+    let framing = framing(&head, method, limits.body)?;
+    let closed = matches!(framing, Framing::UntilClose);
+    let mut body = Body::new(limits, belongs);
+    match framing {
+        Framing::None => {}
+        Framing::Length(size) => read_exactly(reader, buffer, &mut body, size).await?,
+        Framing::Chunked => read_chunks(reader, buffer, &mut body).await?,
+        Framing::UntilClose => read_to_end(reader, buffer, &mut body).await?,
+    }
+    let body = body.bytes.freeze();
     Ok(Received { response: Response { head, body }, belongs, closed })
 }
 
+/// A body of which a part has arrived.
+struct Body<'a> {
+    limits: &'a Limits,
+    /// Whether its bytes are kept, or only counted.
+    keep: bool,
+    bytes: BytesMut,
+    size: usize,
+    memory: Option<SemaphorePermit<'a>>,
+}
+
+impl<'a> Body<'a> {
+    fn new(limits: &'a Limits, keep: bool) -> Body<'a> {
+        Body { limits, keep, bytes: BytesMut::new(), size: 0, memory: None }
+    }
+
+    /// Adds bytes that have arrived.
+    fn push(&mut self, part: BytesMut) -> Result<()> {
+        self.size += part.len();
+        if self.size > self.limits.body.0 {
+            return Err(ExchangeError::TooLarge);
+        }
+        if !self.keep {
+            return Ok(());
+        }
+        self.reserve()?;
+        if self.bytes.is_empty() {
+            self.bytes = part;
+        } else {
+            self.bytes.extend_from_slice(&part);
+        }
+        Ok(())
+    }
+
+    /// Reserves memory for the bytes that have arrived.
+    fn reserve(&mut self) -> Result<()> {
+        let reserved = self.memory.as_ref().map_or(0, SemaphorePermit::num_permits);
+        let needed = self.size.saturating_sub(SMALL_BODY_BYTES).saturating_sub(reserved);
+        if needed == 0 {
+            return Ok(());
+        }
+        let Ok(more) = self.limits.memory.0.try_acquire_many(needed as u32) else {
+            return Err(ExchangeError::TooLarge);
+        };
+        match &mut self.memory {
+            Some(memory) => memory.merge(more),
+            None => self.memory = Some(more),
+        }
+        Ok(())
+    }
+}
+
 /// Reads one head; also returns its size.
 async fn read_head<R: AsyncReadExt + Unpin>(
     reader: &mut R,
@@ -349,7 +433,7 @@
             _ => return Err(ExchangeError::Malformed),
         }
         let empty = buffer.is_empty();
-        if fill_buffer(reader, buffer, None).await? == 0 {
+        if fill_buffer(reader, buffer, READ_BYTES, None).await? == 0 {
             return Err(if empty { ExchangeError::Closed } else { ExchangeError::Truncated });
         }
     }
@@ -373,14 +457,15 @@
     }
 }
 
-/// Reads once into the buffer; returns the number of bytes read, 0 at the end of the stream. Fails
-/// if nothing arrives for the time `stall`.
+/// Reads once into the buffer, which gets room for `size` bytes; returns the number of bytes read, 0
+/// at the end of the stream. Fails if nothing arrives for the time `stall`.
 async fn fill_buffer<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
+    size: usize,
     stall: Option<Duration>,
 ) -> Result<usize> {
-    buffer.reserve(READ_BYTES);
+    buffer.reserve(size);
     let read = reader.read_buf(buffer);
     let size = match stall {
         None => read.await,
@@ -392,39 +477,51 @@
     size.map_err(ExchangeError::Broken)
 }
 
+/// Reads once into the buffer while a body arrives.
+async fn fill_from_body<R: AsyncReadExt + Unpin>(
+    reader: &mut R,
+    buffer: &mut BytesMut,
+    body: &Body<'_>,
+) -> Result<usize> {
+    fill_buffer(reader, buffer, BODY_READ_BYTES, body.limits.stall_timeout).await
+}
+
 async fn read_exactly<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    limits: Limits,
+    body: &mut Body<'_>,
     size: usize,
-) -> Result<Bytes> {
-    while buffer.len() < size {
-        if fill_buffer(reader, buffer, limits.stall_timeout).await? == 0 {
+) -> Result<()> {
+    let mut left = size;
+    while left > 0 {
+        if buffer.is_empty() && fill_from_body(reader, buffer, body).await? == 0 {
             return Err(ExchangeError::Truncated);
         }
+        let part = buffer.split_to(left.min(buffer.len()));
+        left -= part.len();
+        body.push(part)?;
     }
-    Ok(buffer.split_to(size).freeze())
+    Ok(())
 }
 
 async fn read_to_end<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    limits: Limits,
-) -> Result<Bytes> {
-    while fill_buffer(reader, buffer, limits.stall_timeout).await? > 0 {
-        if buffer.len() > limits.body.0 {
-            return Err(ExchangeError::TooLarge);
+    body: &mut Body<'_>,
+) -> Result<()> {
+    loop {
+        body.push(buffer.split())?;
+        if fill_from_body(reader, buffer, body).await? == 0 {
+            return Ok(());
         }
     }
-    Ok(buffer.split().freeze())
 }
 
 async fn read_chunks<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    limits: Limits,
-) -> Result<Bytes> {
-    let mut body = BytesMut::new();
+    body: &mut Body<'_>,
+) -> Result<()> {
     let mut extension_bytes = 0;
     loop {
         let (start, size) = match httparse::parse_chunk_size(buffer) {
@@ -433,7 +530,7 @@
                 if buffer.len() > EXTENSION_BYTES_MAX {
                     return Err(ExchangeError::TooLarge);
                 }
-                if fill_buffer(reader, buffer, limits.stall_timeout).await? == 0 {
+                if fill_from_body(reader, buffer, body).await? == 0 {
                     return Err(ExchangeError::Truncated);
                 }
                 continue;
@@ -446,24 +543,28 @@
             return Err(ExchangeError::TooLarge);
         }
         if size == 0 {
-            read_trailers(reader, buffer, limits.stall_timeout).await?;
-            return Ok(body.freeze());
+            return read_trailers(reader, buffer, body).await;
         }
-        if size > limits.body.0 - body.len() {
+        if size > body.limits.body.0 - body.size {
             return Err(ExchangeError::TooLarge);
         }
-        let chunk = read_exactly(reader, buffer, limits, size + 2).await?;
-        if !chunk.ends_with(b"\r\n") {
+        read_exactly(reader, buffer, body, size).await?;
+        while buffer.len() < 2 {
+            if fill_from_body(reader, buffer, body).await? == 0 {
+                return Err(ExchangeError::Truncated);
+            }
+        }
+        if !buffer.starts_with(b"\r\n") {
             return Err(ExchangeError::Malformed);
         }
-        body.extend_from_slice(&chunk[..size]);
+        buffer.advance(2);
     }
 }
 
 async fn read_trailers<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    stall: Option<Duration>,
+    body: &Body<'_>,
 ) -> Result<()> {
     let mut read = 0;
     loop {
@@ -478,7 +579,7 @@
         if read + buffer.len() > TRAILER_BYTES_MAX {
             return Err(ExchangeError::TooLarge);
         }
-        if fill_buffer(reader, buffer, stall).await? == 0 {
+        if fill_from_body(reader, buffer, body).await? == 0 {
             return Err(ExchangeError::Truncated);
         }
     }
