Let other tasks run while a body arrives

The runtime lets a task read 128 times before others run, which is 8 MB of a body that arrives as fast as it is read. While a body without end in chunks of 8 bytes arrived, a call with 440 ms took 709 ms: the test a_request_outlasts_its_deadline_while_an_endless_answer_arrives failed in 2 of 8 runs beside other work (load average 15 on 8 cores). A read now lets others run after 256 KiB; the test passes in 8 of 8 runs at a load average of 17 to 26.

other_tasks_starve_while_an_endless_body_arrives guards it, but passed in 3 of 3 runs before, with gaps of 14 to 45 ms: there the sender was slower than the reader.

--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -15,6 +15,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 /// Maximum number of headers of a response.
@@ -32,6 +33,9 @@
 const READ_BYTES: usize = 8 << 10;
 /// Buffer space reserved for each read of a body, in bytes.
 const BODY_READ_BYTES: usize = 64 << 10;
+/// Number of bytes of a body after which other tasks run, since the node has one thread. The
+/// runtime by itself lets 128 reads pass, which is 8 MB.
+const YIELD_BYTES: usize = 256 << 10;
 /// Size up to which bodies do not count towards the memory for bodies, in bytes, so that large ones
 /// never displace usual ones.
 const SMALL_BODY_BYTES: usize = 256 << 10;
@@ -368,12 +372,14 @@
     keep: bool,
     bytes: BytesMut,
     size: usize,
+    /// Bytes read since other tasks last ran.
+    unyielded: usize,
     memory: Option<SemaphorePermit<'a>>,
 }
 
 impl<'a> Body<'a> {
     fn new(limits: &'a Limits, keep: bool) -> Body<'a> {
-        Body { limits, keep, bytes: BytesMut::new(), size: 0, memory: None }
+        Body { limits, keep, bytes: BytesMut::new(), size: 0, unyielded: 0, memory: None }
     }
 
     /// Adds bytes that have arrived.
@@ -481,9 +487,15 @@
 async fn fill_from_body<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    body: &Body<'_>,
+    body: &mut Body<'_>,
 ) -> Result<usize> {
-    fill_buffer(reader, buffer, BODY_READ_BYTES, body.limits.stall_timeout).await
+    if body.unyielded >= YIELD_BYTES {
+        body.unyielded = 0;
+        yield_now().await;
+    }
+    let size = fill_buffer(reader, buffer, BODY_READ_BYTES, body.limits.stall_timeout).await?;
+    body.unyielded += size;
+    Ok(size)
 }
 
 async fn read_exactly<R: AsyncReadExt + Unpin>(
@@ -564,7 +576,7 @@
 async fn read_trailers<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    body: &Body<'_>,
+    body: &mut Body<'_>,
 ) -> Result<()> {
     let mut read = 0;
     loop {
--- a/tests/testsuite/endless_answers.rs
+++ b/tests/testsuite/endless_answers.rs
@@ -199,6 +199,42 @@
     assert_given_up(Script::endless(CHUNKED, chunk.leak()), 65 << 20).await;
 }
 
+/// Returns the longest time for which no other task ran while this answer arrived.
+async fn longest_gap(script: Script) -> Duration {
+    let server = EndlessServer::start(script);
+    let ticker = async {
+        let mut longest = Duration::ZERO;
+        loop {
+            let began = Instant::now();
+            sleep(Duration::from_millis(1)).await;
+            longest = longest.max(began.elapsed());
+            if server.closed.load(Ordering::Relaxed) > 0 {
+                return longest;
+            }
+        }
+    };
+    let exchange = async {
+        let mut conn = Conn::open(server.addr, None).await.unwrap();
+        let answer = timeout(GIVE_UP, conn.exchange("GET", REQUEST, &[], is_mine)).await;
+        assert!(!matches!(answer, Ok(Ok(_))));
+    };
+    tokio::join!(ticker, exchange).0
+}
+
+/// The node has one thread, so an exchange must not keep others from running.
+#[tokio::test]
+async fn other_tasks_starve_while_an_endless_body_arrives() {
+    for (start, unit) in
+        [("HTTP/1.1 200 OK\r\nid: mine\r\n\r\n", "x"), (CHUNKED, "8\r\nabcdefgh\r\n")]
+    {
+        let longest = longest_gap(Script::endless(start, unit)).await;
+        assert!(
+            longest < Duration::from_millis(200),
+            "no other task ran for {longest:?}: {unit:?}"
+        );
+    }
+}
+
 /// The node checks connections on its only thread.
 #[tokio::test]
 async fn checking_a_connection_reads_endless_bytes() {
