Test a deployment in which a server sends bytes without end

The simulated server can now replace its answers, those to grants included, with bytes that end only with their connection: in the status line, a header, 1xx heads, a body, a chunk extension, or after a complete answer. Callers on all hosts go on meanwhile.

--- /dev/null
+++ b/tests/mesh/endless_answers.rs
@@ -0,0 +1,76 @@
+//! Deployments in which a backend server sends bytes without end instead of its answers.
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::platform::Endless;
+use super::platform::fleet::Fleet;
+use super::{assert_no_violations, until_all_served};
+
+/// Processing time of a request at a backend server.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Services and their numbers of hosts; the first service is keyed.
+const SERVICES: &[(&str, u32)] = &[("books", 3), ("maps", 2)];
+/// Time for which a server sends bytes without end.
+const FAULT_TIME: Duration = Duration::from_secs(4);
+/// Memory that the platform gives a node, in kB.
+const MEMORY_MAX_KB: u64 = 260 << 10;
+/// Longest time for a request that does not concern the server in trouble.
+const LATENCY_MAX: Duration = Duration::from_millis(700);
+
+/// Largest resident memory of a host's node so far, in kB.
+fn peak_memory_kb(fleet: &Fleet, host: usize) -> u64 {
+    let id = fleet.hosts[host].node.as_ref().expect("the node runs").id();
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a status file");
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a line VmHWM");
+    line.trim().trim_end_matches(" kB").parse().expect("a number of kB")
+}
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;";
+const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\n\r\n";
+
+/// The keys of one of the servers are asked for by callers on all hosts, and the other service's
+/// requests pass through the same nodes.
+#[rstest]
+#[case::status_line("HTTP/1.1 200 ", "x")]
+#[case::header("HTTP/1.1 200 OK\r\na: ", "x")]
+#[case::interim_responses(INTERIM, INTERIM)]
+#[case::body("HTTP/1.1 500 No\r\n\r\n", "x")]
+#[case::chunk_extension(CHUNKED, "x")]
+#[case::after_the_answer("HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n", "x")]
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_answers_of_one_server_harm_other_requests(
+    #[case] start: &'static str,
+    #[case] unit: &'static str,
+) {
+    let fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    let server = fleet.hosts[0].server.as_ref().unwrap();
+    server.set_endless(Some(Endless { start, unit }));
+    let began = Instant::now();
+    let mut slowest = Duration::ZERO;
+    let mut failed = Vec::new();
+    while began.elapsed() < FAULT_TIME {
+        for host in 0..5 {
+            let called = Instant::now();
+            let result = fleet.call(host, "maps", 1, false).await;
+            slowest = slowest.max(called.elapsed());
+            failed.extend((result.status != 200).then_some(result));
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let during = fleet.statuses();
+    server.set_endless(None);
+    let healed = Instant::now();
+    until_all_served(&fleet, 1).await;
+    let healing = healed.elapsed();
+    callers.iter().for_each(|c| c.abort());
+    let peak = peak_memory_kb(&fleet, 0);
+    println!("{during:?}, others within {slowest:?}, healed in {healing:?}, {peak} kB");
+    assert_no_violations(&fleet);
+    assert!(failed.is_empty(), "{} other requests failed: {:?}", failed.len(), failed[0]);
+    assert!(slowest < LATENCY_MAX, "another request took {slowest:?}");
+    assert!(peak < MEMORY_MAX_KB, "the node used {peak} kB");
+    assert!(healing < Duration::from_secs(4), "keys had no owner for {healing:?}");
+}
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -6,6 +6,7 @@
 //! load of the machine.
 
 mod configuration;
+mod endless_answers;
 mod explain_request;
 mod http_limits;
 #[path = "../platform/mod.rs"]
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -11,16 +11,21 @@
 pub mod store;
 
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use parking_lot::Mutex;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
@@ -32,10 +37,23 @@
 /// A response with its complete body.
 pub type Reply = Response<Full<Bytes>>;
 
+/// Bytes that replace an answer: `start` once, then `unit` without end.
+#[derive(Clone, Copy, Debug)]
+pub struct Endless {
+    /// First bytes.
+    pub start: &'static str,
+    /// Bytes that follow again and again.
+    pub unit: &'static str,
+}
+
+/// Size of each write of endless bytes.
+const ENDLESS_WRITE_BYTES: usize = 64 << 10;
+
 /// A running HTTP server.
 pub struct Serving {
     task: AbortHandle,
     listener_closing: Arc<Notify>,
+    endless: Arc<Mutex<Option<Endless>>>,
 }
 
 impl Serving {
@@ -44,6 +62,11 @@
         self.listener_closing.notify_one();
     }
 
+    /// Replaces all later answers with these bytes, which end with their connection.
+    pub fn set_endless(&self, endless: Option<Endless>) {
+        *self.endless.lock() = endless;
+    }
+
     /// Closes the listener and all connections.
     pub fn abort(&self) {
         self.task.abort();
@@ -59,6 +82,8 @@
     let listener = bind(addr).await;
     let listener_closing = Arc::new(Notify::new());
     let closing = listener_closing.clone();
+    let endless = Arc::<Mutex<Option<Endless>>>::default();
+    let answers = endless.clone();
     let serving = async move {
         let mut connections = tokio::task::JoinSet::new();
         loop {
@@ -68,6 +93,7 @@
                 () = closing.notified() => break,
             };
             let Ok((stream, _)) = accepted else { continue };
+            let stream = AnswerStream { stream, endless: answers.clone(), rest: None };
             let handle = handle.clone();
             let service = service_fn(move |request: Request<hyper::body::Incoming>| {
                 let handle = handle.clone();
@@ -89,7 +115,57 @@
         drop(listener);
         while connections.join_next().await.is_some() {}
     };
-    Serving { task: tokio::spawn(serving).abort_handle(), listener_closing }
+    Serving { task: tokio::spawn(serving).abort_handle(), listener_closing, endless }
+}
+
+/// A stream of answers, which endless bytes may replace.
+struct AnswerStream {
+    stream: TcpStream,
+    endless: Arc<Mutex<Option<Endless>>>,
+    /// The endless bytes of which some were written, and those that come next.
+    rest: Option<(Endless, Bytes)>,
+}
+
+impl AsyncRead for AnswerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for AnswerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let begun = self.rest.take();
+        let endless = *self.endless.lock();
+        let begin = |e: Endless| (e, Bytes::from_static(e.start.as_bytes()));
+        let Some((endless, mut rest)) = begun.or_else(|| endless.map(begin)) else {
+            return Pin::new(&mut self.stream).poll_write(cx, buf);
+        };
+        loop {
+            if rest.is_empty() {
+                let count = ENDLESS_WRITE_BYTES / endless.unit.len();
+                rest = Bytes::from(endless.unit.repeat(count));
+            }
+            self.rest = Some((endless, rest.clone()));
+            let size = ready!(Pin::new(&mut self.stream).poll_write(cx, &rest))?;
+            rest.advance(size);
+        }
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
 }
 
 /// Opens a listener. Retries, since the server that was just aborted may not have closed its own
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use super::{FullRequest, Reply, Serving, query_param, reply, serve};
+use super::{Endless, FullRequest, Reply, Serving, query_param, reply, serve};
 
 /// Interval between liveness reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
@@ -162,6 +162,11 @@
         self.serving.lock().iter().for_each(Serving::close_listener);
     }
 
+    /// Replaces all later answers with these bytes; what was asked for still happens.
+    pub fn set_endless(&self, endless: Option<Endless>) {
+        self.serving.lock().iter().for_each(|s| s.set_endless(endless));
+    }
+
     /// Delays all later answers to grants, which still take effect on arrival.
     pub fn delay_grant_answers(&self, delay: Duration) {
         *self.grant_delay.lock() = delay;
