--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -27,6 +27,8 @@
 const CODE_HEADER: HeaderName = HeaderName::from_static("kelpwind-code");
 /// Largest report of a backend server that is accepted.
 const REPORT_BYTES_MAX: usize = 64 << 10;
+/// Longest time to read a report's body: its sender waits 1 s for the answer.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time to read a request's body, also when the caller states a longer timeout or none.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which connections may be idle at least while the configuration may be outdated.
@@ -241,12 +243,17 @@
 /// Handles a report of the backend server.
 pub(crate) async fn receive_report(node: Rc<Node>, request: Request<Incoming>) -> Reply {
     let (parts, body) = request.into_parts();
-    let body = match Limited::new(body, REPORT_BYTES_MAX).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) => {
+    let body = Limited::new(body, REPORT_BYTES_MAX).collect();
+    let body = match timeout(REPORT_TIMEOUT, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) => {
             spdlog::warn!("failed to read the body of a backend server's report: {e}");
             return failure_reply(Failure { code: Code::BadRequest, retry_after: None });
         }
+        Err(_) => {
+            spdlog::warn!("the body of a backend server's report did not arrive in time");
+            return failure_reply(Failure { code: Code::DeadlinePast, retry_after: None });
+        }
     };
     let message = match (node.platform.decode_report)(&parts.method, parts.uri.path(), &body) {
         Ok(message) => message,
--- a/tests/mesh/endless_answers.rs
+++ b/tests/mesh/endless_answers.rs
@@ -3,6 +3,8 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use super::platform::Endless;
 use super::platform::fleet::Fleet;
@@ -27,6 +29,12 @@
     line.trim().trim_end_matches(" kB").parse().expect("a number of kB")
 }
 
+/// Longest time for which a report keeps its connection, in which heads may take 3 + 3 s.
+const REPORT_MAX: Duration = Duration::from_secs(8);
+const REPORT_HEAD: &str =
+    "PUT /-/instances/i-1 HTTP/1.1\r\nhost: n\r\ntransfer-encoding: chunked\r\n\r\n";
+const REPORT_HEAD_1: &str =
+    "PUT /-/instances/i-1 HTTP/1.1\r\nhost: n\r\ntransfer-encoding: chunked\r\n\r\n1;";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;";
 const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\n\r\n";
 
@@ -74,3 +82,52 @@
     assert!(peak < MEMORY_MAX_KB, "the node used {peak} kB");
     assert!(healing < Duration::from_secs(4), "keys had no owner for {healing:?}");
 }
+
+/// Sends `start`, and then `unit` every `pause` until the other end closes; returns the time taken.
+async fn send_without_end(
+    fleet: &Fleet,
+    port: u16,
+    start: &str,
+    unit: &str,
+    pause: Duration,
+) -> Duration {
+    let stream = TcpStream::connect((fleet.hosts[0].ip, port)).await.unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    let began = Instant::now();
+    let write = async {
+        let _ = writer.write_all(start.as_bytes()).await;
+        while writer.write_all(unit.as_bytes()).await.is_ok() {
+            tokio::time::sleep(pause).await;
+        }
+    };
+    let mut answer = Vec::new();
+    let closed = async {
+        tokio::select! {
+            () = write => {}
+            // The node may answer before it closes.
+            _ = reader.read_to_end(&mut answer) => {}
+        }
+    };
+    let _ = tokio::time::timeout(REPORT_MAX * 2, closed).await;
+    began.elapsed()
+}
+
+/// Reports go to the port to which no caller has access.
+#[rstest]
+#[case::head("PUT /-/instances/i-1", "x")]
+#[case::header("PUT /-/instances/i-1 HTTP/1.1\r\nhost: n\r\na: ", "x")]
+#[case::body(REPORT_HEAD, "1\r\n{\r\n")]
+#[case::chunk_extension(REPORT_HEAD_1, "x")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endless_report_holds_its_connection(#[case] start: &str, #[case] unit: &str) {
+    let fleet = Fleet::start(&[("books", 1)], SERVICE_TIME).await;
+    let unit_at_once = unit.repeat(10_000);
+    let block = [(unit_at_once.as_str(), Duration::ZERO), (unit, Duration::from_millis(50))];
+    for (unit, pause) in block {
+        let took = send_without_end(&fleet, 8306, start, unit, pause).await;
+        assert!(took < REPORT_MAX, "not closed for {took:?} at a pause of {pause:?}");
+    }
+    assert_eq!(fleet.call(0, "books", 1, false).await.status, 200);
+    let peak = peak_memory_kb(&fleet, 0);
+    assert!(peak < MEMORY_MAX_KB, "the node used {peak} kB");
+}
