--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -7,22 +7,41 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 /// Maximum number of headers of a response.
 const HEADERS_MAX: usize = 64;
-/// Largest head of a response, in bytes.
+/// Largest head of a response, in bytes, and largest size of the 1xx heads before it together. The
+/// node takes heads of this size from callers too.
 const HEAD_BYTES_MAX: usize = 64 << 10;
-/// Largest body of a response, in bytes.
-const BODY_BYTES_MAX: usize = 64 << 20;
-/// Buffer space reserved for each read, in bytes.
+/// Largest size of the chunk extensions of a response together, in bytes, as hyper limits them.
+const EXTENSION_BYTES_MAX: usize = 16 << 10;
+/// Size of a chunk's line without extensions: 16 digits at most, and the end of the line.
+const CHUNK_LINE_BYTES: usize = 18;
+/// Largest size of the trailers of a response together, in bytes, as hyper limits them.
+const TRAILER_BYTES_MAX: usize = 16 << 10;
+/// Buffer space reserved for each read of a head, in bytes.
 const READ_BYTES: usize = 8 << 10;
+/// Buffer space reserved for each read of a body, in bytes.
+const BODY_READ_BYTES: usize = 64 << 10;
+/// Number of bytes of a body after which other tasks run, since the node has one thread. The
+/// runtime by itself lets 128 reads pass, which is 8 MB.
+const YIELD_BYTES: usize = 256 << 10;
+/// Size up to which bodies do not count towards the memory for bodies, in bytes, so that large ones
+/// never displace usual ones.
+const SMALL_BODY_BYTES: usize = 256 << 10;
+/// Most unread bytes that one check of a connection discards: several late responses to grants, and
+/// read in well under a millisecond.
+const DISCARD_BYTES_MAX: usize = 64 << 10;
 /// Number of responses to other requests at which the exchange fails.
 const MISMATCHES_MAX: usize = 3;
 /// Idle time before the first keepalive probe. With the interval and count below, the connection to
@@ -35,6 +54,34 @@
 /// TCP user timeout: how long sent bytes may stay unacknowledged before the connection fails.
 const USER_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Largest body of a response that is read, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyLimit(pub usize);
+
+impl BodyLimit {
+    /// The default: answers may be as large as callers' requests.
+    pub const MAX: BodyLimit = BodyLimit(64 << 20);
+}
+
+/// Memory for the bodies that several connections read at once; clones share it. The default has
+/// room for one body of the largest size.
+#[derive(Clone, Debug)]
+pub struct BodyMemory(Arc<Semaphore>);
+
+impl Default for BodyMemory {
+    fn default() -> BodyMemory {
+        BodyMemory(Arc::new(Semaphore::new(BodyLimit::MAX.0)))
+    }
+}
+
+/// Limits of the responses that a connection reads.
+#[derive(Clone, Debug)]
+struct Limits {
+    stall_timeout: Option<Duration>,
+    body: BodyLimit,
+    memory: BodyMemory,
+}
+
 /// Status and headers of a response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Head {
@@ -74,6 +121,8 @@
     Truncated,
     /// the answer is not HTTP/1.1
     Malformed,
+    /// the answer is over a size limit
+    TooLarge,
 }
 
 impl std::error::Error for ExchangeError {
@@ -95,7 +144,7 @@
     buffer: BytesMut,
     reusable: bool,
     idle_until: Option<Instant>,
-    stall_timeout: Option<Duration>,
+    limits: Limits,
     peer: Option<String>,
 }
 
@@ -130,7 +179,11 @@
             buffer: BytesMut::new(),
             reusable: true,
             idle_until: None,
-            stall_timeout: None,
+            limits: Limits {
+                stall_timeout: None,
+                body: BodyLimit::MAX,
+                memory: BodyMemory::default(),
+            },
             peer: None,
         })
     }
@@ -138,7 +191,18 @@
     /// Sets the longest time without a byte while the body of a response arrives; there is no limit
     /// by default. The time until the head has arrived is limited by the caller.
     pub fn set_stall_timeout(&mut self, limit: Duration) {
-        self.stall_timeout = Some(limit);
+        self.limits.stall_timeout = Some(limit);
+    }
+
+    /// Sets the largest body of later responses, including those to earlier requests.
+    pub fn set_body_limit(&mut self, limit: BodyLimit) {
+        self.limits.body = limit;
+    }
+
+    /// Sets the memory for bodies, which is the connection's own by default. A response that finds no
+    /// room in it fails.
+    pub fn set_body_memory(&mut self, memory: BodyMemory) {
+        self.limits.memory = memory;
     }
 
     /// The id under which the process at the other end has identified itself; `None` if it has not.
@@ -167,17 +231,21 @@
         matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Whether the other end has not closed the connection. Any unread bytes are discarded, after
-    /// which the connection is not reusable.
+    /// Whether the other end is known not to have closed the connection. Unread bytes are discarded,
+    /// after which the connection is not reusable. With more than [`DISCARD_BYTES_MAX`] of them the
+    /// connection counts as closed, because its end may follow them.
     pub fn is_open(&mut self) -> bool {
-        let mut discarded = [0; 256];
-        loop {
-            match self.stream.try_read(&mut discarded) {
+        let mut buffer = [0; 4 << 10];
+        let mut discarded = 0;
+        while discarded <= DISCARD_BYTES_MAX {
+            match self.stream.try_read(&mut buffer) {
                 Ok(0) => return false,
-                Ok(_) => self.reusable = false,
+                Ok(size) => discarded += size,
                 Err(e) => return e.kind() == io::ErrorKind::WouldBlock,
             }
+            self.reusable = false;
         }
+        false
     }
 
     /// Whether the last exchange left the connection in a state that allows another one.
@@ -207,10 +275,10 @@
         }
         let mut sent = !request.has_remaining();
         let mut mismatches = 0;
-        let stall = self.stall_timeout;
+        let limits = &self.limits;
         loop {
             let response = if sent {
-                read_response(&mut self.stream, &mut self.buffer, stall, method, &belongs).await?
+                read_response(&mut self.stream, &mut self.buffer, limits, method, &belongs).await?
             } else {
                 // The other end may respond before it has read the whole request body.
                 let (mut reader, mut writer) = self.stream.split();
@@ -220,7 +288,7 @@
                     }
                     Ok::<(), ExchangeError>(())
                 };
-                let read = read_response(&mut reader, &mut self.buffer, stall, method, &belongs);
+                let read = read_response(&mut reader, &mut self.buffer, limits, method, &belongs);
                 tokio::pin!(read);
                 let early = tokio::select! {
                     response = &mut read => Some(response?),
@@ -283,28 +351,93 @@
 async fn read_response<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    stall: Option<Duration>,
+    limits: &Limits,
     method: &str,
     belongs: &impl Fn(&Head) -> bool,
 ) -> Result<Received> {
+    let mut interim_bytes = 0;
     let head = loop {
-        let head = read_head(reader, buffer).await?;
-        // 1xx heads precede the final response.
+        let (head, size) = read_head(reader, buffer).await?;
         if head.status >= 200 {
             break head;
         }
+        interim_bytes += size;
+        if interim_bytes > HEAD_BYTES_MAX {
+            return Err(ExchangeError::TooLarge);
+        }
     };
     let belongs = belongs(&head);
-    let (body, closed) = match framing(&head, method)? {
-        Framing::None => (Bytes::new(), false),
-        Framing::Length(size) => (read_exactly(reader, buffer, stall, size).await?, false),
-        Framing::Chunked => (read_chunks(reader, buffer, stall).await?, false),
-        Framing::UntilClose => (read_to_end(reader, buffer, stall).await?, true),
-    };
+    let framing = framing(&head, method, limits.body)?;
+    let closed = matches!(framing, Framing::UntilClose);
+    let mut body = Body::new(limits, belongs);
+    match framing {
+        Framing::None => {}
+        Framing::Length(size) => read_exactly(reader, buffer, &mut body, size).await?,
+        Framing::Chunked => read_chunks(reader, buffer, &mut body).await?,
+        Framing::UntilClose => read_to_end(reader, buffer, &mut body).await?,
+    }
+    let body = body.bytes.freeze();
     Ok(Received { response: Response { head, body }, belongs, closed })
 }
 
-async fn read_head<R: AsyncReadExt + Unpin>(reader: &mut R, buffer: &mut BytesMut) -> Result<Head> {
+/// A body of which a part has arrived.
+struct Body<'a> {
+    limits: &'a Limits,
+    /// Whether its bytes are kept, or only counted.
+    keep: bool,
+    bytes: BytesMut,
+    size: usize,
+    /// Bytes read since other tasks last ran.
+    unyielded: usize,
+    memory: Option<SemaphorePermit<'a>>,
+}
+
+impl<'a> Body<'a> {
+    fn new(limits: &'a Limits, keep: bool) -> Body<'a> {
+        Body { limits, keep, bytes: BytesMut::new(), size: 0, unyielded: 0, memory: None }
+    }
+
+    /// Adds bytes that have arrived.
+    fn push(&mut self, part: BytesMut) -> Result<()> {
+        self.size += part.len();
+        if self.size > self.limits.body.0 {
+            return Err(ExchangeError::TooLarge);
+        }
+        if !self.keep {
+            return Ok(());
+        }
+        self.reserve()?;
+        if self.bytes.is_empty() {
+            self.bytes = part;
+        } else {
+            self.bytes.extend_from_slice(&part);
+        }
+        Ok(())
+    }
+
+    /// Reserves memory for the bytes that have arrived.
+    fn reserve(&mut self) -> Result<()> {
+        let reserved = self.memory.as_ref().map_or(0, SemaphorePermit::num_permits);
+        let needed = self.size.saturating_sub(SMALL_BODY_BYTES).saturating_sub(reserved);
+        if needed == 0 {
+            return Ok(());
+        }
+        let Ok(more) = self.limits.memory.0.try_acquire_many(needed as u32) else {
+            return Err(ExchangeError::TooLarge);
+        };
+        match &mut self.memory {
+            Some(memory) => memory.merge(more),
+            None => self.memory = Some(more),
+        }
+        Ok(())
+    }
+}
+
+/// Reads one head; also returns its size.
+async fn read_head<R: AsyncReadExt + Unpin>(
+    reader: &mut R,
+    buffer: &mut BytesMut,
+) -> Result<(Head, usize)> {
     loop {
         let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
         let mut parsed = httparse::Response::new(&mut headers);
@@ -315,19 +448,19 @@
                     |h: &httparse::Header<'_>| (h.name.to_owned(), Bytes::copy_from_slice(h.value));
                 let headers = parsed.headers.iter().map(copy).collect();
                 buffer.advance(size);
-                return Ok(Head { status, headers });
+                return Ok((Head { status, headers }, size));
             }
             Ok(httparse::Status::Partial) if buffer.len() < HEAD_BYTES_MAX => {}
             _ => return Err(ExchangeError::Malformed),
         }
         let empty = buffer.is_empty();
-        if fill_buffer(reader, buffer, None).await? == 0 {
+        if fill_buffer(reader, buffer, READ_BYTES, None).await? == 0 {
             return Err(if empty { ExchangeError::Closed } else { ExchangeError::Truncated });
         }
     }
 }
 
-fn framing(head: &Head, method: &str) -> Result<Framing> {
+fn framing(head: &Head, method: &str, limit: BodyLimit) -> Result<Framing> {
     if method == "HEAD" || matches!(head.status, 204 | 304) {
         return Ok(Framing::None);
     }
@@ -338,20 +471,22 @@
     match head.header("content-length") {
         None => Ok(Framing::UntilClose),
         Some(size) => match size.trim().parse() {
-            Ok(size) if size <= BODY_BYTES_MAX => Ok(Framing::Length(size)),
-            _ => Err(ExchangeError::Malformed),
+            Ok(size) if size <= limit.0 => Ok(Framing::Length(size)),
+            Ok(_) => Err(ExchangeError::TooLarge),
+            Err(_) => Err(ExchangeError::Malformed),
         },
     }
 }
 
-/// Reads once into the buffer; returns the number of bytes read, 0 at the end of the stream. Fails
-/// if nothing arrives for the time `stall`.
+/// Reads once into the buffer, which gets room for `size` bytes; returns the number of bytes read, 0
+/// at the end of the stream. Fails if nothing arrives for the time `stall`.
 async fn fill_buffer<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
+    size: usize,
     stall: Option<Duration>,
 ) -> Result<usize> {
-    buffer.reserve(READ_BYTES);
+    buffer.reserve(size);
     let read = reader.read_buf(buffer);
     let size = match stall {
         None => read.await,
@@ -363,44 +498,66 @@
     size.map_err(ExchangeError::Broken)
 }
 
+/// Reads once into the buffer while a body arrives.
+async fn fill_from_body<R: AsyncReadExt + Unpin>(
+    reader: &mut R,
+    buffer: &mut BytesMut,
+    body: &mut Body<'_>,
+) -> Result<usize> {
+    if body.unyielded >= YIELD_BYTES {
+        body.unyielded = 0;
+        yield_now().await;
+    }
+    let size = fill_buffer(reader, buffer, BODY_READ_BYTES, body.limits.stall_timeout).await?;
+    body.unyielded += size;
+    Ok(size)
+}
+
 async fn read_exactly<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    stall: Option<Duration>,
+    body: &mut Body<'_>,
     size: usize,
-) -> Result<Bytes> {
-    while buffer.len() < size {
-        if fill_buffer(reader, buffer, stall).await? == 0 {
+) -> Result<()> {
+    let mut left = size;
+    while left > 0 {
+        if buffer.is_empty() && fill_from_body(reader, buffer, body).await? == 0 {
             return Err(ExchangeError::Truncated);
         }
+        let part = buffer.split_to(left.min(buffer.len()));
+        left -= part.len();
+        body.push(part)?;
     }
-    Ok(buffer.split_to(size).freeze())
+    Ok(())
 }
 
 async fn read_to_end<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    stall: Option<Duration>,
-) -> Result<Bytes> {
-    while fill_buffer(reader, buffer, stall).await? > 0 {
-        if buffer.len() > BODY_BYTES_MAX {
-            return Err(ExchangeError::Malformed);
+    body: &mut Body<'_>,
+) -> Result<()> {
+    loop {
+        body.push(buffer.split())?;
+        if fill_from_body(reader, buffer, body).await? == 0 {
+            return Ok(());
         }
     }
-    Ok(buffer.split().freeze())
 }
 
 async fn read_chunks<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    stall: Option<Duration>,
-) -> Result<Bytes> {
-    let mut body = BytesMut::new();
+    body: &mut Body<'_>,
+) -> Result<()> {
+    let mut extension_bytes = 0;
     loop {
         let (start, size) = match httparse::parse_chunk_size(buffer) {
             Ok(httparse::Status::Complete((start, size))) => (start, size as usize),
             Ok(httparse::Status::Partial) => {
-                if fill_buffer(reader, buffer, stall).await? == 0 {
+                if buffer.len() > EXTENSION_BYTES_MAX {
+                    return Err(ExchangeError::TooLarge);
+                }
+                if fill_from_body(reader, buffer, body).await? == 0 {
                     return Err(ExchangeError::Truncated);
                 }
                 continue;
@@ -408,35 +565,48 @@
             Err(_) => return Err(ExchangeError::Malformed),
         };
         buffer.advance(start);
+        extension_bytes += start.saturating_sub(CHUNK_LINE_BYTES);
+        if extension_bytes > EXTENSION_BYTES_MAX {
+            return Err(ExchangeError::TooLarge);
+        }
         if size == 0 {
-            read_trailers(reader, buffer, stall).await?;
-            return Ok(body.freeze());
+            return read_trailers(reader, buffer, body).await;
         }
-        if body.len() + size > BODY_BYTES_MAX {
-            return Err(ExchangeError::Malformed);
+        if size > body.limits.body.0 - body.size {
+            return Err(ExchangeError::TooLarge);
         }
-        let chunk = read_exactly(reader, buffer, stall, size + 2).await?;
-        if !chunk.ends_with(b"\r\n") {
+        read_exactly(reader, buffer, body, size).await?;
+        while buffer.len() < 2 {
+            if fill_from_body(reader, buffer, body).await? == 0 {
+                return Err(ExchangeError::Truncated);
+            }
+        }
+        if !buffer.starts_with(b"\r\n") {
             return Err(ExchangeError::Malformed);
         }
-        body.extend_from_slice(&chunk[..size]);
+        buffer.advance(2);
     }
 }
 
 async fn read_trailers<R: AsyncReadExt + Unpin>(
     reader: &mut R,
     buffer: &mut BytesMut,
-    stall: Option<Duration>,
+    body: &mut Body<'_>,
 ) -> Result<()> {
+    let mut read = 0;
     loop {
         if let Some(end) = buffer.windows(2).position(|w| w == b"\r\n") {
             buffer.advance(end + 2);
             if end == 0 {
                 return Ok(());
             }
+            read += end + 2;
             continue;
         }
-        if fill_buffer(reader, buffer, stall).await? == 0 {
+        if read + buffer.len() > TRAILER_BYTES_MAX {
+            return Err(ExchangeError::TooLarge);
+        }
+        if fill_from_body(reader, buffer, body).await? == 0 {
             return Err(ExchangeError::Truncated);
         }
     }
