Let other tasks run while a pooled connection reads

The client of the product's own deployments skips 1xx heads for as long as they come and, as the runtime lets it, reads 128 times before others run. A server that sends nothing else held its thread, timers included: a call with 400 ms took 7.0, 9.0 and 8.4 s in 3 of 6 runs (debug build, one thread). A connection now yields after 64 KiB so that timers fire, and its buffer and a response's head have 64 KiB at most, as with the node's own client. Waking the task at once was not enough: timers are checked every 61 tasks only, and 1 of 5 runs still took 1.3 s.

a_pooled_call_outlasts_its_deadline_while_endless_interim_responses_arrive passes in 6 of 6 runs. The other answers without end, and bytes after a complete answer, never failed here; their tests guard that.

--- a/src/kelpwind/net/pool.rs
+++ b/src/kelpwind/net/pool.rs
@@ -7,8 +7,10 @@
 //! later request.
 
 use std::collections::HashMap;
-use std::io;
+use std::io::{self, IoSlice};
 use std::net::{IpAddr, SocketAddr};
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -18,8 +20,9 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, yield_now};
 use tokio::time::{timeout, timeout_at};
 
 /// Longest time to open a connection.
@@ -28,6 +31,12 @@
 const USER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Idle time after which a connection is closed instead of reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Size of a connection's read buffer, and largest head of a response, in bytes; as in
+/// [`super::http1`].
+const BUFFER_BYTES_MAX: usize = 64 << 10;
+/// Number of bytes after which a connection lets other tasks run. The HTTP library skips 1xx heads
+/// for as long as they come.
+const YIELD_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections per address.
 const IDLE_PER_ADDR_MAX: usize = 512;
 /// Largest response body that is read, in bytes, unless the call sets another limit.
@@ -216,13 +225,71 @@
 
     async fn open(&self, addr: SocketAddr) -> io::Result<Connection> {
         let stream = connect(self.local, addr).await?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let stream = YieldingStream { stream, unyielded: 0 };
+        let mut client = http1::Builder::new();
+        client.max_buf_size(BUFFER_BYTES_MAX);
+        let handshake = client.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
         Ok(Connection { sender, driver, last_used: Instant::now() })
     }
 }
 
+/// A stream whose reader lets other tasks run after [`YIELD_BYTES`].
+struct YieldingStream {
+    stream: TcpStream,
+    /// Bytes read since other tasks last ran.
+    unyielded: usize,
+}
+
+impl AsyncRead for YieldingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.unyielded >= YIELD_BYTES {
+            self.unyielded = 0;
+            // Unlike a plain wake, this lets timers fire before the next read.
+            return pin!(yield_now()).poll(cx).map(Ok);
+        }
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.unyielded += buf.filled().len() - before;
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for YieldingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 async fn connect(local: Option<IpAddr>, addr: SocketAddr) -> io::Result<TcpStream> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     if let Some(local) = local.filter(|l| l.is_ipv4() == addr.is_ipv4()) {
--- a/tests/testsuite/endless_answers.rs
+++ b/tests/testsuite/endless_answers.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use kelpwind::core::codes::Code;
 use kelpwind::core::ids::Token;
 use kelpwind::lease::clock;
@@ -13,6 +14,7 @@
     Backend, Grant, GrantOutcome, ReleaseOutcome, Request, SendOutcome,
 };
 use kelpwind::net::http1::{Conn, Head};
+use kelpwind::net::pool::{self, Pool};
 use kelpwind::platform;
 use kelpwind::table::keys::Span;
 use tokio::time::{sleep, timeout};
@@ -387,3 +389,48 @@
     let held = outcomes.iter().filter(|o| **o == SendOutcome::Unknown(Code::Expired)).count();
     assert!(held * ANSWER_BYTES <= MEMORY_MAX, "{held} answers were held at once");
 }
+
+/// Checks calls of the client that the product's own deployments use.
+async fn assert_pooled_calls_end(scripts: impl IntoIterator<Item = Script>) {
+    for script in scripts {
+        let server = EndlessServer::start(script);
+        let pool = Pool::new(None);
+        let began = Instant::now();
+        let request = http::Request::get("/").body(Bytes::new()).unwrap();
+        let answer = pool.call(server.addr, request, began + CALL_LIMIT).await;
+        let (took, what) = (began.elapsed(), format!("{:?} {:?}", script.start, script.pause));
+        assert!(took < CALL_LIMIT + CALL_SLACK, "took {took:?} for {what}");
+        assert!(answer.as_ref().is_err_and(|e| !e.is_unsent()), "{answer:?} for {what}");
+        server.until_closed().await;
+        let written = server.written();
+        let read_max = pool::RESPONSE_BYTES_MAX * 2 + KERNEL_BYTES;
+        assert!(written < read_max, "read {written} bytes for {what}");
+    }
+}
+
+const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\n\r\n";
+
+#[tokio::test]
+async fn a_pooled_call_outlasts_its_deadline_while_an_endless_answer_arrives() {
+    let scripts = endless_answers().into_iter().filter(|s| s.start != INTERIM);
+    assert_pooled_calls_end(scripts).await;
+}
+
+#[tokio::test]
+async fn a_pooled_call_outlasts_its_deadline_while_endless_interim_responses_arrive() {
+    assert_pooled_calls_end([Script::endless(INTERIM, INTERIM)]).await;
+}
+
+#[tokio::test]
+async fn endless_bytes_after_a_pooled_answer_spoil_the_next_one() {
+    let start = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let server = EndlessServer::start(Script::endless(start, "x"));
+    let pool = Pool::new(None);
+    for _ in 0..3 {
+        let request = http::Request::get("/").body(Bytes::new()).unwrap();
+        let answer = pool.call(server.addr, request, Instant::now() + CALL_LIMIT).await.unwrap();
+        assert_eq!(&answer.body()[..], b"ok");
+        sleep(Duration::from_millis(50)).await;
+    }
+    server.until_closed().await;
+}
