Test two runs of a node under one name, and tell restarted nodes the truth

The simulated platform told every node that the whole system starts for the first time (`self.bootstrap=true`), also one that starts again. Such a node chooses its witnesses 1.5 s later, so its first grant came 1.7 s after its start, when all grants of the former run have expired. The platform says true only at the first start of the installation; the tests, and the soak, which uses the same code, could not show a grant that comes too early.

A host that joins under the name of another one has another address, which is part of its id, so the two never share keys, whether the former one is alive, in its grace period or paused for 4 s.

--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod explain_request;
 mod http_limits;
+mod node_runs;
 #[path = "../platform/mod.rs"]
 mod platform;
 mod server_lifecycle;
--- /dev/null
+++ b/tests/mesh/node_runs.rs
@@ -0,0 +1,56 @@
+//! Two runs of a node under one name, and the backend servers beside them.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use super::platform::fleet::Fleet;
+use super::{assert_no_violations, until_all_served};
+
+/// Processing time of a request at a backend server.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Services and their numbers of hosts; the first service is keyed.
+const SERVICES: &[(&str, u32)] = &[("books", 4)];
+
+/// A host that replaces another one may get its name, but has another address. It must count as
+/// another node, also while the former one lives.
+#[rstest]
+#[case::alive(&[])]
+#[case::in_its_grace_period(&["TERM"])]
+#[case::paused_for_seconds(&["STOP", "CONT"])]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_under_the_name_of_a_former_one_shares_no_keys_with_it(#[case] signals: &[&str]) {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    if let Some(first) = signals.first() {
+        fleet.hosts[0].node.as_ref().unwrap().signal(first);
+    }
+    fleet.add_host_named_as(0).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for next in signals.iter().skip(1) {
+        fleet.hosts[0].node.as_ref().unwrap().signal(next);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    until_all_served(&fleet, 1).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
+
+/// The former server closes its listener but holds the keys of the former run's grants.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_a_node_restarts_beside_another_server() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    let former = fleet.hosts[0].server.take().unwrap();
+    former.stop_reports();
+    former.close_listener();
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    fleet.hosts[0].node = None;
+    fleet.start_node(0);
+    fleet.start_server_reporting_after(0, Duration::from_millis(60)).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    former.crash();
+    until_all_served(&fleet, 1).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -61,6 +61,8 @@
 pub struct Host {
     /// Its address, one of the loopback network.
     pub ip: Ipv4Addr,
+    /// Name of its node.
+    name: String,
     server_config: ServerConfig,
     settings_file: PathBuf,
     log_file: PathBuf,
@@ -84,6 +86,8 @@
     pub limits: Option<Limits>,
     proxy: Proxy,
     folder: PathBuf,
+    /// Whether nodes are told that the whole system starts for the first time.
+    bootstrap: bool,
     /// Version of the next configuration. Versions increase, but need not be consecutive.
     version: u32,
 }
@@ -108,6 +112,7 @@
             limits: None,
             proxy,
             folder,
+            bootstrap: true,
             version: 1,
         };
         fleet.publish(services, "");
@@ -121,25 +126,44 @@
                 keyed: service == services[0].0,
                 report_delay: Duration::ZERO,
             };
-            fleet.add_host(ip(1 + i as u8), ip(250), server_config).await;
+            fleet.add_host(&format!("side-{}", 1 + i), ip(1 + i as u8), server_config).await;
         }
         fleet.wait_until_served(services).await;
+        fleet.bootstrap = false;
         fleet
     }
 
-    async fn add_host(&mut self, ip: Ipv4Addr, store: Ipv4Addr, server_config: ServerConfig) {
+    /// Adds a host with a server of its own, whose node has the name of an existing one. Returns its
+    /// index.
+    pub async fn add_host_named_as(&mut self, host: usize) -> usize {
+        let [a, b, c, _] = self.hosts[0].ip.octets();
+        let ip = Ipv4Addr::new(a, b, c, 1 + self.hosts.len() as u8);
+        let Host { name, server_config, .. } = &self.hosts[host];
+        let (name, server_config) = (name.clone(), server_config.clone());
+        self.add_host(&name, ip, server_config).await;
+        self.hosts.len() - 1
+    }
+
+    async fn add_host(&mut self, name: &str, ip: Ipv4Addr, server_config: ServerConfig) {
+        let [a, b, c, _] = ip.octets();
         let link = Link {
             name: ip.to_string(),
             listen: SocketAddr::new(ip.into(), 8400),
-            target: SocketAddr::new(store.into(), 8309),
+            target: SocketAddr::new(Ipv4Addr::new(a, b, c, 250).into(), 8309),
         };
         self.proxy.open(link).await.expect("the proxy failed to listen");
         let settings_file = self.folder.join(format!("{ip}.conf"));
-        std::fs::write(&settings_file, settings(ip, &server_config))
-            .expect("failed to write settings");
         let log_file = self.folder.join(format!("side-{}.{ip}.log", ip.octets()[3]));
-        let host = Host { ip, server_config, settings_file, log_file, node: None, server: None };
-        self.hosts.push(host);
+        let name = name.to_owned();
+        self.hosts.push(Host {
+            ip,
+            name,
+            server_config,
+            settings_file,
+            log_file,
+            node: None,
+            server: None,
+        });
         let index = self.hosts.len() - 1;
         self.start_node(index);
         self.start_server(index).await;
@@ -186,6 +210,7 @@
     /// Starts the node of a host.
     pub fn start_node(&mut self, host: usize) {
         let host = &mut self.hosts[host];
+        host.write_settings(self.bootstrap);
         let log = std::fs::File::options().create(true).append(true).open(&host.log_file);
         let log = Stdio::from(log.expect("failed to open the log file"));
         host.node = Some(spawn(host, log));
@@ -194,6 +219,7 @@
     /// Restarts the node of a host with a pipe as standard output that is never read.
     pub fn start_node_unread(&mut self, host: usize) {
         let host = &mut self.hosts[host];
+        host.write_settings(self.bootstrap);
         host.node = None;
         host.node = Some(spawn(host, Stdio::piped()));
     }
@@ -411,17 +437,23 @@
     Process::spawn(env!("CARGO_BIN_EXE_kelpwind"), &["node"], &env, output)
 }
 
-fn settings(ip: Ipv4Addr, config: &ServerConfig) -> String {
+impl Host {
+    fn write_settings(&self, bootstrap: bool) {
+        let settings = settings(&self.name, self.ip, &self.server_config, bootstrap);
+        std::fs::write(&self.settings_file, settings).expect("failed to write settings");
+    }
+}
+
+fn settings(name: &str, ip: Ipv4Addr, config: &ServerConfig, bootstrap: bool) -> String {
     let ServerConfig { service, zone, .. } = config;
     format!(
-        "self.node-name=side-{}\nself.ip={ip}\nself.zone={zone}\nself.service={service}\n\
-         self.app-addr={ip}:8301\nself.bootstrap=true\nnetwork.listen.outbound={ip}:8304\n\
+        "self.node-name={name}\nself.ip={ip}\nself.zone={zone}\nself.service={service}\n\
+         self.app-addr={ip}:8301\nself.bootstrap={bootstrap}\nnetwork.listen.outbound={ip}:8304\n\
          network.listen.ready-address={ip}:8302\nnetwork.listen.control={ip}:8306\n\
          network.port-range=7620,7635\nnetwork.zones.{zone}=west\n\
          platform.platform.address={ip}:8400\nterms.bounds.grace-s=6\n\
          terms.bounds.hold-max-s=10\nterms.bounds.budget-window-s=10\n\
-         terms.bounds.retry-budget-ratio=0.2\nterms.bounds.retry-budget-slack=64\n",
-        ip.octets()[3]
+         terms.bounds.retry-budget-ratio=0.2\nterms.bounds.retry-budget-slack=64\n"
     )
 }
 
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -47,22 +47,33 @@
         self.append_one("keyed.op", key, Bytes::copy_from_slice(value.as_bytes()));
     }
 
-    /// Deletes all keys that contain `part`, and returns their newest records with their topics.
-    pub fn delete_matching(&self, part: &str) -> Vec<(String, Record)> {
+    /// The newest records whose keys contain `part`, with their topics.
+    pub fn newest_matching(&self, part: &str) -> Vec<(String, Record)> {
         let newest: BTreeMap<(String, String), Bytes> = {
             let topics = self.topics.lock();
             let all = topics.iter().flat_map(|(t, records)| records.iter().map(move |r| (t, r)));
             let matching = all.filter(|(_, (key, _))| key.contains(part));
             matching.map(|(t, (key, value))| ((t.clone(), key.clone()), value.clone())).collect()
         };
-        let deleted: Vec<_> = newest.into_iter().map(|((t, k), v)| (t, (k, v))).collect();
+        newest.into_iter().map(|((t, k), v)| (t, (k, v))).collect()
+    }
+
+    /// Deletes all keys that contain `part`, and returns their newest records with their topics.
+    pub fn delete_matching(&self, part: &str) -> Vec<(String, Record)> {
+        let deleted = self.newest_matching(part);
         deleted.iter().for_each(|(topic, (key, _))| self.append_one(topic, key, Bytes::new()));
         deleted
     }
 
-    /// Writes deleted records again.
-    pub fn restore(&self, deleted: Vec<(String, Record)>) {
-        deleted.into_iter().for_each(|(topic, (key, value))| self.append_one(&topic, &key, value));
+    /// Writes former records again.
+    pub fn restore(&self, records: Vec<(String, Record)>) {
+        records.into_iter().for_each(|(topic, (key, value))| self.append_one(&topic, &key, value));
+    }
+
+    /// Number of records that were written under the keys that contain `part`.
+    pub fn count_matching(&self, part: &str) -> usize {
+        let topics = self.topics.lock();
+        topics.values().flatten().filter(|(key, _)| key.contains(part)).count()
     }
 
     /// Replaces text in the newest records whose keys contain `part`.
