Ignore a late record of a node's former run

A node's record is written without a condition, so the store may carry out a write seconds after it was sent, when its author has ended and the node has joined again. All nodes then took the owner of the node's keys for one that is no member any more: 4.5 s later they distributed its keys. If the node was cut off from the store meanwhile, it did not write its record again, but its witnesses still renewed its lease, so its server held the keys for up to 0.9 s beside three others.

Incarnations were random, so nobody could tell a later one from an earlier one. Now each is later than all that the table has under the node's name. A record of an earlier incarnation, or with an earlier witness set, changes nothing, and its node writes the present one again. A node that has read only the late record does not count the owner as departed, since the owner's incarnation is the later one. Whether an owner has departed is also checked again in the table on which the write depends, not only in the list that is updated every 0.3 s.

The write that restores the record is not repeated; that also held before.

--- a/src/kelpwind/core/ids.rs
+++ b/src/kelpwind/core/ids.rs
@@ -179,9 +179,11 @@
     }
 }
 
-/// Identifier of one run of a node's process; a restarted process has a new incarnation. The text
-/// form is 16 hexadecimal digits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+/// Identifier of one run of a node's process; a restarted process has a new incarnation. Those of a
+/// node in a mesh increase. The text form is 16 hexadecimal digits.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(try_from = "String", into = "String")]
 pub struct Incarnation(pub u64);
 
--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -297,7 +297,7 @@
 /// before the table does, and reclaims the keys.
 fn successor(table: &Table, owner: &Owner) -> Option<Owner> {
     let member = table.members.get(&owner.holder.node)?;
-    let later = member.holder.inc != owner.holder.inc && member.takes_work();
+    let later = table.is_succeeded(&owner.holder) && member.takes_work();
     let instance = member.instance().filter(|_| later)?.clone();
     Some(Owner { holder: member.holder.clone(), instance })
 }
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -34,6 +34,9 @@
 use crate::table::Table;
 use crate::table::member::{Instance, Member, Server};
 
+/// Largest difference between two consecutive incarnations of a node. Leaves room for millions.
+const INCARNATION_STEP_MAX: u64 = 1 << 40;
+
 /// The backend server beside the node, according to its last report.
 #[derive(Clone, Debug)]
 pub(crate) struct BackendStatus {
@@ -202,7 +205,8 @@
 
     /// Starts a new incarnation, without a lease. Ownership under the previous one ends for good.
     pub fn start_incarnation(&self, why: &str) {
-        let fresh = Incarnation(fastrand::u64(..));
+        let latest = self.table.borrow().latest_incarnation(&self.name());
+        let fresh = later_than(latest.unwrap_or_default().max(self.holder.borrow().inc));
         let old = std::mem::replace(&mut self.holder.borrow_mut().inc, fresh);
         let (old, fresh) = (old.to_string(), fresh.to_string());
         spdlog::warn!("the node goes on under a new incarnation", kv: { why, old = old.as_str(), fresh = fresh.as_str() });
@@ -239,3 +243,9 @@
         });
     }
 }
+
+/// A new incarnation that is later than `former`. Random, since other nodes know incarnations by
+/// their numbers alone.
+fn later_than(former: Incarnation) -> Incarnation {
+    Incarnation(former.0.saturating_add(1 + fastrand::u64(..INCARNATION_STEP_MAX)))
+}
--- a/src/kelpwind/mesh/plan.rs
+++ b/src/kelpwind/mesh/plan.rs
@@ -77,7 +77,7 @@
         let table = self.table.borrow();
         let mut departed = self.departed_owners.borrow_mut();
         let owners = table.keys.values().flat_map(|k| k.owners());
-        let lost: Vec<&Holder> = owners.filter(|h| table.member(h).is_none()).collect();
+        let lost: Vec<&Holder> = owners.filter(|h| table.has_departed(h)).collect();
         departed.retain(|holder, _| lost.contains(&holder));
         for holder in lost {
             departed.entry(holder.clone()).or_insert_with(Instant::now);
@@ -88,7 +88,11 @@
     /// keys nor will reclaim them.
     fn is_unowned(&self, range: &Range) -> bool {
         let Some(owner) = &range.owner else { return true };
-        let restarted = self.table.borrow().members.contains_key(&owner.holder.node);
+        let table = self.table.borrow();
+        if !table.has_departed(&owner.holder) {
+            return false;
+        }
+        let restarted = table.is_succeeded(&owner.holder);
         let wait = if restarted { RESTARTED_OWNER_WAIT } else { DEPARTED_OWNER_WAIT };
         let departed = self.departed_owners.borrow();
         departed.get(&owner.holder).is_some_and(|since| since.elapsed() >= wait)
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -143,6 +143,15 @@
         }
     }
 
+    /// Before this run joins: makes its incarnation later than those of former runs under its name.
+    fn outrank_former_runs(&self) {
+        let latest = self.table.borrow().latest_incarnation(&self.name());
+        let later = latest.is_some_and(|inc| inc > self.holder.borrow().inc);
+        if later && self.lease.borrow().is_none() {
+            self.start_incarnation("a former run had a later one");
+        }
+    }
+
     /// This node's record for the table.
     pub fn member_record(&self) -> Member {
         let settings = self.settings.borrow();
@@ -197,9 +206,13 @@
             node.announce_wake.notified().await;
             continue;
         }
+        node.outrank_former_runs();
         let record = node.member_record();
         let name = node.name();
-        let known = node.table.borrow().members.get(&name) == Some(&record);
+        let known = {
+            let table = node.table.borrow();
+            table.members.get(&name) == Some(&record) && !table.is_outdated(&name)
+        };
         if known {
             node.announce_wake.notified().await;
             continue;
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -37,6 +37,8 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
 /// Interval at which a stopping node checks whether all work has ended.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Highest first incarnation of a node, which leaves room for later ones.
+const FIRST_INCARNATION_MAX: u64 = 1 << 62;
 /// Interval at which the settings file is read again, which may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -81,7 +83,8 @@
 }
 
 fn build(settings: NodeSettings, platform: Platform, udp: UdpSocket) -> Node {
-    let holder = Holder { node: settings.node.clone(), inc: Incarnation(fastrand::u64(..)) };
+    let inc = Incarnation(fastrand::u64(..FIRST_INCARNATION_MAX));
+    let holder = Holder { node: settings.node.clone(), inc };
     let now = clock::now();
     let witness = Witness::new(IncarnationId::from(holder.inc), now);
     let mut held = held_ranges::HeldRanges::default();
--- a/src/kelpwind/table/mod.rs
+++ b/src/kelpwind/table/mod.rs
@@ -21,7 +21,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::core::ids::{Holder, NodeId, Offset, ServiceName};
+use crate::core::ids::{Holder, Incarnation, NodeId, Offset, ServiceName};
 use crate::lease::message::IncarnationId;
 use chunk::Chunk;
 use keys::KeyMap;
@@ -114,6 +114,8 @@
     pub members: BTreeMap<NodeId, Member>,
     /// Key ownership by service.
     pub keys: BTreeMap<ServiceName, KeyMap>,
+    /// Nodes whose newest record was written late, by a former run or with a former witness set.
+    outdated: BTreeSet<NodeId>,
     offsets: BTreeMap<String, Offset>,
 }
 
@@ -127,7 +129,7 @@
         }
         self.offsets.insert(record.key.clone(), record.offset);
         if let Some(name) = record.key.strip_prefix(NODE_PREFIX) {
-            return put(&mut self.members, name, record.value.as_ref());
+            return self.put_member(name, record.value.as_ref()).is_some();
         }
         if let Some(name) = record.key.strip_prefix(KEYS_PREFIX) {
             return self.put_chunk(name, record.value.as_ref()).is_some();
@@ -135,6 +137,28 @@
         false
     }
 
+    /// Applies the record of a node; `None` if it cannot be parsed. The store may carry out a write
+    /// seconds after its author has sent it, or has ended. A record of an earlier incarnation, or
+    /// with an earlier witness set, than the known one therefore changes nothing, and its node has
+    /// to write the present one again.
+    fn put_member(&mut self, name: &str, value: Option<&Bytes>) -> Option<()> {
+        let name: NodeId = name.parse().ok()?;
+        let Some(value) = value else {
+            self.members.remove(&name);
+            self.outdated.remove(&name);
+            return Some(());
+        };
+        let member: Member = serde_json::from_slice(value).ok()?;
+        let order = |m: &Member| (m.holder.inc, m.version);
+        if self.members.get(&name).is_some_and(|known| order(&member) < order(known)) {
+            self.outdated.insert(name);
+        } else {
+            self.outdated.remove(&name);
+            self.members.insert(name, member);
+        }
+        Some(())
+    }
+
     /// Applies an ownership record whose `name` is `SERVICE/NUMBER`; `None` if it cannot be parsed.
     fn put_chunk(&mut self, name: &str, value: Option<&Bytes>) -> Option<()> {
         let (service, number) = name.rsplit_once('/')?;
@@ -153,6 +177,29 @@
         self.members.get(&holder.node).filter(|m| m.holder == *holder)
     }
 
+    /// Whether the newest record of a node in the store is older than the member known here.
+    pub fn is_outdated(&self, node: &NodeId) -> bool {
+        self.outdated.contains(node)
+    }
+
+    /// Whether a later incarnation of a holder's node is a member.
+    pub fn is_succeeded(&self, holder: &Holder) -> bool {
+        self.members.get(&holder.node).is_some_and(|m| m.holder.inc > holder.inc)
+    }
+
+    /// Whether an owner has ended its membership. One whose record was replaced by a late write of
+    /// a former run has not.
+    pub fn has_departed(&self, owner: &Holder) -> bool {
+        !self.members.contains_key(&owner.node) || self.is_succeeded(owner)
+    }
+
+    /// The latest incarnation of a node that is a member or owns keys.
+    pub fn latest_incarnation(&self, node: &NodeId) -> Option<Incarnation> {
+        let owners = self.keys.values().flat_map(|k| k.owners()).filter(|h| h.node == *node);
+        let member = self.members.get(node).map(|m| &m.holder);
+        owners.chain(member).map(|h| h.inc).max()
+    }
+
     /// Members whose backend server belongs to the service, in any state.
     pub fn members_of<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Member> {
         self.members.values().filter(move |m| m.service == *service)
@@ -181,18 +228,3 @@
             .collect()
     }
 }
-
-fn put<K, V>(map: &mut BTreeMap<K, V>, name: &str, value: Option<&Bytes>) -> bool
-where
-    K: std::str::FromStr + Ord,
-    V: serde::de::DeserializeOwned,
-{
-    let Ok(name) = name.parse() else { return false };
-    let Some(value) = value else {
-        map.remove(&name);
-        return true;
-    };
-    let Ok(value) = serde_json::from_slice(value) else { return false };
-    map.insert(name, value);
-    true
-}
--- a/tests/mesh/node_runs.rs
+++ b/tests/mesh/node_runs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kelpwind_stand_ins::proxy::Faults;
 use rstest::rstest;
 
 use super::platform::fleet::Fleet;
@@ -11,6 +12,8 @@
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 /// Services and their numbers of hosts; the first service is keyed.
 const SERVICES: &[(&str, u32)] = &[("books", 4)];
+/// Time after which the keys of an owner whose record was replaced have been given to others.
+const REASSIGNMENT_TIME: Duration = Duration::from_secs(7);
 
 /// A host that replaces another one may get its name, but has another address. It must count as
 /// another node, also while the former one lives.
@@ -54,3 +57,43 @@
     callers.iter().for_each(|c| c.abort());
     assert_no_violations(&fleet);
 }
+
+/// The store carries out a write of the former run after the present run was cut off from it. The
+/// present run still renews its lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_a_late_record_of_a_former_run() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    let former = fleet.store.newest_matching(&fleet.hosts[0].ip.to_string());
+    fleet.hosts[0].node = None;
+    fleet.start_node(0);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let cut = Faults { cut_forward: true, cut_backward: true, ..Faults::default() };
+    fleet.set_faults(0, cut);
+    fleet.store.restore(former);
+    tokio::time::sleep(REASSIGNMENT_TIME).await;
+    fleet.set_faults(0, Faults::default());
+    until_all_served(&fleet, 1).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
+
+/// The present run must write its record again, but once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_record_of_a_former_run_stays_or_causes_many_writes() {
+    const WRITES_MAX: usize = 3;
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let ip = fleet.hosts[0].ip.to_string();
+    let former = fleet.store.newest_matching(&ip);
+    fleet.hosts[0].node = None;
+    fleet.start_node(0);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let before = fleet.store.count_matching(&ip);
+    fleet.store.restore(former.clone());
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let writes = fleet.store.count_matching(&ip) - before - 1;
+    assert!((1..=WRITES_MAX).contains(&writes), "{writes} writes");
+    assert_ne!(fleet.store.newest_matching(&ip), former);
+    until_all_served(&fleet, 0).await;
+    assert_no_violations(&fleet);
+}
--- a/tests/testsuite/table.rs
+++ b/tests/testsuite/table.rs
@@ -3,9 +3,9 @@
 //! Readers must end with the writer's state in whatever order records arrive, and a move must write
 //! only the records that it affects.
 
-use kelpwind::core::ids::{Offset, ServiceName};
+use kelpwind::core::ids::{Holder, Incarnation, Offset, ServiceName, Version};
 use kelpwind::table::keys::{KEY_MAX, KeyMap, Owner, Range, Span};
-use kelpwind::table::member::Instance;
+use kelpwind::table::member::{Instance, Member};
 use kelpwind::table::polling::{self, ReadRole};
 use kelpwind::table::{Record, Table, WriteBatch};
 use rstest::rstest;
@@ -190,3 +190,61 @@
     assert!(calls(88) < 3.0 * calls(14), "{} and {} calls a second", calls(88), calls(14));
     assert!(calls(2_700) < 6_000.0 / 1.5, "{} calls a second", calls(2_700));
 }
+
+/// A record of `holder` with a witness set of this version.
+fn member(holder: &Holder, version: u64) -> Member {
+    Member {
+        holder: holder.clone(),
+        addr: ([127, 0, 0, 1], 7620).into(),
+        domain: "zone-one".parse().unwrap(),
+        region: "west".to_owned(),
+        service: service(),
+        server: None,
+        stopping: false,
+        witnesses: Vec::new(),
+        version: Version(version),
+    }
+}
+
+/// The first owner in an earlier and in a later incarnation.
+fn two_runs() -> (Holder, Holder) {
+    let former = owner(0).holder;
+    let later = Holder { inc: Incarnation(former.inc.0 + 1), ..former.clone() };
+    (former, later)
+}
+
+/// The store may carry out a write after its author has ended and its node has started again.
+#[rstest]
+#[case::former_run(two_runs().0, 7)]
+#[case::former_witness_set(two_runs().1, 2)]
+fn a_record_written_late_replaces_a_later_one(#[case] late: Holder, #[case] version: u64) {
+    let (_, present) = two_runs();
+    let mut log = Log::new();
+    let put = |table: &mut Table, offset, holder: &Holder, version| {
+        let (key, value) = WriteBatch::put_member(&member(holder, version)).records.remove(0);
+        assert!(table.apply(&Record { offset: Offset(offset), key, value }));
+    };
+    put(&mut log.table, 1000, &present, 3);
+    put(&mut log.table, 1001, &late, version);
+    let known = |table: &Table| table.members[&present.node].clone();
+    assert_eq!(known(&log.table), member(&present, 3));
+    assert!(log.table.is_outdated(&present.node), "the node must write its record again");
+    put(&mut log.table, 1002, &present, 3);
+    assert!(!log.table.is_outdated(&present.node));
+    put(&mut log.table, 1003, &present, 4);
+    assert_eq!(known(&log.table), member(&present, 4));
+}
+
+/// Nodes that read the whole table after the late write know only that record.
+#[test]
+fn an_owner_whose_record_was_replaced_by_a_late_one_counts_as_departed() {
+    let (former, later) = two_runs();
+    let mut table = Table::default();
+    table.members.insert(former.node.clone(), member(&former, 0));
+    assert!(!table.has_departed(&later));
+    assert!(!table.has_departed(&former));
+    table.members.insert(former.node.clone(), member(&later, 0));
+    assert!(table.has_departed(&former));
+    table.members.clear();
+    assert!(table.has_departed(&later));
+}
