End the lease of a run that a later one under its name replaces

A node that found another run's record under its name took it for a late one and wrote its own again, whichever run was the later. Two live runs would have replaced each other's record for good, each with its own server, and reclaimed the keys from each other. A run that was cut off from the store did not learn of its successor, but its witnesses renewed its lease as long as the table named it as owner, so 4.5 s later its server held keys beside three others.

Incarnations now tell which run is the later. The earlier one ends its lease, touches no keys of the later one, and leaves the name to it. Witnesses that know a later incarnation of an owner's node no longer answer its renewals, so the lease of a run that is cut off ends within 1.2 s. The replaced run joins again after 5 s, or when the record is deleted, in a new incarnation: the record may have been a late one of a run that has ended.

Only the record of the later run is simulated: two such nodes cannot run on one machine, since each listens for others and for metrics at fixed ports of the address in its name.

--- a/src/kelpwind/core/ids.rs
+++ b/src/kelpwind/core/ids.rs
@@ -225,6 +225,13 @@
     pub inc: Incarnation,
 }
 
+impl Holder {
+    /// Whether this is `other` or a later incarnation of its node.
+    pub fn continues(&self, other: &Holder) -> bool {
+        self.node == other.node && self.inc >= other.inc
+    }
+}
+
 impl fmt::Display for Holder {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/{}", self.node, self.inc)
--- a/src/kelpwind/lease/witness.rs
+++ b/src/kelpwind/lease/witness.rs
@@ -20,6 +20,7 @@
     last_contact: BTreeMap<IncarnationId, BootInstant>,
     acked: BTreeMap<IncarnationId, BootInstant>,
     promised: BTreeSet<IncarnationId>,
+    rejected: BTreeSet<IncarnationId>,
 }
 
 /// For which incarnation a witness gives a promise.
@@ -41,6 +42,7 @@
             last_contact: BTreeMap::new(),
             acked: BTreeMap::new(),
             promised: BTreeSet::new(),
+            rejected: BTreeSet::new(),
         }
     }
 
@@ -63,6 +65,17 @@
         }
     }
 
+    /// Never answers renewals of these holders again, because a later incarnation of their node is
+    /// a member.
+    pub fn reject(&mut self, holders: impl IntoIterator<Item = IncarnationId>) {
+        self.rejected.extend(holders);
+    }
+
+    /// Whether renewals of a holder are not answered.
+    pub fn has_rejected(&self, holder: IncarnationId) -> bool {
+        self.rejected.contains(&holder)
+    }
+
     /// Records that a holder is alive, whichever incarnation of this witness its message was sent
     /// to: a holder must not count as silent because its witness has restarted.
     pub fn record_contact(&mut self, holder: IncarnationId, now: BootInstant) {
--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -106,7 +106,8 @@
         let mut changed = false;
         for owner in owners {
             if owner.holder.node == own.holder.node {
-                changed |= owner != own && keys.replace_owner(&owner, &own);
+                let former = own.holder.continues(&owner.holder) && owner != own;
+                changed |= former && keys.replace_owner(&owner, &own);
             } else if let Some(successor) = successor(table, &owner) {
                 changed |= keys.replace_owner(&owner, &successor);
             }
--- a/src/kelpwind/mesh/lease.rs
+++ b/src/kelpwind/mesh/lease.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::datagram::Datagram;
 use super::node::Node;
@@ -63,7 +63,8 @@
 
 impl Node {
     /// Updates this node's lease and the holders that it witnesses from the table. Starts a new
-    /// incarnation if this node's record is gone: its keys were taken over.
+    /// incarnation if this node's record is gone: its keys were taken over. Gives the lease up if a
+    /// later run under the same name has joined.
     pub fn sync_lease(&self) {
         let table = self.table.borrow();
         let me = self.holder();
@@ -73,8 +74,8 @@
                 let fresh = || Lease::new(me.clone(), known.version, known.witnesses.clone());
                 lease.get_or_insert_with(fresh).adopt_set(known.version, &known.witnesses);
             }
-            // A late record of another run under the same name. This node replaces it with its
-            // next announcement.
+            Some(known) if known.holder.inc > me.inc => self.yield_to(&known.holder),
+            // The record of a former run, which the next announcement of this one replaces.
             Some(_) => {}
             None if self.lease.borrow().is_some() => {
                 drop(table);
@@ -85,7 +86,18 @@
         }
         let (incarnations, watched) = (table.incarnations(), table.watched_by(&me.node));
         let watching: BTreeSet<IncarnationId> = watched.keys().copied().collect();
-        self.witness.borrow_mut().update_members(&incarnations, &watching, clock::now());
+        let mut witness = self.witness.borrow_mut();
+        witness.update_members(&incarnations, &watching, clock::now());
+        witness.reject(table.succeeded_owners());
+    }
+
+    /// Ends this run's lease, if it has one, because a later run under its name has joined.
+    fn yield_to(&self, later: &Holder) {
+        if self.lease.take().is_some() {
+            let later = later.to_string();
+            spdlog::warn!("a later run under this node's name has joined; this one gives up its keys", kv: { later = later.as_str() });
+            self.replaced_at.set(Some(Instant::now()));
+        }
     }
 
     /// Starts a new incarnation if a majority of witnesses will never acknowledge this one again.
@@ -155,6 +167,7 @@
                 // A holder whose keys were taken over is answered as well, since it learns of that
                 // from the refusal.
                 let known = member || state.has_promised(holder);
+                let known = known && !state.has_rejected(holder);
                 (witness == mine && known).then(|| state.handle_renewal(holder, seq, read, now))
             }
             Message::Ack { holder, witness, seq, next: _ } if holder == mine => {
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -134,7 +134,7 @@
         let service = self.service();
         let table = self.table.borrow();
         let mut owners = table.keys.get(&service).into_iter().flat_map(|k| k.owners());
-        owners.find(|h| h.node == me.node).cloned().unwrap_or(me)
+        owners.find(|h| me.continues(h)).cloned().unwrap_or(me)
     }
 
     /// Marks the keys to move as leaving, and returns them split along the server's grants.
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -70,6 +70,8 @@
     pub holder: RefCell<Holder>,
     /// When the process started.
     pub started: Instant,
+    /// When a later run under the name of this node was found to have joined.
+    pub replaced_at: Cell<Option<Instant>>,
     /// The configuration; `None` until one is known.
     pub routes: RefCell<Option<Rc<Routes>>>,
     /// Becomes true when the first configuration arrives.
--- a/src/kelpwind/mesh/plan.rs
+++ b/src/kelpwind/mesh/plan.rs
@@ -132,7 +132,7 @@
         let me = self.holder();
         let table = self.table.borrow();
         let Some(keys) = table.keys.get(&service) else { return Vec::new() };
-        let own = |r: &&Range| r.owner.as_ref().is_some_and(|o| o.holder.node == me.node);
+        let own = |r: &&Range| r.owner.as_ref().is_some_and(|o| me.continues(&o.holder));
         let spans: Vec<Span> = keys.ranges.iter().filter(own).map(|r| r.span).collect();
         if spans.is_empty() {
             return Vec::new();
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -28,6 +28,8 @@
 /// Average pause after a failed write; the actual one is drawn between half and one and a half of
 /// it.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Time for which a node leaves its name to a later run. By then the grants of both have expired.
+const REJOIN_PAUSE: Duration = Duration::from_secs(5);
 /// Longest wait until a written record can be read back from the store.
 const ECHO_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -143,6 +145,19 @@
         }
     }
 
+    /// Time for which this node leaves its name to a later run; `None` if it may join, which it then
+    /// does as the latest run. That record may have been written late by a run that has ended, so
+    /// it counts for some time only.
+    fn rejoin_pause(&self) -> Option<Duration> {
+        let left = REJOIN_PAUSE.saturating_sub(self.replaced_at.get()?.elapsed());
+        if !left.is_zero() && self.table.borrow().is_succeeded(&self.holder()) {
+            return Some(left);
+        }
+        self.replaced_at.set(None);
+        self.start_incarnation("it joins again after a later run under its name");
+        None
+    }
+
     /// Before this run joins: makes its incarnation later than those of former runs under its name.
     fn outrank_former_runs(&self) {
         let latest = self.table.borrow().latest_incarnation(&self.name());
@@ -206,6 +221,11 @@
             node.announce_wake.notified().await;
             continue;
         }
+        if let Some(pause) = node.rejoin_pause() {
+            // A timeout is the usual case: the record of the later run has not changed.
+            let _ = timeout(pause, node.announce_wake.notified()).await;
+            continue;
+        }
         node.outrank_former_runs();
         let record = node.member_record();
         let name = node.name();
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -95,6 +95,7 @@
         run_id: fastrand::u64(..),
         holder: RefCell::new(holder),
         started: Instant::now(),
+        replaced_at: Cell::new(None),
         routes: RefCell::new(None),
         configured: watch::Sender::new(false),
         drained_domains: RefCell::default(),
@@ -223,9 +224,9 @@
     /// Whether no request is in progress and this node owns no keys.
     fn is_idle(&self) -> bool {
         let queue = self.queue.borrow();
-        let me = self.name();
+        let me = self.holder();
         let table = self.table.borrow();
-        let owns = table.keys.values().flat_map(|k| k.owners()).any(|h| h.node == me);
+        let owns = table.keys.values().flat_map(|k| k.owners()).any(|h| me.continues(h));
         self.inflight.get() == 0 && queue.running() == 0 && queue.waiting() == 0 && !owns
     }
 }
--- a/src/kelpwind/table/mod.rs
+++ b/src/kelpwind/table/mod.rs
@@ -187,6 +187,12 @@
         self.members.get(&holder.node).is_some_and(|m| m.holder.inc > holder.inc)
     }
 
+    /// Owners of keys of whose nodes a later incarnation is a member.
+    pub fn succeeded_owners(&self) -> BTreeSet<IncarnationId> {
+        let owners = self.keys.values().flat_map(|k| k.owners());
+        owners.filter(|h| self.is_succeeded(h)).map(|h| IncarnationId::from(h.inc)).collect()
+    }
+
     /// Whether an owner has ended its membership. One whose record was replaced by a late write of
     /// a former run has not.
     pub fn has_departed(&self, owner: &Holder) -> bool {
--- a/tests/mesh/node_runs.rs
+++ b/tests/mesh/node_runs.rs
@@ -97,3 +97,59 @@
     until_all_served(&fleet, 0).await;
     assert_no_violations(&fleet);
 }
+
+/// Only the record of the later run is simulated; its keys are taken over after a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_replaced_by_a_later_one_fights_for_its_record_or_goes_on_granting() {
+    /// Time within which a node learns of a record.
+    const READ_TIME: Duration = Duration::from_millis(700);
+    let fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let ip = fleet.hosts[0].ip.to_string();
+    let server = fleet.hosts[0].server.as_ref().unwrap().id.clone();
+    let held_until = || {
+        let held = fleet.history.held.lock();
+        held.iter().filter(|h| h.server == server).map(|h| h.to).max()
+    };
+    let before = fleet.store.count_matching(&ip);
+    let own = incarnation(&fleet, &ip);
+    write_later_record(&fleet, &ip);
+    tokio::time::sleep(READ_TIME).await;
+    let until = held_until();
+    assert_eq!(fleet.store.count_matching(&ip) - before, 1, "writes of the node's record");
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(held_until(), until, "the server was granted keys");
+    until_all_served(&fleet, 1).await;
+    tokio::time::sleep(REASSIGNMENT_TIME).await;
+    until_all_served(&fleet, 0).await;
+    assert!(incarnation(&fleet, &ip) > own, "the node joins again, in a new incarnation");
+    assert_no_violations(&fleet);
+}
+
+/// The replaced run does not learn of it, but its witnesses do.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_a_run_cut_off_from_the_store_is_replaced() {
+    let fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    let cut = Faults { cut_forward: true, cut_backward: true, ..Faults::default() };
+    fleet.set_faults(0, cut);
+    write_later_record(&fleet, &fleet.hosts[0].ip.to_string());
+    tokio::time::sleep(REASSIGNMENT_TIME).await;
+    fleet.set_faults(0, Faults::default());
+    until_all_served(&fleet, 1).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
+
+/// Writes the record of the node at an address as a later run would.
+fn write_later_record(fleet: &Fleet, ip: &str) {
+    let own = incarnation(fleet, ip);
+    let later = u64::from_str_radix(&own, 16).unwrap() + (1 << 41);
+    fleet.store.replace_in_matching(ip, &own, &format!("{later:016x}"));
+}
+
+/// Incarnation in the newest record of the node at an address.
+fn incarnation(fleet: &Fleet, ip: &str) -> String {
+    let records = fleet.store.newest_matching(ip);
+    let member: serde_json::Value = serde_json::from_slice(&records[0].1.1).unwrap();
+    member["holder"].as_str().unwrap().rsplit_once('/').unwrap().1.to_owned()
+}
--- a/tests/testsuite/table.rs
+++ b/tests/testsuite/table.rs
@@ -4,6 +4,7 @@
 //! only the records that it affects.
 
 use kelpwind::core::ids::{Holder, Incarnation, Offset, ServiceName, Version};
+use kelpwind::lease::message::IncarnationId;
 use kelpwind::table::keys::{KEY_MAX, KeyMap, Owner, Range, Span};
 use kelpwind::table::member::{Instance, Member};
 use kelpwind::table::polling::{self, ReadRole};
@@ -248,3 +249,15 @@
     table.members.clear();
     assert!(table.has_departed(&later));
 }
+
+/// Witnesses no longer acknowledge renewals of a succeeded owner.
+#[test]
+fn an_owner_keeps_its_lease_after_a_later_run_has_joined() {
+    let mut log = Log::new();
+    let (former, later) = two_runs();
+    log.table.members.insert(former.node.clone(), member(&former, 0));
+    assert!(log.table.succeeded_owners().is_empty());
+    log.table.members.insert(later.node.clone(), member(&later, 0));
+    let expected = std::collections::BTreeSet::from([IncarnationId::from(former.inc)]);
+    assert_eq!(log.table.succeeded_owners(), expected);
+}
