Model witnesses whose former run is frozen, not dead

A process promises in the name of the run that had its address before, on the belief that it has ended. The model now keeps the former runs: each may answer, at any later time, the renewals that were sent before the next run took its address. No holder has a lease after its takeover in 2,500 sequences: a renewal counts from when it was sent, and the promise waits for a whole lease from the successor's start. So the rule holds also for a run that is frozen and returns.

--- a/src/kelpwind/lease/witness.rs
+++ b/src/kelpwind/lease/witness.rs
@@ -28,8 +28,9 @@
 pub enum Role {
     /// For itself: the set lists this incarnation.
     Listed,
-    /// For a previous incarnation that the set lists and that ran at the same address. It must
-    /// have ended, since two processes cannot listen on one address.
+    /// For a previous incarnation that the set lists and that ran at the same address. Two
+    /// processes cannot listen on one address, so it has ended or lost the address. Renewals that
+    /// reached it before count from when they were sent, which was before this process started.
     Successor,
 }
 
--- a/tests/testsuite/lease_model.rs
+++ b/tests/testsuite/lease_model.rs
@@ -70,6 +70,11 @@
     lease: Lease,
     incs: Vec<u64>,
     witnesses: Vec<Witness>,
+    /// Former runs of the witnesses, each with the last renewal that was sent before the next run
+    /// took its address over. Renewals up to that one may be in its receive buffer, and a run that
+    /// was frozen may answer them at any later time.
+    former: BTreeMap<IncarnationId, (Witness, Seq)>,
+    last_sent: Seq,
     in_flight: Vec<Message>,
     /// Version of the holder's witness set in the log.
     version: Version,
@@ -111,6 +116,8 @@
             lease: Lease::new(holder(), version, set.clone()),
             incs,
             witnesses,
+            former: BTreeMap::new(),
+            last_sent: Seq::default(),
             in_flight: Vec::new(),
             version,
             takeover: Takeover::new(holder(), version, set.clone()),
@@ -126,6 +133,7 @@
             Step::Wait(ms) => self.now = self.now + Duration::from_millis(*ms),
             Step::Renew(to, back) => {
                 let sent = self.lease.renew(Offset(0), self.now);
+                self.last_sent = Seq(self.last_sent.0 + 1);
                 self.exchange(sent.into_iter().map(|(_, m)| m).collect(), *to, *back);
             }
             Step::Deliver(i) => {
@@ -193,11 +201,13 @@
     }
 
     fn restart(&mut self, node: usize) {
+        let former = IncarnationId(self.incs[node]);
         self.incs[node] += 100;
         let mut restarted = Witness::new(IncarnationId(self.incs[node]), self.now);
         let known = BTreeSet::from([IncarnationId(HOLDER_INC)]);
         restarted.update_members(&known, &known, self.now);
-        self.witnesses[node] = restarted;
+        let frozen = std::mem::replace(&mut self.witnesses[node], restarted);
+        self.former.insert(former, (frozen, self.last_sent));
     }
 
     fn propose(&mut self, nodes: &[usize]) {
@@ -222,6 +232,13 @@
         let answer = match message {
             Message::Renew { holder, witness, seq, next } => {
                 let node = node_of(witness);
+                if let Some((former, last)) = self.former.get_mut(&witness)
+                    && seq <= *last
+                {
+                    let answer = former.handle_renewal(holder, seq, next, now);
+                    self.in_flight.push(answer);
+                    return;
+                }
                 let state = &mut self.witnesses[node];
                 state.record_contact(holder, now);
                 let is_current = self.incs[node] == witness.0;
