Take over a holder that was never acknowledged only after a whole lease

A node that starts again joins in a new incarnation and takes the keys of its former run back. If it is lost before its first renewal, its witnesses promised 0.8 s after they had learned of it, and since they had acknowledged nothing, with no time to wait. The grants of the former run may last 1.05 s from its end. What kept the two apart was the time that a node needs to choose its witnesses, 0.25 s or more: no margin, and not a rule.

A witness now counts a lease from when it learned of such a holder. The former run had ended by then. A takeover is not slower than that of any other holder, 1.2 s after its last renewal.

Seen in the pure test only, which failed with 0 ms instead of 300 ms; no run with processes showed two holders.

--- a/src/kelpwind/lease/witness.rs
+++ b/src/kelpwind/lease/witness.rs
@@ -17,6 +17,7 @@
 pub struct Witness {
     me: IncarnationId,
     started_at: BootInstant,
+    watched_since: BTreeMap<IncarnationId, BootInstant>,
     last_contact: BTreeMap<IncarnationId, BootInstant>,
     acked: BTreeMap<IncarnationId, BootInstant>,
     promised: BTreeSet<IncarnationId>,
@@ -40,6 +41,7 @@
         Witness {
             me,
             started_at,
+            watched_since: BTreeMap::new(),
             last_contact: BTreeMap::new(),
             acked: BTreeMap::new(),
             promised: BTreeSet::new(),
@@ -60,9 +62,11 @@
         now: BootInstant,
     ) {
         self.acked.retain(|holder, at| members.contains(holder) || now.since(*at) < LEASE_DURATION);
-        self.last_contact.retain(|holder, _| watching.contains(holder));
-        for holder in watching {
-            self.last_contact.entry(*holder).or_insert(now);
+        for times in [&mut self.watched_since, &mut self.last_contact] {
+            times.retain(|holder, _| watching.contains(holder));
+            for holder in watching {
+                times.entry(*holder).or_insert(now);
+            }
         }
     }
 
@@ -118,6 +122,8 @@
 
     /// Gives the requested promise if the holder has been silent for [`SILENCE_TIMEOUT`] or this
     /// witness has promised before. The answer says how long the last acknowledgement stays valid.
+    /// A holder that was never acknowledged may have joined with the keys of its node's former run,
+    /// which may have held a lease until then.
     pub fn handle_promise_request(
         &mut self,
         holder: IncarnationId,
@@ -132,7 +138,7 @@
         }
         self.promised.insert(holder);
         let bound = match role {
-            Role::Listed => self.acked.get(&holder).copied(),
+            Role::Listed => self.acked.get(&holder).or(self.watched_since.get(&holder)).copied(),
             Role::Successor => Some(self.started_at),
         };
         let left = bound.map_or(Duration::ZERO, |at| LEASE_DURATION.saturating_sub(now.since(at)));
--- a/tests/testsuite/lease_model.rs
+++ b/tests/testsuite/lease_model.rs
@@ -366,3 +366,12 @@
     update(&mut witness, true, 200);
     assert_eq!(remaining(&mut witness, 1100), 200, "the acknowledgement expires at 1,300 ms");
 }
+
+/// The former run of the holder's node may have granted keys until just before the holder joined.
+#[test]
+fn keys_of_a_holder_that_never_renewed_are_taken_over_while_its_former_run_may_hold_them() {
+    let mut witness = Witness::new(IncarnationId(1), at(0));
+    let members = BTreeSet::from([FROZEN]);
+    witness.update_members(&members, &members, at(100));
+    assert_eq!(remaining(&mut witness, 1000), 300, "a lease ends 1,200 ms after the holder joined");
+}
