--- a/src/kelpwind/lease/witness.rs
+++ b/src/kelpwind/lease/witness.rs
@@ -17,9 +17,11 @@
 pub struct Witness {
     me: IncarnationId,
     started_at: BootInstant,
+    watched_since: BTreeMap<IncarnationId, BootInstant>,
     last_contact: BTreeMap<IncarnationId, BootInstant>,
     acked: BTreeMap<IncarnationId, BootInstant>,
     promised: BTreeSet<IncarnationId>,
+    rejected: BTreeSet<IncarnationId>,
 }
 
 /// For which incarnation a witness gives a promise.
@@ -27,8 +29,9 @@
 pub enum Role {
     /// For itself: the set lists this incarnation.
     Listed,
-    /// For a previous incarnation that the set lists and that ran at the same address. It must
-    /// have ended, since two processes cannot listen on one address.
+    /// For a previous incarnation that the set lists and that ran at the same address. Two
+    /// processes cannot listen on one address, so it has ended or lost the address. Renewals that
+    /// reached it before count from when they were sent, which was before this process started.
     Successor,
 }
 
@@ -38,9 +41,11 @@
         Witness {
             me,
             started_at,
+            watched_since: BTreeMap::new(),
             last_contact: BTreeMap::new(),
             acked: BTreeMap::new(),
             promised: BTreeSet::new(),
+            rejected: BTreeSet::new(),
         }
     }
 
@@ -57,12 +62,25 @@
         now: BootInstant,
     ) {
         self.acked.retain(|holder, at| members.contains(holder) || now.since(*at) < LEASE_DURATION);
-        self.last_contact.retain(|holder, _| watching.contains(holder));
-        for holder in watching {
-            self.last_contact.entry(*holder).or_insert(now);
+        for times in [&mut self.watched_since, &mut self.last_contact] {
+            times.retain(|holder, _| watching.contains(holder));
+            for holder in watching {
+                times.entry(*holder).or_insert(now);
+            }
         }
     }
 
+    /// Never answers renewals of these holders again, because a later incarnation of their node is
+    /// a member.
+    pub fn reject(&mut self, holders: impl IntoIterator<Item = IncarnationId>) {
+        self.rejected.extend(holders);
+    }
+
+    /// Whether renewals of a holder are not answered.
+    pub fn has_rejected(&self, holder: IncarnationId) -> bool {
+        self.rejected.contains(&holder)
+    }
+
     /// Records that a holder is alive, whichever incarnation of this witness its message was sent
     /// to: a holder must not count as silent because its witness has restarted.
     pub fn record_contact(&mut self, holder: IncarnationId, now: BootInstant) {
@@ -104,6 +122,8 @@
 
     /// Gives the requested promise if the holder has been silent for [`SILENCE_TIMEOUT`] or this
     /// witness has promised before. The answer says how long the last acknowledgement stays valid.
+    /// A holder that was never acknowledged may have joined with the keys of its node's former run,
+    /// which may have held a lease until then.
     pub fn handle_promise_request(
         &mut self,
         holder: IncarnationId,
@@ -118,7 +138,7 @@
         }
         self.promised.insert(holder);
         let bound = match role {
-            Role::Listed => self.acked.get(&holder).copied(),
+            Role::Listed => self.acked.get(&holder).or(self.watched_since.get(&holder)).copied(),
             Role::Successor => Some(self.started_at),
         };
         let left = bound.map_or(Duration::ZERO, |at| LEASE_DURATION.saturating_sub(now.since(at)));
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -136,7 +136,7 @@
         let service = self.service();
         let table = self.table.borrow();
         let mut owners = table.keys.get(&service).into_iter().flat_map(|k| k.owners());
-        owners.find(|h| h.node == me.node).cloned().unwrap_or(me)
+        owners.find(|h| me.continues(h)).cloned().unwrap_or(me)
     }
 
     /// Asks the server to release a span, and returns its handover data. Keys whose release is not
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -37,6 +37,8 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
 /// Interval at which a stopping node checks whether all work has ended.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Highest first incarnation of a node, which leaves room for later ones.
+const FIRST_INCARNATION_MAX: u64 = 1 << 62;
 /// Interval at which the settings file is read again, which may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -81,7 +83,8 @@
 }
 
 fn build(settings: NodeSettings, platform: Platform, udp: UdpSocket) -> Node {
-    let holder = Holder { node: settings.node.clone(), inc: Incarnation(fastrand::u64(..)) };
+    let inc = Incarnation(fastrand::u64(..FIRST_INCARNATION_MAX));
+    let holder = Holder { node: settings.node.clone(), inc };
     let now = clock::now();
     let witness = Witness::new(IncarnationId::from(holder.inc), now);
     let mut held = held_ranges::HeldRanges::default();
@@ -92,6 +95,7 @@
         run_id: fastrand::u64(..),
         holder: RefCell::new(holder),
         started: Instant::now(),
+        replaced_at: Cell::new(None),
         routes: RefCell::new(None),
         configured: watch::Sender::new(false),
         drained_domains: RefCell::default(),
@@ -224,9 +228,9 @@
     /// Whether no request is in progress and this node owns no keys.
     fn is_idle(&self) -> bool {
         let queue = self.queue.borrow();
-        let me = self.name();
+        let me = self.holder();
         let table = self.table.borrow();
-        let owns = table.keys.values().flat_map(|k| k.owners()).any(|h| h.node == me);
+        let owns = table.keys.values().flat_map(|k| k.owners()).any(|h| me.continues(h));
         self.inflight.get() == 0 && queue.running() == 0 && queue.waiting() == 0 && !owns
     }
 }
