Run simulated backend servers as processes, and test their stops, pauses and restarts

The simulated servers were tasks of the test: none could be paused, killed or stopped by a signal, and none ran beside its successor.

--- a/crates/kelpwind-test-support/src/process.rs
+++ b/crates/kelpwind-test-support/src/process.rs
@@ -54,6 +54,11 @@
         self.child.id()
     }
 
+    /// Whether the process has not exited.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Kills the process with SIGKILL, as in a host failure, and waits for its exit.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -11,6 +11,7 @@
 #[path = "../platform/mod.rs"]
 mod platform;
 mod server_lifecycle;
+mod server_processes;
 
 use std::time::{Duration, Instant};
 
--- /dev/null
+++ b/tests/mesh/server_processes.rs
@@ -0,0 +1,161 @@
+//! Backend servers that are processes: stopped, paused, killed and restarted beside their nodes.
+
+use std::time::Duration;
+
+use super::platform::fleet::Fleet;
+use super::platform::server::Stop;
+use super::{assert_no_violations, until_all_served};
+
+/// Processing time of a request at a backend server.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Services and their numbers of hosts; the first service is keyed.
+const SERVICES: &[(&str, u32)] = &[("books", 4)];
+/// Delay of a grant's answer that is longer than the node waits for it.
+const LATE_ANSWER: Duration = Duration::from_millis(120);
+/// Time from the end of a listener to the report that its server drains.
+const LATE_REPORT: Duration = Duration::from_millis(1000);
+/// Longer than a lease.
+const LONG_PAUSE: Duration = Duration::from_millis(2000);
+/// Pause between the requests of a caller.
+const CALLER_PAUSE: Duration = Duration::from_millis(10);
+
+/// The stop of a server that closes its listener, answers grants late, and reports later still.
+fn slow_stop() -> Stop {
+    Stop { grant_delay: LATE_ANSWER, leave_delay: LATE_REPORT, ..Stop::default() }
+}
+
+/// Starts a deployment, calls `disturb` while callers go on, and checks what the servers recorded
+/// until all keys are served again.
+async fn check_ownership(stop: Stop, disturb: impl AsyncFnOnce(&mut Fleet)) {
+    let mut fleet = Fleet::start_with_processes(SERVICES, SERVICE_TIME, stop).await;
+    let callers = fleet.spawn_callers(&["books"], CALLER_PAUSE);
+    disturb(&mut fleet).await;
+    fleet.until_replaced().await;
+    until_all_served(&fleet, 1).await;
+    callers.iter().for_each(|c| c.abort());
+    println!("{:?}, {} excused", fleet.statuses(), fleet.excused().len());
+    assert_no_violations(&fleet);
+}
+
+/// A stopping server closes its listener and goes on with its work.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_keys_of_a_stopping_server_are_given_away_while_it_holds_them() {
+    check_ownership(slow_stop(), async |fleet| {
+        fleet.hosts[0].processes[0].signal("TERM");
+        fleet.pause(Duration::from_secs(4)).await;
+    })
+    .await;
+}
+
+/// A stopping server deregisters first, closes its listener, and goes on with its work.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_keys_of_a_deregistered_server_are_given_away_while_it_holds_them() {
+    let stop = Stop { delete_first: true, grant_delay: LATE_ANSWER, ..Stop::default() };
+    check_ownership(stop, async |fleet| {
+        fleet.hosts[0].processes[0].signal("TERM");
+        fleet.pause(Duration::from_secs(4)).await;
+    })
+    .await;
+}
+
+/// A second process starts at the address while the first goes on with its work.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_processes_at_one_address_hold_the_same_keys() {
+    check_ownership(slow_stop(), async |fleet| {
+        fleet.hosts[0].processes[0].signal("TERM");
+        fleet.pause(Duration::from_millis(100)).await;
+        fleet.start_server_process(0, |_| ());
+        fleet.pause(Duration::from_secs(5)).await;
+    })
+    .await;
+}
+
+/// A server that starts again under its ID has forgotten its keys.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_restarted_under_its_id_is_granted_keys_under_tokens_of_its_former_life() {
+    check_ownership(Stop::default(), async |fleet| {
+        for _ in 0..4 {
+            let last = fleet.hosts[0].processes.last_mut().unwrap();
+            last.kill();
+            fleet.start_server_process(0, |config| config.id = "i-0000000a".to_owned());
+            fleet.pause(Duration::from_millis(900)).await;
+        }
+    })
+    .await;
+}
+
+/// A paused server holds its keys until their time is over, and reads grants when it is resumed.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_keys_of_a_paused_server_are_given_away_while_it_holds_them() {
+    check_ownership(Stop::default(), async |fleet| {
+        fleet.hosts[0].processes[0].signal("STOP");
+        fleet.pause(LONG_PAUSE).await;
+        fleet.hosts[0].processes[0].signal("CONT");
+        fleet.pause(LONG_PAUSE).await;
+    })
+    .await;
+}
+
+/// A paused node resumes with an expired lease while its server still holds, or reads, its grants.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_node_renews_keys_that_were_taken_over() {
+    check_ownership(Stop::default(), async |fleet| {
+        for server_first in [false, true] {
+            fleet.signal_node(0, "STOP");
+            fleet.hosts[0].processes[0].signal("STOP");
+            fleet.pause(LONG_PAUSE).await;
+            if server_first {
+                fleet.hosts[0].processes[0].signal("CONT");
+                fleet.pause(Duration::from_millis(200)).await;
+                fleet.signal_node(0, "CONT");
+            } else {
+                fleet.signal_node(0, "CONT");
+                fleet.pause(Duration::from_millis(200)).await;
+                fleet.hosts[0].processes[0].signal("CONT");
+            }
+            fleet.pause(LONG_PAUSE).await;
+        }
+    })
+    .await;
+}
+
+/// The next run of a node finds another server at the address than the one that holds its keys.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_node_gives_the_keys_of_a_former_server_away_while_that_holds_them() {
+    check_ownership(Stop::default(), async |fleet| {
+        fleet.hosts[0].node = None;
+        fleet.hosts[0].processes[0].signal("TERM");
+        fleet.pause(Duration::from_millis(100)).await;
+        fleet.start_server_process(0, |_| ());
+        fleet.pause(Duration::from_millis(100)).await;
+        fleet.start_node(0);
+        fleet.pause(Duration::from_secs(4)).await;
+    })
+    .await;
+}
+
+/// The next run of a node finds no listener, although the server that holds its keys runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_node_takes_a_stopping_server_for_ended() {
+    let stop = Stop { grant_delay: LATE_ANSWER, ..Stop::default() };
+    check_ownership(stop, async |fleet| {
+        fleet.hosts[0].processes[0].signal("TERM");
+        fleet.pause(Duration::from_millis(100)).await;
+        fleet.hosts[0].node = None;
+        fleet.start_node(0);
+        fleet.pause(Duration::from_secs(4)).await;
+    })
+    .await;
+}
+
+/// The next run of a node starts while the former one still renews its lease and hands over keys.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_runs_of_a_node_grant_the_same_keys() {
+    check_ownership(Stop::default(), async |fleet| {
+        for host in [0, 1] {
+            fleet.replace_node(host);
+            fleet.pause(Duration::from_millis(1500)).await;
+        }
+    })
+    .await;
+}
