--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -332,6 +332,7 @@
         {
             let mut grants = self.grants.lock();
             let mut kept = Vec::new();
+            let mut released = false;
             for index in grants.drain(..) {
                 let ((first, last), to) = self.history.with(|records| {
                     let range = &records.held[index];
@@ -345,12 +346,17 @@
                     (first < wire.from).then(|| (first, wire.from.saturating_sub(1))),
                     (last > wire.target).then(|| (wire.target.saturating_add(1), last)),
                 ];
+                released = true;
                 let rest: Vec<_> = rest.into_iter().flatten().collect();
                 let count = rest.len();
                 let next = self.history.add(Event::Releases { index, at, rest });
                 kept.extend(next..next + count);
             }
             *grants = kept;
+            if !released {
+                let (keys, token) = ((wire.from, wire.target), wire.fence);
+                self.history.add(Event::ReleasesNothing { keys, token, at });
+            }
         }
         self.until_idle().await;
         let mut reply = reply(200);
