--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -4,9 +4,13 @@
 //! `cargo test --test soak` runs a few fixed seeds and all seeds that ever failed;
 //! `KELPWIND_SOAK_SEEDS=100..150 cargo test --test soak -- --nocapture` runs others. A seed
 //! determines the faults and their order, but not how the processes are scheduled.
+//!
+//! In [`processes`] the backend servers are processes too; `KELPWIND_SOAK_PROCESS_SEEDS` names its
+//! seeds, and `KELPWIND_SOAK_HOSTS` the number of hosts.
 
 #[path = "../platform/mod.rs"]
 mod platform;
+mod processes;
 
 use std::time::{Duration, Instant};
 
@@ -38,11 +42,6 @@
 /// Injects a random fault into a random host or the store, or ends one.
 async fn inject_fault(fleet: &mut Fleet, random: &mut Rng) {
     let host = random.usize(..fleet.hosts.len());
-    let cut = |forward, backward| Faults {
-        cut_forward: forward,
-        cut_backward: backward,
-        ..Faults::default()
-    };
     match random.u32(..11) {
         0 => {
             fleet.hosts[host].node = None;
@@ -51,12 +50,7 @@
         1 => signal(fleet, host, "STOP"),
         2 => signal(fleet, host, "CONT"),
         3 => signal(fleet, host, "TERM"),
-        4 => fleet.set_faults(host, cut(true, true)),
-        5 => fleet.set_faults(host, cut(random.bool(), true)),
-        6 => fleet.set_faults(host, Faults { delay_ms: 150, ..Faults::default() }),
-        7 => fleet.set_faults(host, Faults { silence: random.u64(1..), ..Faults::default() }),
-        8 => fleet.store.set_down(random.bool()),
-        9 => fleet.store.set_drop_replies(random.bool()),
+        kind @ 4..=9 => inject_outage(fleet, random, host, kind - 4),
         _ => {
             if let Some(server) = fleet.hosts[host].server.take() {
                 server.crash();
@@ -66,6 +60,23 @@
     }
 }
 
+/// Injects one of six faults of the store or of the link between it and a host, or ends one.
+fn inject_outage(fleet: &Fleet, random: &mut Rng, host: usize, kind: u32) {
+    let cut = |forward, backward| Faults {
+        cut_forward: forward,
+        cut_backward: backward,
+        ..Faults::default()
+    };
+    match kind {
+        0 => fleet.set_faults(host, cut(true, true)),
+        1 => fleet.set_faults(host, cut(random.bool(), true)),
+        2 => fleet.set_faults(host, Faults { delay_ms: 150, ..Faults::default() }),
+        3 => fleet.set_faults(host, Faults { silence: random.u64(1..), ..Faults::default() }),
+        4 => fleet.store.set_down(random.bool()),
+        _ => fleet.store.set_drop_replies(random.bool()),
+    }
+}
+
 fn signal(fleet: &Fleet, host: usize, name: &str) {
     if let Some(node) = &fleet.hosts[host].node {
         node.signal(name);
@@ -99,13 +110,22 @@
         }
     }
     recover(&mut fleet).await;
-    let mut violations = Vec::new();
+    let mut violations = unserved_keys(&fleet, SERVICES).await;
+    callers.iter().for_each(|c| c.abort());
+    violations.extend(fleet.violations());
+    println!("seed {seed}: {:?}, {} violations", fleet.statuses(), violations.len());
+    violations
+}
+
+/// Sample keys that are not served within [`RECOVERY_TIMEOUT`].
+async fn unserved_keys(fleet: &Fleet, services: &[(&str, u32)]) -> Vec<String> {
+    let mut unserved = Vec::new();
     let until = Instant::now() + RECOVERY_TIMEOUT;
     for key in [0, 9_000, 25_000, 41_000, 57_000, 65_535] {
-        for (service, _) in SERVICES {
+        for (service, _) in services {
             while fleet.call(0, service, key, false).await.status != 200 {
                 if Instant::now() >= until {
-                    violations.push(format!(
+                    unserved.push(format!(
                         "{service}, key {key}: not served within {RECOVERY_TIMEOUT:?} of the last fault"
                     ));
                     break;
@@ -114,17 +134,14 @@
             }
         }
     }
-    callers.iter().for_each(|c| c.abort());
-    violations.extend(fleet.violations());
-    println!("seed {seed}: {:?}, {} violations", fleet.statuses(), violations.len());
-    violations
+    unserved
 }
 
 /// Runs seeds, and fails with the first violation of each.
-async fn run_seeds(seeds: impl IntoIterator<Item = u64>) {
+async fn run_seeds(seeds: impl IntoIterator<Item = u64>, run: impl AsyncFn(u64) -> Vec<String>) {
     let mut failed = Vec::new();
     for seed in seeds {
-        let violations = run_seed(seed).await;
+        let violations = run(seed).await;
         if let Some(first) = violations.first() {
             failed
                 .push(format!("seed {seed}: {} violations, the first: {first}", violations.len()));
@@ -133,20 +150,23 @@
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
 
+/// Seeds named by an environment variable of the form FIRST..END.
+fn seeds_of(variable: &str) -> Option<std::ops::Range<u64>> {
+    let range = std::env::var(variable).ok()?;
+    let (first, end) = range.split_once("..").expect("seeds of the form FIRST..END");
+    let number = |text: &str| text.parse().expect("a seed is a number");
+    Some(number(first)..number(end))
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_under_random_faults() {
-    let Ok(range) = std::env::var("KELPWIND_SOAK_SEEDS") else {
-        return run_seeds(SEEDS.iter().copied()).await;
-    };
-    let (first, end) = range.split_once("..").expect("KELPWIND_SOAK_SEEDS of the form FIRST..END");
-    run_seeds(
-        first.parse().expect("first seed is a number")
-            ..end.parse().expect("end of the seeds is a number"),
-    )
-    .await;
+    match seeds_of("KELPWIND_SOAK_SEEDS") {
+        Some(seeds) => run_seeds(seeds, run_seed).await,
+        None => run_seeds(SEEDS.iter().copied(), run_seed).await,
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_for_seeds_that_failed_before() {
-    run_seeds(REGRESSIONS.iter().copied()).await;
+    run_seeds(REGRESSIONS.iter().copied(), run_seed).await;
 }
