Test keys whose ranges are merged while a grant is not answered yet

The new test shows it alone: three of four servers are killed, the fourth answers grants after 60 ms (the node waits 90 ms), and its node merges the ranges it took over under a new token. Three of eight ranges are granted under that token; the others are never granted again, and requests for their keys get code 210.

As the code reads, `HeldRanges::sync` keeps `granting` of a range whose token rises, and the answer to the grant in flight clears it only for ranges of the old token, so the range counts as being granted for ever. Two tries of the test did not show it: hosts lost and restarted in turn (too few adjacent ranges, two runs passed), and three of four nodes killed as well (no witnesses were left for the takeover).

--- a/tests/mesh/server_processes.rs
+++ b/tests/mesh/server_processes.rs
@@ -5,7 +5,7 @@
 use super::platform::fleet::Fleet;
 use super::platform::history::{HeldRange, Moment, conflicts};
 use super::platform::server::{ServerConfig, Stop};
-use super::{assert_no_violations, until_all_served};
+use super::{assert_no_violations, until_all_served, until_served};
 
 /// Processing time of a request at a backend server.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
@@ -175,6 +175,23 @@
     .await;
 }
 
+/// Owners merge adjacent ranges under a new token, also while a grant of one is not answered yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_whose_ranges_were_merged_during_a_grant_are_never_granted_again() {
+    let configure = |_, config: &mut ServerConfig| config.grant_delay = Duration::from_millis(60);
+    let mut fleet = Fleet::start_with_processes(SERVICES, SERVICE_TIME, configure).await;
+    for host in [1, 2, 3] {
+        fleet.hosts[host].processes[0].kill();
+    }
+    // The last owner takes all keys over, and merges their ranges soon after.
+    until_all_served(&fleet, 0).await;
+    fleet.pause(LONG_PAUSE).await;
+    for key in (0..16).map(|i| i * 4096) {
+        until_served(&fleet, 0, key).await;
+    }
+    assert_no_violations(&fleet);
+}
+
 /// A grant that was read late is excused for as long as it may have waited, and no longer.
 #[test]
 fn a_conflict_is_excused_although_the_grants_were_read_in_time() {
