Hand keys over only when cancelled requests have certainly ended

A node counted a request as ended when it closed the connection to its server: the caller was gone, or the deadline or the connection had failed. A server may go on with such a request until the deadline that it was given. A handover did not wait for that, and the next owner's server ran requests for the same key beside it.

A request that was sent now counts as in flight until the server has answered it, or until that deadline. For servers that check no tokens, the deadline is at most the end of the lease. So a handover after cancelled requests can take as long as they may run; before, it took some milliseconds.

a_key_is_handed_over_while_a_server_works_for_a_caller_that_is_gone plays a server that ignores closed connections.

--- a/crates/kelpwind-stand-ins/src/backend.rs
+++ b/crates/kelpwind-stand-ins/src/backend.rs
@@ -67,6 +67,8 @@
     pub sheds: bool,
     /// Truncates every response body.
     pub truncate: bool,
+    /// Goes on with a request whose connection was closed.
+    pub ignores_disconnects: bool,
     /// Number of running requests that it reports instead of the real one.
     pub report: Option<u32>,
     /// Time for which a load report is repeated before it is updated, in milliseconds.
@@ -84,6 +86,7 @@
             draining: false,
             sheds: true,
             truncate: false,
+            ignores_disconnects: false,
             report: None,
             report_lag_ms: 0,
             reset_warmup: false,
@@ -232,7 +235,7 @@
             .and(with)
             .and_then(
                 |_: Method, _, headers: HeaderMap, body: Bytes, backend: Backend| async move {
-                    Ok::<_, Infallible>(backend.handle(headers, body).await)
+                    Ok::<_, Infallible>(backend.handle_or_detach(headers, body).await)
                 },
             );
         let routes = history.or(load).unify().or(control).unify().or(grant).unify().or(request);
@@ -275,6 +278,15 @@
         }
     }
 
+    async fn handle_or_detach(self, headers: HeaderMap, body: Bytes) -> Response {
+        if !self.inner.lock().faults.ignores_disconnects {
+            return self.handle(headers, body).await;
+        }
+        // A task goes on when the future that waits for it is dropped.
+        let task = tokio::spawn(async move { self.handle(headers, body).await });
+        task.await.unwrap_or_else(|e| json(500, &e.to_string()))
+    }
+
     async fn handle(&self, headers: HeaderMap, body: Bytes) -> Response {
         let began = Instant::now();
         let (mut request, time) = match self.admit(&headers) {
--- a/src/kelpwind/gate/handler.rs
+++ b/src/kelpwind/gate/handler.rs
@@ -142,7 +142,7 @@
         self.check_owner(&call)?;
         let wait = call.deadline.min(Instant::now() + QUEUE_WAIT_MAX);
         let _permit = self.admission.acquire(call.weight, wait).await?;
-        let _in_flight = self.begin(&call)?;
+        let mut in_flight = self.begin(&call)?;
         // The request may have waited, and the process may have been frozen meanwhile: all is
         // checked again, against a new reading of the clock, right before the first byte is sent.
         self.check_accepting(&call, &attached)?;
@@ -153,11 +153,17 @@
         }
         let deadline = backend_deadline(&call, &authority, attached.announcement.fenced, now);
         let grant = Grant { token: authority.token, lease_end: authority.lease_end, deadline };
+        if let Some(guard) = &mut in_flight {
+            guard.record_sent(deadline);
+        }
         let sent = (attached.backend.send)(call, grant);
         let answer = match authority.lease_end {
             Some(_) => self.run_while_leased(sent).await,
             None => sent.await,
         };
+        if let Some(guard) = in_flight.as_mut().filter(|_| has_ended(answer.code)) {
+            guard.record_end();
+        }
         self.update_limiter(&answer, now.elapsed());
         Ok(answer)
     }
@@ -283,6 +289,12 @@
     }
 }
 
+/// Whether a request with this result has certainly ended at the server, or never reached it.
+/// Without an answer it may run until its deadline, also after its connection is closed.
+fn has_ended(code: Code) -> bool {
+    matches!(code, Code::Done | Code::Shed | Code::Unreachable | Code::BadRequest)
+}
+
 fn refuse(code: Code) -> Answer {
     let retry = match code {
         Code::Busy | Code::Cold => BUSY_RETRY_DELAY,
--- a/src/kelpwind/gate/inflight.rs
+++ b/src/kelpwind/gate/inflight.rs
@@ -3,19 +3,39 @@
 //! A former owner releases a slice for good: requests under its old token are refused from then
 //! on, and the handover waits for those in flight. The next owner serves the slice once the former
 //! one has confirmed the release.
+//!
+//! A request whose connection was closed may still run. It counts as in flight until the server has
+//! answered it, or until the deadline that the server was given has passed.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 use parking_lot::Mutex;
 use tokio::sync::watch;
+use tokio::time::timeout_at;
 
 use crate::core::call::SliceRef;
 use crate::core::ids::Token;
 
+/// Requests for one slice.
+#[derive(Debug, Default)]
+struct Work {
+    /// Number of requests that this node waits for.
+    waiting: u32,
+    /// When requests that this node no longer waits for have ended.
+    until: Option<Instant>,
+}
+
+impl Work {
+    fn has_ended(&self, now: Instant) -> bool {
+        self.waiting == 0 && self.until.is_none_or(|until| until <= now)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
-    running: BTreeMap<SliceRef, u32>,
+    running: BTreeMap<SliceRef, Work>,
     /// Released slices, with the highest token under which this node held them.
     released: BTreeMap<SliceRef, Token>,
     /// Slices that their former owner has released to this node, with this node's token.
@@ -36,19 +56,34 @@
     }
 }
 
-/// Counts one request as in flight until dropped.
+/// Counts one request as in flight until dropped, or longer if it may still run then.
 #[derive(Debug)]
 pub struct InFlightGuard {
     in_flight: InFlight,
     slice: SliceRef,
+    /// Deadline of a request that was sent and not answered yet.
+    until: Option<Instant>,
+}
+
+impl InFlightGuard {
+    /// Records that the request is sent to a server, which stops it at `deadline` at the latest.
+    pub fn record_sent(&mut self, deadline: Instant) {
+        self.until = Some(deadline);
+    }
+
+    /// Records that the server has ended the request or never got it.
+    pub fn record_end(&mut self) {
+        self.until = None;
+    }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         let mut inner = self.in_flight.inner.lock();
-        if let Some(n) = inner.running.get_mut(&self.slice) {
-            *n -= 1;
-            if *n == 0 {
+        if let Some(work) = inner.running.get_mut(&self.slice) {
+            work.waiting -= 1;
+            work.until = work.until.max(self.until);
+            if work.has_ended(Instant::now()) {
                 inner.running.remove(&self.slice);
             }
         }
@@ -64,8 +99,9 @@
         if inner.released.get(slice).is_some_and(|released| *released >= token) {
             return None;
         }
-        *inner.running.entry(slice.clone()).or_default() += 1;
-        Some(InFlightGuard { in_flight: self.clone(), slice: slice.clone() })
+        let work = inner.running.entry(slice.clone()).or_default();
+        work.waiting += 1;
+        Some(InFlightGuard { in_flight: self.clone(), slice: slice.clone(), until: None })
     }
 
     /// Releases a slice that was held under `token`: no further request for it begins.
@@ -91,10 +127,12 @@
         self.inner.lock().acquired.get(slice) == Some(&token)
     }
 
-    /// Drops acquired slices for which `keep` is false.
+    /// Drops acquired slices for which `keep` is false, and requests that have ended.
     pub fn prune(&self, keep: impl Fn(&SliceRef) -> bool) {
+        let now = Instant::now();
         let mut inner = self.inner.lock();
         inner.acquired.retain(|slice, _| keep(slice));
+        inner.running.retain(|_, work| !work.has_ended(now));
     }
 
     /// Waits until no request for the slices is in flight.
@@ -102,12 +140,21 @@
         let mut ended = self.ended.subscribe();
         loop {
             ended.borrow_and_update();
-            let busy = {
+            let now = Instant::now();
+            let until = {
                 let inner = self.inner.lock();
-                slices.iter().any(|s| inner.running.contains_key(s))
+                let busy = slices.iter().filter_map(|s| inner.running.get(s));
+                let busy: Vec<&Work> = busy.filter(|work| !work.has_ended(now)).collect();
+                if busy.is_empty() {
+                    return;
+                }
+                let waiting = busy.iter().any(|work| work.waiting > 0);
+                busy.iter().filter_map(|work| work.until).max().filter(|_| !waiting)
             };
-            if !busy || ended.changed().await.is_err() {
-                return;
+            match until {
+                // Requests may be sent meanwhile for slices that are not released.
+                Some(until) => drop(timeout_at(until.into(), ended.changed()).await),
+                None => drop(ended.changed().await),
             }
         }
     }
--- a/src/kelpwind/net/pool.rs
+++ b/src/kelpwind/net/pool.rs
@@ -2,7 +2,7 @@
 //!
 //! The pool's errors distinguish requests that certainly were not sent ([`CallError::is_unsent`])
 //! from those that may have arrived, because the outcome reported to the caller depends on it.
-//! Dropping a call closes its connection, which cancels the work at the other end. A connection is
+//! Dropping a call closes its connection, so that the other end can cancel the work. A connection is
 //! reused only after its whole response was read, so a late response is never taken for that of a
 //! later request.
 
--- /dev/null
+++ b/tests/testsuite/exclusive_servers.rs
@@ -0,0 +1,66 @@
+//! A key runs on one backend server at a time, also when one of them ends its work late, or when
+//! two stand beside one node.
+
+use std::time::Duration;
+
+use kelpwind_test_support::cluster::{Cluster, Target};
+use kelpwind_test_support::history::overlaps;
+use kelpwind_test_support::http::get;
+use serde_json::json;
+use tokio::time::timeout;
+
+use crate::support::start_cluster;
+
+const DOMAINS: [&str; 3] = ["rdam-a", "dordt-b", "delft-c"];
+const PATH: &str = "/historie/ketel-1";
+/// Longer than any request takes.
+const FOREVER: Duration = Duration::from_secs(60);
+
+/// Three targets whose backend servers take the given flags.
+fn targets(flags: &'static [&'static str]) -> [Target<'static>; 3] {
+    DOMAINS.map(|domain| Target { service: "historie", domain, flags })
+}
+
+async fn pause(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Sends requests for a path to the entry of a node, one after the other, until it is aborted. A
+/// request is given up after `patience`.
+fn spawn_reader(
+    cluster: &Cluster,
+    i: usize,
+    path: &str,
+    patience: Duration,
+) -> tokio::task::JoinHandle<()> {
+    let (entry, path) = (cluster.nodes[i].listen, path.to_owned());
+    tokio::spawn(async move {
+        loop {
+            // Failures are expected; only the executions are checked.
+            let _ = timeout(patience, get(entry, &path)).await;
+            pause(10).await;
+        }
+    })
+}
+
+/// A closed connection does not mean that the server has ended its work.
+#[tokio::test]
+async fn a_key_is_handed_over_while_a_server_works_for_a_caller_that_is_gone() {
+    let cluster = start_cluster(&targets(&["--work-ms", "800"])).await;
+    for i in 0..3 {
+        cluster.set_backend_faults(i, json!({"ignores_disconnects": true})).await;
+    }
+    let gone = spawn_reader(&cluster, 0, PATH, FOREVER);
+    pause(100).await;
+    gone.abort();
+    let domain = DOMAINS[cluster.all_executions().await[0].0];
+    let (code, _, errors) = cluster.command(0, &["drain", domain]);
+    assert_eq!(code, 0, "{errors}");
+    // The keys are handed over meanwhile, since the node knows of no request in flight.
+    pause(200).await;
+    let readers = [0, 1].map(|i| spawn_reader(&cluster, i, PATH, FOREVER));
+    pause(2000).await;
+    readers.iter().for_each(|r| r.abort());
+    let executions = cluster.all_executions().await;
+    assert_eq!(overlaps(&executions, 0), [], "a key ran on two servers at once");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod deduplication;
 mod drains;
 mod durability;
+mod exclusive_servers;
 mod fault_sequences;
 mod freshness;
 mod held_ranges;
