Run a key on one of two servers beside a node at a time

A node sends requests to the server whose announcement came last. When two servers with different addresses announce themselves, e.g. because a new process starts before the former one has ended, the node took each announcement for a replacement and sent requests to the other server at once, while the former one still worked on the same keys.

Requests in flight are now counted with the address of their server, and none begins for a slice while another server may still run requests for it; it is refused as during a handover, and the entry tries again.

Two processes at the same address remain indistinguishable, since announcements name no process.

--- a/crates/kelpwind-test-support/src/cluster.rs
+++ b/crates/kelpwind-test-support/src/cluster.rs
@@ -141,6 +141,14 @@
         self.nodes.push(Node { process, backend, listen, admin, server_addr, domain });
     }
 
+    /// Starts another backend server that announces itself to node `i`, and returns its process
+    /// and its address.
+    pub fn start_server(&self, i: usize, target: &Target<'_>) -> (Process, SocketAddr) {
+        let process = self.backend_process(target, self.nodes[i].admin);
+        let server_addr = addr(&process.ready_line);
+        (process, server_addr)
+    }
+
     fn node_process(&self, i: usize, domain: &str, addrs: &NodeAddrs, flags: &[&str]) -> Process {
         let name = format!("n{i}");
         let settings = [
@@ -221,7 +229,12 @@
 
     /// All executions on the backend server beside node `i`.
     pub async fn executions(&self, i: usize) -> Vec<Execution> {
-        let response = get(self.nodes[i].server_addr, "/history").await;
+        Self::executions_at(self.nodes[i].server_addr).await
+    }
+
+    /// All executions on the backend server at `server_addr`.
+    pub async fn executions_at(server_addr: SocketAddr) -> Vec<Execution> {
+        let response = get(server_addr, "/history").await;
         let history = response.expect("the backend server responds").json();
         serde_json::from_value(history["executions"].clone()).expect("executions")
     }
--- a/src/kelpwind/gate/handler.rs
+++ b/src/kelpwind/gate/handler.rs
@@ -142,7 +142,7 @@
         self.check_owner(&call)?;
         let wait = call.deadline.min(Instant::now() + QUEUE_WAIT_MAX);
         let _permit = self.admission.acquire(call.weight, wait).await?;
-        let mut in_flight = self.begin(&call)?;
+        let mut in_flight = self.begin(&call, &attached)?;
         // The request may have waited, and the process may have been frozen meanwhile: all is
         // checked again, against a new reading of the clock, right before the first byte is sent.
         self.check_accepting(&call, &attached)?;
@@ -249,10 +249,11 @@
         self.serving_token(slice, state).is_ok()
     }
 
-    fn begin(&self, call: &Call) -> Result<Option<InFlightGuard>> {
+    fn begin(&self, call: &Call, attached: &AttachedBackend) -> Result<Option<InFlightGuard>> {
         let Some((_, slice)) = &call.key else { return Ok(None) };
         let token = self.owned_token(slice)?;
-        self.inflight.begin(slice, token).map(Some).ok_or(Code::HandingOver)
+        let server = attached.announcement.addr.as_str();
+        self.inflight.begin(slice, token, server).map(Some).ok_or(Code::HandingOver)
     }
 
     /// Sends the current end of the lease to a backend server that checks fencing tokens.
--- a/src/kelpwind/gate/inflight.rs
+++ b/src/kelpwind/gate/inflight.rs
@@ -5,7 +5,8 @@
 //! one has confirmed the release.
 //!
 //! A request whose connection was closed may still run. It counts as in flight until the server has
-//! answered it, or until the deadline that the server was given has passed.
+//! answered it, or until the deadline that the server was given has passed. Meanwhile no other
+//! server beside this node gets requests for the slice.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -18,9 +19,11 @@
 use crate::core::call::SliceRef;
 use crate::core::ids::Token;
 
-/// Requests for one slice.
-#[derive(Debug, Default)]
+/// Requests for one slice at one backend server.
+#[derive(Debug)]
 struct Work {
+    /// Address of the server.
+    server: String,
     /// Number of requests that this node waits for.
     waiting: u32,
     /// When requests that this node no longer waits for have ended.
@@ -93,13 +96,21 @@
 }
 
 impl InFlight {
-    /// Counts a request for a slice held under `token`; `None` if the slice was released.
-    pub fn begin(&self, slice: &SliceRef, token: Token) -> Option<InFlightGuard> {
+    /// Counts a request for a slice held under `token`; `None` if the slice was released, or if
+    /// another server may still run requests for it.
+    pub fn begin(&self, slice: &SliceRef, token: Token, server: &str) -> Option<InFlightGuard> {
         let mut inner = self.inner.lock();
         if inner.released.get(slice).is_some_and(|released| *released >= token) {
             return None;
         }
-        let work = inner.running.entry(slice.clone()).or_default();
+        let new = || Work { server: server.to_owned(), waiting: 0, until: None };
+        let work = inner.running.entry(slice.clone()).or_insert_with(new);
+        if work.server != server {
+            if !work.has_ended(Instant::now()) {
+                return None;
+            }
+            *work = new();
+        }
         work.waiting += 1;
         Some(InFlightGuard { in_flight: self.clone(), slice: slice.clone(), until: None })
     }
--- a/tests/testsuite/exclusive_servers.rs
+++ b/tests/testsuite/exclusive_servers.rs
@@ -6,10 +6,11 @@
 use kelpwind_test_support::cluster::{Cluster, Target};
 use kelpwind_test_support::history::overlaps;
 use kelpwind_test_support::http::get;
+use kelpwind_test_support::workload::Workload;
 use serde_json::json;
 use tokio::time::timeout;
 
-use crate::support::start_cluster;
+use crate::support::{start_cluster, workload_plan};
 
 const DOMAINS: [&str; 3] = ["rdam-a", "dordt-b", "delft-c"];
 const PATH: &str = "/historie/ketel-1";
@@ -43,6 +44,23 @@
     })
 }
 
+/// A node must not send a key to another server while the former one still works on it.
+#[tokio::test]
+async fn a_key_runs_on_two_servers_that_announce_themselves_to_one_node() {
+    let flags = targets(&["--work-ms", "100"]);
+    let cluster = start_cluster(&flags).await;
+    let load = Workload::start(workload_plan(&cluster, &[0, 1, 2], 51));
+    pause(500).await;
+    let (_process, second) = cluster.start_server(0, &flags[0]);
+    pause(3000).await;
+    load.stop().await;
+    let mut executions = cluster.all_executions().await;
+    let others = Cluster::executions_at(second).await;
+    println!("{} executions on the second server", others.len());
+    executions.extend(others.into_iter().map(|e| (cluster.nodes.len(), e)));
+    assert_eq!(overlaps(&executions, 0), [], "a key ran on two servers at once");
+}
+
 /// A closed connection does not mean that the server has ended its work.
 #[tokio::test]
 async fn a_key_is_handed_over_while_a_server_works_for_a_caller_that_is_gone() {
