--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod drains;
 mod durability;
 mod endless_answers;
+mod exclusive_servers;
 mod fault_sequences;
 mod freshness;
 mod held_ranges;
