--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -308,9 +308,8 @@
 }
 
 /// The owner's node in a later incarnation, if that has a backend server that takes work, and
-/// witnesses that can take over from it. A new
-/// instance of the server within one incarnation does not count: the node itself learns of it
-/// before the table does, and reclaims the keys.
+/// witnesses that can take over from it. A new instance of the server within one incarnation does
+/// not count: the node itself learns of it before the table does, and reclaims the keys.
 fn successor(table: &Table, owner: &Owner) -> Option<Owner> {
     let member = table.members.get(&owner.holder.node)?;
     let later = table.is_succeeded(&owner.holder);
