Give keys only to members that have witnesses

A node that starts again joined without witnesses, took the keys of its former run back as soon as it read its own record, and chose its witnesses up to 0.25 s later. If it was lost in between, it stayed the owner of its keys, as a member whom nobody watched: the keys had no owner until its host returned. The same held for any new member that was given keys.

Now keys go, by a move, a takeover or after a restart, only to members whose record lists witnesses. A server cannot be granted keys before that anyway, since a lease needs the witnesses' acknowledgements.

The existing test of a node lost right after its restart has no server left, so that node takes no keys back.

--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -74,8 +74,9 @@
         if changed {
             self.notify_held_changed();
         }
-        if stale && instance.is_some() && self.lease.borrow().is_some() && !self.is_changing_keys()
-        {
+        // Without witnesses nobody could take over from this node.
+        let witnessed = self.lease.borrow().as_ref().is_some_and(|l| !l.set().is_empty());
+        if stale && instance.is_some() && witnessed && !self.is_changing_keys() {
             self.reclaim();
         }
     }
@@ -267,8 +268,8 @@
         self.send_table_update(owners, update).await;
     }
 
-    /// Members that can receive keys of the service: those that take work and are not suspected to
-    /// be unreachable. `except` is left out, and so is this node while it leaves.
+    /// Members that can receive keys of the service: those that take work, have witnesses and are not
+    /// suspected to be unreachable. `except` is left out, and so is this node while it leaves.
     pub fn recipients(
         &self,
         table: &Table,
@@ -276,7 +277,8 @@
         except: Option<&crate::core::ids::Holder>,
     ) -> Vec<spread::Recipient> {
         let keys = table.keys.get(service);
-        let eligible = table.members_of(service).filter(|m| self.takes_work(m));
+        let eligible =
+            table.members_of(service).filter(|m| self.takes_work(m) && m.has_witnesses());
         let eligible =
             eligible.filter(|m| Some(&m.holder) != except && !self.is_suspect(&m.holder));
         eligible
@@ -293,12 +295,13 @@
     }
 }
 
-/// The owner's node in a later incarnation, if that has a backend server that takes work. A new
-/// instance of the server within one incarnation does not count: the node itself learns of it
-/// before the table does, and reclaims the keys.
+/// The owner's node in a later incarnation, if that has a backend server that takes work, and
+/// witnesses that can take over from it. A new instance of the server within one incarnation does
+/// not count: the node itself learns of it before the table does, and reclaims the keys.
 fn successor(table: &Table, owner: &Owner) -> Option<Owner> {
     let member = table.members.get(&owner.holder.node)?;
-    let later = table.is_succeeded(&owner.holder) && member.takes_work();
-    let instance = member.instance().filter(|_| later)?.clone();
+    let later = table.is_succeeded(&owner.holder);
+    let can_own = member.takes_work() && member.has_witnesses();
+    let instance = member.instance().filter(|_| later && can_own)?.clone();
     Some(Owner { holder: member.holder.clone(), instance })
 }
--- a/src/kelpwind/table/member.rs
+++ b/src/kelpwind/table/member.rs
@@ -73,6 +73,11 @@
         !self.stopping && self.server.as_ref().is_some_and(|s| !s.draining)
     }
 
+    /// Whether others can take over from it when it is lost.
+    pub fn has_witnesses(&self) -> bool {
+        !self.witnesses.is_empty()
+    }
+
     /// The instance of its backend server.
     pub fn instance(&self) -> Option<&Instance> {
         self.server.as_ref().map(|s| &s.instance)
--- a/tests/mesh/node_runs.rs
+++ b/tests/mesh/node_runs.rs
@@ -153,3 +153,19 @@
     let member: serde_json::Value = serde_json::from_slice(&records[0].1.1).unwrap();
     member["holder"].as_str().unwrap().rsplit_once('/').unwrap().1.to_owned()
 }
+
+/// The node has reclaimed its keys, but has no witnesses yet who could take over from it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_of_a_node_lost_while_it_joins_stay_without_an_owner(
+    #[values(60, 140, 220)] uptime_ms: u64,
+) {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    fleet.hosts[0].node = None;
+    fleet.start_node(0);
+    tokio::time::sleep(Duration::from_millis(uptime_ms)).await;
+    fleet.hosts[0].node = None;
+    fleet.hosts[0].server.take().unwrap().crash();
+    until_all_served(&fleet, 1).await;
+    assert_no_violations(&fleet);
+}
