--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -408,7 +408,10 @@
 fn spawn(host: &Host, output: Stdio) -> Process {
     let settings_file = host.settings_file.to_str().expect("UTF-8 path");
     let env = [("KELPWIND_BOOT", settings_file), ("KELPWIND_LOG_LEVEL", "debug")];
-    Process::spawn(env!("CARGO_BIN_EXE_kelpwind"), &["node"], &env, output)
+    // Reproductions also run on the programs of earlier landings.
+    let program = std::env::var("KELPWIND_TEST_PROGRAM");
+    let program = program.as_deref().unwrap_or(env!("CARGO_BIN_EXE_kelpwind"));
+    Process::spawn(program, &["node"], &env, output)
 }
 
 fn settings(ip: Ipv4Addr, config: &ServerConfig) -> String {
