Let a crashed server of the tests take no grants

`crash` aborts the tasks that serve connections, which end some time later. A grant that one of them still handled was recorded as held for its whole time, as if the server were alive.

--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -81,6 +81,8 @@
     tokens: Mutex<BTreeMap<u16, u64>>,
     running: Mutex<u32>,
     draining: Mutex<bool>,
+    /// Whether it has crashed; from then on it takes no grants.
+    crashed: Mutex<bool>,
     reports_stopped: Mutex<bool>,
     /// Time from the arrival of a grant, which takes effect at once, to its answer.
     grant_delay: Mutex<Duration>,
@@ -118,6 +120,7 @@
             tokens: Mutex::default(),
             running: Mutex::new(0),
             draining: Mutex::new(false),
+            crashed: Mutex::new(false),
             reports_stopped: Mutex::new(false),
             grant_delay: Mutex::default(),
             serving: Mutex::default(),
@@ -142,6 +145,8 @@
         self.reporting.lock().iter().for_each(AbortHandle::abort);
         let now = Instant::now();
         let mut held = self.history.held.lock();
+        // Tasks that serve connections end some time after they are aborted.
+        *self.crashed.lock() = true;
         for i in self.grants.lock().drain(..) {
             held[i].to = held[i].to.min(now);
         }
@@ -232,6 +237,9 @@
             to,
         };
         let mut all = self.history.held.lock();
+        if *self.crashed.lock() {
+            return reply(503);
+        }
         let mut grants = self.grants.lock();
         grants.retain(|i| all[*i].to > now);
         let same =
