--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -103,6 +103,8 @@
     tokens: Mutex<BTreeMap<u16, u64>>,
     running: Mutex<u32>,
     draining: Mutex<bool>,
+    /// Whether it has crashed; from then on it takes no grants.
+    crashed: Mutex<bool>,
     stopping: Mutex<bool>,
     reports_stopped: Mutex<bool>,
     /// Number of answers given.
@@ -152,6 +154,7 @@
             tokens: Mutex::default(),
             running: Mutex::new(0),
             draining: Mutex::new(false),
+            crashed: Mutex::new(false),
             stopping: Mutex::new(false),
             reports_stopped: Mutex::new(false),
             read_delay: Mutex::default(),
@@ -178,8 +181,11 @@
     pub fn crash(&self) {
         self.serving.lock().iter().for_each(Serving::abort);
         self.reporting.lock().iter().for_each(AbortHandle::abort);
+        let mut grants = self.grants.lock();
+        // Tasks that serve connections end some time after they are aborted.
+        *self.crashed.lock() = true;
         let at = Moment::now();
-        for index in self.grants.lock().drain(..) {
+        for index in grants.drain(..) {
             self.history.add(Event::Releases { index, at, rest: Vec::new() });
         }
     }
@@ -344,6 +350,9 @@
         let to = at.after(Duration::from_secs_f64(hold));
         let keys = (grant.from, grant.target);
         let mut grants = self.grants.lock();
+        if *self.crashed.lock() {
+            return reply(503);
+        }
         let same = self.history.with(|records| {
             grants.retain(|i| records.held[*i].to > at);
             let same = |range: &HeldRange| range.keys == keys && range.token == grant.fence;
