Do not let a short pause of a node stop its grants for seconds

What callers saw: after a pause of 450 ms of one node, whose server answers grants within 250 ms, its keys were not served until 2.9 s after the pause.

Cause: a grant that was in flight when the node was paused counted with the whole pause as the time that grants take to take effect. That time is allowed for in each grant of the next 2 to 4 s; with 700 ms, what is left of a lease is too short for any grant.

A node awaits an answer for 300 ms, so a longer time is due to its own pause. No more than that counts now, which leaves 450 ms of a lease at least. Until when the server may hold the keys still follows from the real time of the answer.

--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -191,7 +191,8 @@
         let result = (self.platform.backend.grant)(grant, session, GRANT_TIMEOUT).await;
         let (granted, now) = (result.outcome, clock::now());
         self.metrics.count_grant(granted, result.took);
-        self.transit_times.borrow_mut().record(result.took, now);
+        // A longer time is due to a pause of this node and does not apply to the next grants.
+        self.transit_times.borrow_mut().record(result.took.min(GRANT_TIMEOUT), now);
         let newly_active = {
             let mut held = self.held.borrow_mut();
             if granted == GrantOutcome::Accepted {
--- a/tests/mesh/server_lifecycle.rs
+++ b/tests/mesh/server_lifecycle.rs
@@ -118,3 +118,25 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert_no_violations(&fleet);
 }
+
+/// How long a grant took while its node was paused says nothing about the next ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_grants_no_keys_for_seconds_after_a_short_pause() {
+    /// Shorter than the silence after which the keys are taken over.
+    const PAUSE: Duration = Duration::from_millis(450);
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    fleet.hosts[0].server.as_ref().unwrap().delay_grant_answers(Duration::from_millis(250));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for _ in 0..4 {
+        fleet.signal_node(0, "STOP");
+        tokio::time::sleep(PAUSE).await;
+        fleet.signal_node(0, "CONT");
+        // Until the keys granted before have expired.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        let took = until_served(&fleet, 1, 0).await;
+        println!("served after {took:?}");
+        assert!(took < Duration::from_millis(1300), "served after {took:?}");
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+    assert_no_violations(&fleet);
+}
