--- a/tests/mesh/server_lifecycle.rs
+++ b/tests/mesh/server_lifecycle.rs
@@ -140,3 +140,52 @@
     }
     assert_no_violations(&fleet);
 }
+
+/// A health check waits for a slot, like any other request.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_move_from_a_busy_server_only_when_its_grants_have_ended() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    fleet.hosts[0].server.take().unwrap().crash();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.start_server(0).await;
+    fleet.hosts[0].server.as_ref().unwrap().delay_health(Duration::from_millis(150));
+    until_served(&fleet, 0, 0).await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = fleet.log(0).matches("wait for the end of their grants").count();
+    fleet.hosts[0].server.as_ref().unwrap().drain();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    callers.iter().for_each(|c| c.abort());
+    let log = fleet.log(0);
+    assert!(log.contains("keys were moved"));
+    assert_eq!(
+        log.matches("wait for the end of their grants").count(),
+        before,
+        "moves that waited"
+    );
+    assert_no_violations(&fleet);
+}
+
+/// A server may report before it listens, while the former one still does and is too busy to identify
+/// itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_next_server_is_granted_keys_under_the_token_of_one_that_was_not_identified() {
+    const NEXT: &str = "i-0000000b";
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let former = fleet.hosts[0].server.take().unwrap();
+    former.stop_reports();
+    former.delay_health(Duration::from_millis(400));
+    former.delay_grant_answers(Duration::from_millis(250));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    fleet.report(0, NEXT).await;
+    // Until the keys that the former server was granted as itself are granted as the next one's.
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    former.delay_grant_answers(Duration::from_millis(400));
+    former.close_listener();
+    fleet.start_server_under(0, NEXT, LATE_REPORT).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    former.crash();
+    until_all_served(&fleet, 1).await;
+    assert_no_violations(&fleet);
+}
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -21,7 +21,7 @@
 use tokio::task::{AbortHandle, JoinHandle};
 
 use super::history::{Conflict, History, Moment, Records, conflicts};
-use super::server::{Server, ServerConfig, Stop};
+use super::server::{self, Server, ServerConfig, Stop};
 use super::server_process::ServerProcess;
 use super::store::Store;
 
@@ -379,6 +379,23 @@
         host.server = Some(server);
     }
 
+    /// Starts the backend server of a host with this ID, which sends its first report after `delay`.
+    pub async fn start_server_under(&mut self, host: usize, id: &str, delay: Duration) {
+        let host = &mut self.hosts[host];
+        let addr = |port| SocketAddr::new(host.ip.into(), port);
+        let id = id.to_owned();
+        let config = ServerConfig { id, report_delay: delay, ..host.server_config.clone() };
+        let server = Server::start(addr(8301), addr(8306), config, self.history.clone()).await;
+        host.server = Some(server);
+    }
+
+    /// Reports to the node of a host as a server that does not listen yet.
+    pub async fn report(&self, host: usize, id: &str) {
+        let host = &self.hosts[host];
+        let node = SocketAddr::new(host.ip.into(), 8306);
+        server::send_report(node, &host.server_config, id).await;
+    }
+
     /// Sets the faults of the link between a host and the store.
     pub fn set_faults(&self, host: usize, faults: Faults) {
         let link = self.hosts[host].ip.to_string();
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -108,6 +108,7 @@
     grant_delay: Mutex<Duration>,
     /// Time from the arrival of a grant until it takes effect.
     read_delay: Mutex<Duration>,
+    health_delay: Mutex<Duration>,
     closing: Mutex<Closing>,
     /// Where it reports.
     node: SocketAddr,
@@ -153,6 +154,7 @@
             stopping: Mutex::new(false),
             reports_stopped: Mutex::new(false),
             read_delay: Mutex::default(),
+            health_delay: Mutex::default(),
             closing: Mutex::default(),
             answers: Mutex::default(),
             node,
@@ -212,6 +214,11 @@
         *self.read_delay.lock() = delay;
     }
 
+    /// Delays all later answers to health checks, which wait for a slot.
+    pub fn delay_health(&self, delay: Duration) {
+        *self.health_delay.lock() = delay;
+    }
+
     /// Closes connections with the answers to some of the later requests.
     pub fn close_with(&self, answers: Closing) {
         *self.closing.lock() = answers;
@@ -313,6 +320,8 @@
             }
             "/-/release" => self.release(&request).await,
             "/healthz" => {
+                let waiting = *self.health_delay.lock();
+                tokio::time::sleep(waiting).await;
                 let mut healthy = reply(200);
                 let id = self.id.parse().expect("valid header value");
                 healthy.headers_mut().insert("x-instance-id", id);
@@ -467,6 +476,19 @@
     }
 }
 
+/// Sends the first report of a server that has just started.
+pub async fn send_report(node: SocketAddr, config: &ServerConfig, id: &str) {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let ServerConfig { service, zone, slots, .. } = config;
+    let body = serde_json::json!({
+        "address": "", "born": since.as_millis() as u64,
+        "info": {"service": service, "version": "v1", "zone": zone, "slots": slots},
+        "status": {"state": "ready", "sequence": 1, "cold-remaining-s": 0},
+    });
+    let answer = call(node, "PUT", &format!("/-/instances/{id}"), body.to_string()).await;
+    answer.expect("the node answers a report");
+}
+
 /// Sends one HTTP request over a new connection, and returns status and body; `None` if the
 /// connection failed.
 pub async fn call(
