Add a failing test for two processes that overlap under one ID

Cause: a connection continues a session when the process at its end has the server's ID and the former connection is open, or was just closed with an answer. Both hold for a second process under that ID.

--- a/tests/mesh/server_processes.rs
+++ b/tests/mesh/server_processes.rs
@@ -165,6 +165,28 @@
     .await;
 }
 
+/// A server may start again under its ID before its former process has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_processes_under_one_id_hold_the_same_keys() {
+    let leave_delay = Duration::from_millis(500);
+    let stop = Stop { close_answers: true, leave_delay, ..Stop::default() };
+    let configure = |host, config: &mut ServerConfig| {
+        config.stop = stop.clone();
+        config.id = format!("i-0000000{host}");
+    };
+    let mut fleet = Fleet::start_with_processes(SERVICES, SERVICE_TIME, configure).await;
+    let callers = fleet.spawn_callers(&["books"], CALLER_PAUSE);
+    fleet.hosts[0].processes[0].signal("TERM");
+    fleet.start_server_process(0, |config| {
+        config.id = "i-00000000".to_owned();
+        config.report_delay = Duration::from_secs(2);
+    });
+    fleet.pause(Duration::from_secs(4)).await;
+    until_all_served(&fleet, 1).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
+
 /// The next run of a node finds no listener, although the server that holds its keys runs.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_node_takes_a_stopping_server_for_ended() {
