--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -12,6 +12,9 @@
 
 /// Seeds that run by default, also in CI.
 const SEEDS: &[u64] = &[1, 2, 3];
+/// Seeds that failed: a service that is not divided by key was not served within 15 s of the last
+/// fault. The cause is not known.
+const REGRESSIONS: &[u64] = &[136, 138];
 /// Number of hosts unless `KELPWIND_SOAK_HOSTS` says otherwise.
 const HOSTS: u32 = 6;
 /// Number of faults per host and seed.
@@ -161,3 +164,8 @@
         None => run_seeds(SEEDS.iter().copied(), run_seed).await,
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn services_are_not_served_after_the_last_fault() {
+    run_seeds(REGRESSIONS.iter().copied(), run_seed).await;
+}
