--- a/src/kelpwind/core/routes.rs
+++ b/src/kelpwind/core/routes.rs
@@ -56,6 +56,17 @@
     }
 }
 
+/// How the targets of a keyed service learn which keys they hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum GrantMode {
+    /// Each node calls the target beside it.
+    #[default]
+    Calls,
+    /// Each target is told in the answers to its liveness reports.
+    Reports,
+}
+
 /// A service and the limits of each of its targets.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -70,6 +81,9 @@
     pub cold_time: Duration,
     /// Whether the service's keys are divided among its targets.
     pub keyed: bool,
+    /// How the targets of a keyed service are granted keys.
+    #[serde(default)]
+    pub grants: GrantMode,
 }
 
 /// Limits on the size and duration of callers' requests.
@@ -150,4 +164,9 @@
     pub fn is_keyed(&self, service: &ServiceName) -> bool {
         self.services.get(service).is_some_and(|s| s.keyed)
     }
+
+    /// How the targets of a service are granted keys.
+    pub fn grant_mode(&self, service: &ServiceName) -> GrantMode {
+        self.services.get(service).map(|s| s.grants).unwrap_or_default()
+    }
 }
--- a/src/kelpwind/gate/grant_time.rs
+++ b/src/kelpwind/gate/grant_time.rs
@@ -5,10 +5,17 @@
 //! grant may still be in transit, and its duration counts from its arrival: until it must have
 //! expired, keys that the server has released can become active there again, so no other server may
 //! be granted them. Pure: the time is an argument.
+//!
+//! A server that is granted keys in the answers to its reports counts the time from when it sent the
+//! report, so such a grant needs no allowance for its way: however late it takes effect, it ends as
+//! early. But the server learns of a renewal only with its next report, so its grants must outlast
+//! the interval between two reports and therefore may outlast the lease ([`lease_excess`]). Whoever
+//! takes over keys waits for that time too.
 
 use std::time::Duration;
 
 use crate::lease::clock::BootInstant;
+use crate::lease::{EXPIRY_MARGIN, LEASE_DURATION, RENEW_INTERVAL};
 
 /// Factor by which a server may exceed a grant: its clock may run 2% slow.
 const CLOCK_DRIFT: f64 = 1.02;
@@ -16,6 +23,13 @@
 const TRANSIT_MIN: Duration = Duration::from_millis(60);
 /// Time after which the transit times of former grants no longer count. Covers several renewals.
 const TRANSIT_WINDOW: Duration = Duration::from_secs(2);
+/// Fraction by which the interval between two reports may exceed the usual one.
+const REPORT_JITTER: f64 = 0.1;
+/// Time before the end of grants at which a report that has arrived is answered with their renewal.
+pub const REPORT_RENEW_MARGIN: Duration = Duration::from_millis(150);
+/// What is left of a lease right before its next renewal.
+const LEASE_LEFT_MIN: Duration =
+    LEASE_DURATION.saturating_sub(EXPIRY_MARGIN).saturating_sub(RENEW_INTERVAL);
 /// Shortest grant that is sent.
 const GRANT_MIN: Duration = Duration::from_millis(150);
 
@@ -66,6 +80,14 @@
     (duration >= GRANT_MIN).then_some(duration)
 }
 
+/// How much longer than the lease a grant in the answer to a report may last, if reports usually come
+/// at `interval`: a report that is answered on arrival, right before the lease is renewed, must bring
+/// grants that last until the next one is answered.
+pub fn lease_excess(interval: Duration) -> Duration {
+    let needed = interval.mul_f64(1.0 + REPORT_JITTER) + REPORT_RENEW_MARGIN;
+    needed.mul_f64(CLOCK_DRIFT).saturating_sub(LEASE_LEFT_MIN)
+}
+
 /// Time from which a server cannot hold the keys of a grant that was sent at `sent` for `duration`
 /// and takes effect within `transit`.
 pub fn latest_expiry(sent: BootInstant, duration: Duration, transit: Duration) -> BootInstant {
--- a/src/kelpwind/mesh/connection.rs
+++ b/src/kelpwind/mesh/connection.rs
@@ -52,8 +52,10 @@
     let stream = WatchedStream { stream, activity: activity.clone() };
     let head_bytes = activity.limits().head_bytes.max(HEAD_BYTES_MAX);
     let watched = activity.clone();
-    let service = service_fn(move |request| {
+    let id = node.next_connection();
+    let service = service_fn(move |mut request: Request<Incoming>| {
         watched.phase.set(Phase::Handling);
+        request.extensions_mut().insert(id);
         let (node, activity) = (node.clone(), watched.clone());
         let reply = handle(node.clone(), request);
         async move {
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -141,13 +141,14 @@
         sent.set(true);
         let began = Instant::now();
         let result = (self.platform.backend.send)(&request.request, &server, deadline).await;
-        Ok(self.to_outcome(result, &slot, began))
+        Ok(self.to_outcome(result, key, &slot, began))
     }
 
     /// Converts the server's result, and records the load and the service time that come with it.
     fn to_outcome(
         self: &Rc<Self>,
         result: SendOutcome,
+        key: Option<u16>,
         slot: &Slot<'_>,
         began: Instant,
     ) -> Outcome {
@@ -166,8 +167,10 @@
                 Outcome::Answer(answer)
             }
             SendOutcome::NotRun(code, _, reached_server) => {
-                if code == Code::Unreachable {
-                    self.check_listener();
+                match (code, key) {
+                    (Code::Unreachable, _) => self.check_listener(),
+                    (Code::NotOwner, Some(key)) => self.record_unheld_key(key),
+                    _ => {}
                 }
                 let retry_after_ms = SERVER_RETRY_AFTER.as_millis() as u32 / 2;
                 Outcome::NotRun { code, retry_after_ms, reached_server, owner: None }
--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -1,4 +1,5 @@
-//! Grants keys to the backend server and renews the grants.
+//! Grants keys to the backend server and renews the grants, by calls or, as [`super::report_grants`]
+//! says, in the answers to its reports.
 //!
 //! The table says which keys this node owns. The server is granted them for short times that end
 //! before the node's lease does ([`crate::gate::grant_time`]). [`super::held_ranges`] tracks the
@@ -11,7 +12,6 @@
 use tokio::time::timeout;
 
 use super::datagram::TableUpdate;
-use super::held_ranges::HeldRanges;
 use super::holds::GrantNumber;
 use super::metrics::ServerChange;
 use super::node::Node;
@@ -43,8 +43,16 @@
             continue;
         }
         node.sync_held_ranges();
-        node.send_grants();
-        node.start_due_moves();
+        if node.grants_in_reports() {
+            if node.server.borrow().is_none() {
+                node.begin_planned_moves();
+            }
+            node.start_due_moves();
+            node.keys_checked.notify_waiters();
+        } else {
+            node.send_grants();
+            node.start_due_moves();
+        }
         let next = node.held.borrow().next_due().map(|due| due.since(clock::now()));
         let pause = next.filter(|p| !p.is_zero()).map_or(CHECK_INTERVAL, |p| p.min(CHECK_INTERVAL));
         // A timeout is the usual case: the next check is due.
@@ -56,10 +64,11 @@
     /// Adopts this node's ranges from the table. Ranges that the table still assigns to a former
     /// run of this node, or to a former instance of its server, are reclaimed once no other process
     /// can hold them: the owner in the table tells the next run of this node who was granted them.
-    fn sync_held_ranges(self: &Rc<Self>) {
+    pub fn sync_held_ranges(self: &Rc<Self>) {
         let (me, instance) = (self.holder(), self.server_instance());
         let service = self.service();
-        let (stale, changed) = {
+        let stale = self.former_ranges().iter().any(|span| !self.is_held_elsewhere(*span));
+        let changed = {
             let table = self.table.borrow();
             let ranges = table.keys.get(&service).map_or(&[][..], |k| &k.ranges);
             let own = |r: &&Range| {
@@ -67,16 +76,10 @@
                     .as_ref()
                     .is_some_and(|o| o.holder == me && Some(&o.instance) == instance.as_ref())
             };
-            let stale = ranges.iter().any(|r| {
-                r.owner.as_ref().is_some_and(|o| {
-                    o.holder.node == me.node
-                        && (o.holder != me || Some(&o.instance) != instance.as_ref())
-                }) && !self.is_held_elsewhere(r.span)
-            });
             let mut held = self.held.borrow_mut();
             let before = held.ranges.len();
             held.sync(ranges.iter().filter(own));
-            (stale, before != held.ranges.len())
+            before != held.ranges.len()
         };
         if changed {
             self.notify_held_changed();
@@ -88,9 +91,28 @@
         }
     }
 
+    /// Spans that the table still assigns to a former run of this node, or to a former instance of its
+    /// server.
+    fn former_ranges(&self) -> Vec<Span> {
+        let (me, instance) = (self.holder(), self.server_instance());
+        let table = self.table.borrow();
+        let keys = table.keys.get(&self.service());
+        let former = |o: &Owner| {
+            o.holder.node == me.node && (o.holder != me || Some(&o.instance) != instance.as_ref())
+        };
+        let ranges = keys.into_iter().flat_map(|k| &k.ranges);
+        ranges.filter(|r| r.owner.as_ref().is_some_and(former)).map(|r| r.span).collect()
+    }
+
+    /// Whether the table still assigns keys to a former run of this node, or to a former instance of
+    /// its server.
+    pub fn has_former_keys(&self) -> bool {
+        !self.former_ranges().is_empty()
+    }
+
     /// Whether another process than that of the current session may hold any key of a span.
     fn is_held_elsewhere(&self, span: Span) -> bool {
-        let session = (self.platform.backend.session)();
+        let session = self.grant_session();
         self.held.borrow().holds.until_elsewhere(span, session) > clock::now()
     }
 
@@ -106,7 +128,7 @@
 
     /// Assigns higher tokens to spans of this node's keys, under which any instance of the server
     /// may be granted them.
-    fn raise_tokens(self: &Rc<Self>, what: &'static str, spans: Vec<Span>) {
+    pub fn raise_tokens(self: &Rc<Self>, what: &'static str, spans: Vec<Span>) {
         let instance = self.server_instance();
         self.spawn_key_change(async move |node| {
             node.commit(what, |node, table| {
@@ -144,9 +166,7 @@
         Some(Rc::new(ServerRef { id, health_path: self.health_path()? }))
     }
 
-    /// Sends the grants that are due. Ranges that were granted in an earlier session are not
-    /// renewed but get higher tokens, since the server may have restarted without them. Keys that
-    /// another process may hold are granted once it cannot hold them any more.
+    /// Sends the grants that are due.
     fn send_grants(self: &Rc<Self>) {
         let Some(ends) = self.lease.borrow().as_ref().and_then(|l| l.expires_at()) else { return };
         let now = clock::now();
@@ -154,26 +174,13 @@
         let transit = self.transit_times.borrow_mut().allowance(now);
         let Some(time) = grant_time::grant_duration(ends, now, longest, transit) else { return };
         let Some(server) = self.server_ref() else { return };
-        let session = (self.platform.backend.session)();
-        let (mut due, mut from_former_session) = (Vec::new(), Vec::new());
+        let session = self.grant_session();
+        let mut due = Vec::new();
         let mut held = self.held.borrow_mut();
-        held.holds.prune(now);
-        for i in 0..held.ranges.len() {
-            let HeldRanges { ranges, holds, .. } = &mut *held;
-            let range = &mut ranges[i];
-            if range.in_flight.is_some() || range.leaving || range.due > now {
-                continue;
-            }
-            if *range.session.get_or_insert(session) != session {
-                from_former_session.push(range.span);
-                continue;
-            }
-            let held_elsewhere = holds.until_elsewhere(range.span, session);
-            if held_elsewhere > now {
-                range.due = held_elsewhere;
-                continue;
-            }
+        let (selected, former) = held.select(session, now, false);
+        for i in selected {
             let until = grant_time::latest_expiry(now, time, transit);
+            let range = &held.ranges[i];
             let (span, token, handover) = (range.span, range.token, range.handover.clone());
             let grant = Grant { server: server.clone(), span, token, until, transit, handover };
             due.push((held.begin_grant(i, session, until), grant));
@@ -185,9 +192,14 @@
                 node.send_grant(number, grant, session, (now, time)).await;
             });
         }
-        if !from_former_session.is_empty() && !self.is_changing_keys() {
-            spdlog::info!("the backend server may have started anew", kv: { session = session.0, ranges = from_former_session.len() });
-            self.raise_tokens("keys of a server that may have restarted", from_former_session);
+        self.renew_former_tokens(session, former);
+    }
+
+    /// Assigns higher tokens to spans that were granted in a session before `session`.
+    pub fn renew_former_tokens(self: &Rc<Self>, session: BackendSession, former: Vec<Span>) {
+        if !former.is_empty() && !self.is_changing_keys() {
+            spdlog::info!("the backend server may have started anew", kv: { session = session.0, ranges = former.len() });
+            self.raise_tokens("keys of a server that may have restarted", former);
         }
     }
 
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::holds::{GrantNumber, Holds, Release};
-use super::platform_api::{BackendSession, GrantOutcome};
+use super::platform_api::{BackendSession, GrantOutcome, ReportedKeys};
 use crate::core::ids::Token;
 use crate::gate::grant_time;
 use crate::lease::clock::{self, BootInstant};
@@ -31,6 +31,8 @@
     pub due: BootInstant,
     /// Number of the grant in flight.
     pub in_flight: Option<GrantNumber>,
+    /// Number of the last grant in the answer to a report.
+    pub assigned: Option<GrantNumber>,
     /// Whether the keys are being moved to another owner.
     pub leaving: bool,
 }
@@ -131,8 +133,12 @@
                     let due = if same { k.due } else { BootInstant::default() };
                     let session = k.session.filter(|_| same);
                     let in_flight = k.in_flight.filter(|_| same);
+                    let assigned = k.assigned.filter(|_| same);
                     let token = range.token;
-                    parts.push(HeldRange { span, token, session, due, in_flight, ..k.clone() });
+                    let known = k.clone();
+                    let part =
+                        HeldRange { span, token, session, due, in_flight, assigned, ..known };
+                    parts.push(part);
                 }
             }
             fill_gaps(&mut parts, range);
@@ -144,9 +150,109 @@
         }
     }
 
-    /// Assumes that a former run of this process granted keys just before `now`.
-    pub fn assume_former_grants(&mut self, now: BootInstant) {
-        self.holds.assume_former(grant_time::former_expiry(now, LEASE_DURATION));
+    /// Assumes that a former run of this process granted keys just before `now`, for at most `excess`
+    /// longer than its lease.
+    pub fn assume_former_grants(&mut self, now: BootInstant, excess: Duration) {
+        self.holds.assume_former(grant_time::former_expiry(now, LEASE_DURATION + excess));
+    }
+
+    /// Selects the ranges to grant now in a session: with `all`, also those whose renewal is not due.
+    /// Returns their indices, and the spans that were granted in an earlier session: these get higher
+    /// tokens first, since the server may have restarted without them. Keys that another process may
+    /// hold are granted once it cannot hold them any more.
+    pub fn select(
+        &mut self,
+        session: BackendSession,
+        now: BootInstant,
+        all: bool,
+    ) -> (Vec<usize>, Vec<Span>) {
+        let (mut selected, mut former) = (Vec::new(), Vec::new());
+        self.holds.prune(now);
+        for (i, range) in self.ranges.iter_mut().enumerate() {
+            if range.in_flight.is_some() || range.leaving || !all && range.due > now {
+                continue;
+            }
+            if *range.session.get_or_insert(session) != session {
+                former.push(range.span);
+                continue;
+            }
+            let held_elsewhere = self.holds.until_elsewhere(range.span, session);
+            if held_elsewhere > now {
+                range.due = held_elsewhere;
+                continue;
+            }
+            selected.push(i);
+        }
+        (selected, former)
+    }
+
+    /// Records that a listed range is granted in the answer to a report, which is in force until
+    /// `expiry` at the latest. Returns the number of the grant.
+    pub fn assign(
+        &mut self,
+        index: usize,
+        session: BackendSession,
+        expiry: BootInstant,
+    ) -> GrantNumber {
+        self.last_grant += 1;
+        let number = self.last_grant;
+        let range = &mut self.ranges[index];
+        range.assigned = Some(number);
+        self.holds.begin(number, (range.span, range.token), session, expiry);
+        number
+    }
+
+    /// Records that the server has been sent grants in an answer and holds the keys until `until`.
+    /// Returns the ranges that it did not hold before.
+    pub fn activate(&mut self, numbers: &[GrantNumber], until: BootInstant) -> Vec<(Span, Token)> {
+        let now = clock::now();
+        let mut newly_active = Vec::new();
+        let assigned = |r: &&mut HeldRange| r.assigned.is_some_and(|n| numbers.contains(&n));
+        for range in self.ranges.iter_mut().filter(assigned) {
+            if range.active_until.is_none_or(|until| until <= now) {
+                newly_active.push((range.span, range.token));
+            }
+            range.active_until = range.active_until.max(Some(until));
+        }
+        newly_active
+    }
+
+    /// Records that the server does not hold a key that it was assigned.
+    pub fn deactivate(&mut self, key: u16) {
+        for range in self.ranges.iter_mut().filter(|r| r.span.contains(key)) {
+            range.active_until = None;
+        }
+    }
+
+    /// Applies a report that was sent after the server had taken the grants `taken`. Returns the
+    /// ranges among these that it did not accept.
+    pub fn record_reported(
+        &mut self,
+        keys: &ReportedKeys,
+        taken: &[GrantNumber],
+        now: BootInstant,
+    ) -> Vec<Span> {
+        let mut refused = Vec::new();
+        for range in self.ranges.iter_mut().filter(|r| !r.leaving) {
+            if keys.covers(range.span, range.token) {
+                range.handover = None;
+                continue;
+            }
+            let latest_taken = range.assigned.is_some_and(|number| taken.contains(&number));
+            if !latest_taken {
+                continue;
+            }
+            if range.active_until.is_some_and(|until| now < until) {
+                refused.push(range.span);
+            }
+            range.active_until = None;
+        }
+        refused
+    }
+
+    /// Whether keys are being moved.
+    pub fn is_moving(&self) -> bool {
+        !self.moving.is_empty()
     }
 
     /// When the next grant of a range that is not being moved is due.
@@ -233,6 +339,7 @@
             active_until: None,
             due: BootInstant::default(),
             in_flight: None,
+            assigned: None,
             leaving: false,
         }
     }
@@ -259,9 +366,12 @@
 fn merge(span: Span, parts: Vec<HeldRange>) -> HeldRange {
     let active_until = parts.iter().map(|p| p.active_until).min().flatten();
     let due = parts.iter().map(|p| p.due).min().unwrap_or_default();
+    // Each part may have been assigned by another answer, and the whole by none.
+    let assigned =
+        parts[0].assigned.filter(|_| parts.iter().all(|p| p.assigned == parts[0].assigned));
     let session = parts.iter().filter_map(|p| p.session).min();
     let handover = parts.iter().find_map(|p| p.handover.clone());
-    HeldRange { span, session, active_until, due, handover, ..parts[0].clone() }
+    HeldRange { span, session, active_until, due, handover, assigned, ..parts[0].clone() }
 }
 
 /// Splits ranges at the ends of spans that are being moved, and marks what lies within them as
--- a/src/kelpwind/mesh/holds.rs
+++ b/src/kelpwind/mesh/holds.rs
@@ -83,6 +83,11 @@
         self.holds.retain(|h| h.number != Some(number));
     }
 
+    /// Whether a grant may be in force.
+    pub fn is_in_force(&self, number: GrantNumber) -> bool {
+        self.holds.iter().any(|h| h.number == Some(number))
+    }
+
     /// The release of a span and a token, to be sent to the process of a session.
     pub fn release(&self, span: Span, token: Token, session: BackendSession) -> Release {
         let ends = |h: &&Hold| !h.open && h.token <= token && h.session == Some(session);
--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -262,8 +262,9 @@
             return failure_reply(Failure { code: Code::BadValue, retry_after: None });
         }
     };
-    node.handle_message(message);
-    Response::new(Full::new(Bytes::from_static(b"{}")))
+    let conn = parts.extensions.get().copied().unwrap_or_else(|| node.next_connection());
+    let assignment = node.handle_message(message, conn).await;
+    Response::new(Full::new((node.platform.encode_report_answer)(assignment.as_ref())))
 }
 
 /// Handles a request for the metrics.
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -250,6 +250,16 @@
         }
     }
 
+    /// Counts grants in answers to reports by whether the server has accepted them or has seen a
+    /// higher token.
+    pub fn count_reported_grants(&self, accepted: usize, refused: usize) {
+        for (outcome, count) in
+            [(GrantOutcome::Accepted, accepted), (GrantOutcome::StaleToken, refused)]
+        {
+            self.grants.with_label_values(&[grant_label(outcome)]).inc_by(count as u64);
+        }
+    }
+
     /// Counts a change of the backend server.
     pub fn count_server_change(&self, change: ServerChange) {
         self.server_changes.with_label_values(&[change.label()]).inc();
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -15,6 +15,7 @@
 //! * [`reports`] and [`reattach`]: the backend server's reports and the node's own record.
 //! * [`lease`], [`takeover`], [`grants`], [`plan`], [`balance`], [`moves`] and [`held_ranges`]:
 //!   which node owns which keys, and until when.
+//! * [`report_grants`] and [`report_exchanges`]: grants in the answers to the server's reports.
 //! * [`holds`]: until when a backend server here may hold keys, whoever owns them.
 //! * [`selection`]: the choice among the targets of a service.
 //! * [`request_state`]: attempts and retries of one request at the entry.
@@ -44,6 +45,8 @@
 pub(crate) mod plan;
 pub mod platform_api;
 pub(crate) mod reattach;
+pub mod report_exchanges;
+pub(crate) mod report_grants;
 pub(crate) mod reports;
 pub(crate) mod request_state;
 pub(crate) mod selection;
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -47,7 +47,12 @@
         if moves.is_empty() || self.is_changing_keys() {
             return false;
         }
-        self.spawn_key_change(async move |node| node.move_keys(moves).await);
+        if self.must_await_report() {
+            self.plan_moves(moves);
+            return true;
+        }
+        let parts = self.begin_move(&moves);
+        self.spawn_key_change(async move |node| node.move_keys(moves, parts).await);
         true
     }
 
@@ -63,25 +68,32 @@
         });
     }
 
-    /// Releases keys and writes their next owners.
-    async fn move_keys(&self, moves: Vec<(Span, Owner)>) {
+    /// Stops the admission of requests for keys to move. Returns the spans to release with their
+    /// tokens.
+    fn begin_move(&self, moves: &[(Span, Owner)]) -> Vec<(Span, Token)> {
         let mut parts =
             self.held.borrow_mut().begin_move(moves.iter().map(|(span, _)| *span).collect());
         if self.server.borrow().is_none() {
             parts.clear();
         }
         // There is no server to ask for a release of the other keys. Token 0 marks that.
-        for (span, _) in &moves {
+        for (span, _) in moves {
             let mut unlisted = vec![*span];
             for (part, _) in &parts {
                 unlisted = unlisted.into_iter().flat_map(|s| s.subtract(*part)).collect();
             }
             parts.extend(unlisted.into_iter().map(|span| (span, Token(0))));
         }
-        let count: u32 = moves.iter().map(|(s, _)| s.width()).sum();
+        let count = key_count(moves);
         let must_give_up = self.must_give_up_keys();
         spdlog::info!("keys begin to move", kv: { keys = count, ranges = moves.len(), must = must_give_up });
         self.notify_held_changed();
+        parts
+    }
+
+    /// Releases keys and writes their next owners.
+    async fn move_keys(&self, moves: Vec<(Span, Owner)>, parts: Vec<(Span, Token)>) {
+        let (count, must_give_up) = (key_count(&moves), self.must_give_up_keys());
         // A grant in flight could arrive after the release and undo it.
         while self.held.borrow().is_granting() {
             sleep(GRANT_CHECK_INTERVAL).await;
@@ -145,6 +157,9 @@
     /// Asks the server to release a span, and returns its handover data. Keys whose release is not
     /// confirmed stay with the server until its grants expire.
     async fn release(&self, span: Span, token: Token) -> Option<String> {
+        if token != Token(0) && self.grants_in_reports() {
+            return self.await_release(span).await;
+        }
         for _ in 0..RELEASE_ATTEMPTS {
             let server = self.server_ref().filter(|_| token != Token(0))?;
             let session = (self.platform.backend.session)();
@@ -189,3 +204,8 @@
         }
     }
 }
+
+/// Number of keys that moves concern.
+fn key_count(moves: &[(Span, Owner)]) -> u32 {
+    moves.iter().map(|(span, _)| span.width()).sum()
+}
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -19,6 +19,7 @@
 use super::metrics::Metrics;
 use super::orders::OrdersProgress;
 use super::platform_api::{NodeSettings, Platform, ServerReport};
+use super::report_exchanges::{ConnectionId, ReportExchanges};
 use super::serve::Sessions;
 use crate::core::ids::{DomainName, Holder, Incarnation, NodeId, Offset, ServiceName};
 use crate::core::routes::Routes;
@@ -105,6 +106,10 @@
     pub announce_wake: Notify,
     /// Wakes the task that grants keys to the backend server.
     pub grants_wake: Notify,
+    /// Exchanges with a backend server that is granted keys in the answers to its reports.
+    pub report_exchanges: RefCell<ReportExchanges>,
+    /// Notified after each check of which keys the backend server is to hold.
+    pub keys_checked: Notify,
     /// Counts changes of the keys that the backend server holds.
     pub held_changed: watch::Sender<u64>,
     /// The queue in front of the backend server.
@@ -151,6 +156,8 @@
     pub stopping: watch::Sender<bool>,
     /// When the node began to stop.
     pub stop_began: Cell<Option<Instant>>,
+    /// Number of the last connection that was accepted.
+    pub last_connection: Cell<u64>,
     /// Callers' requests in progress.
     pub inflight: Cell<u32>,
     /// Counters and histograms.
@@ -172,6 +179,13 @@
         self.holder.borrow().clone()
     }
 
+    /// Number of a connection that was just accepted.
+    pub fn next_connection(&self) -> ConnectionId {
+        let number = self.last_connection.get() + 1;
+        self.last_connection.set(number);
+        ConnectionId(number)
+    }
+
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
     }
--- a/src/kelpwind/mesh/plan.rs
+++ b/src/kelpwind/mesh/plan.rs
@@ -93,7 +93,8 @@
             return false;
         }
         let restarted = table.is_succeeded(&owner.holder);
-        let wait = if restarted { RESTARTED_OWNER_WAIT } else { DEPARTED_OWNER_WAIT };
+        let excess = self.settings.borrow().grant_excess();
+        let wait = if restarted { RESTARTED_OWNER_WAIT } else { DEPARTED_OWNER_WAIT } + excess;
         let departed = self.departed_owners.borrow();
         departed.get(&owner.holder).is_some_and(|since| since.elapsed() >= wait)
     }
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -16,6 +16,7 @@
 use crate::core::codes::Code;
 use crate::core::ids::{Count, DomainName, Offset, ServiceName, Token};
 use crate::core::routes::Routes;
+use crate::gate::grant_time;
 use crate::lease::clock::BootInstant;
 use crate::table::keys::Span;
 use crate::table::member::Instance;
@@ -156,6 +157,29 @@
     pub draining: bool,
     /// Time until the server's cold start is over.
     pub cold_left: Duration,
+    /// What the server says of its keys, if it is granted them in the answers to its reports.
+    pub keys: Option<ReportedKeys>,
+}
+
+/// The keys of a server that is granted them in the answers to its reports.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReportedKeys {
+    /// Spans that it holds or still works on, in order, each with its token. Those of one token do not
+    /// overlap.
+    pub held: Vec<(Span, Token)>,
+    /// Spans that it has released since the last report that was answered, each with the state for
+    /// the next holder. Spans whose grant has expired are not listed.
+    pub released: Vec<(Span, String)>,
+}
+
+/// Everything that a server is to hold. It releases all other keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyAssignment {
+    /// The spans, each with its token and the state that its former holder handed over.
+    pub spans: Vec<(Span, Token, Option<String>)>,
+    /// Duration of the grants. It counts from when the server sent its report, of which the node
+    /// knows only that it was not after the report's arrival.
+    pub duration: Duration,
 }
 
 /// A request as it is sent to a backend server.
@@ -389,11 +413,25 @@
     pub listen: ListenAddrs,
     /// Whether the installation starts for the first time, so that all nodes are new.
     pub bootstrap: bool,
+    /// Whether servers of the installation may be granted keys in the answers to their reports. The
+    /// configuration says for which services that is so.
+    pub grants_in_reports: bool,
+    /// Usual interval between two liveness reports of a server.
+    pub report_interval: Duration,
     /// Limits that a reload may change.
     pub bounds: Bounds,
 }
 
 impl NodeSettings {
+    /// How much longer than a lease grants may last in this installation. All nodes must agree on it,
+    /// whichever configuration they know, so it follows from the settings.
+    pub fn grant_excess(&self) -> Duration {
+        match self.grants_in_reports {
+            true => grant_time::lease_excess(self.report_interval),
+            false => Duration::ZERO,
+        }
+    }
+
     /// The region of a failure domain; empty when it is not known.
     pub fn region(&self, domain: &DomainName) -> &str {
         self.regions.get(domain).map_or("", String::as_str)
@@ -410,6 +448,9 @@
     pub decode_request: fn(&http::request::Parts) -> Result<CallerRequest, Code>,
     /// Decodes a call of the backend server from its method, path and body.
     pub decode_report: fn(&http::Method, &str, &[u8]) -> Result<ServerMessage, String>,
+    /// Encodes the answer to a report. Without an assignment the answer renews no grant and ends
+    /// none.
+    pub encode_report_answer: fn(Option<&KeyAssignment>) -> Bytes,
     /// The backend server beside the node.
     pub backend: Backend,
     /// Reads the settings again.
--- a/src/kelpwind/mesh/reattach.rs
+++ b/src/kelpwind/mesh/reattach.rs
@@ -48,7 +48,7 @@
             return;
         };
         let backend = &self.platform.backend;
-        let (health, session) = if self.is_keyed() {
+        let (health, session) = if self.is_keyed() && !self.grants_in_reports() {
             let answer = (backend.identify)(&spec.health_path, REATTACH_TIMEOUT).await;
             answer.map_or((None, None), |(health, session)| (Some(health), Some(session)))
         } else {
@@ -76,6 +76,7 @@
             slots: former.slots,
             draining: false,
             cold_left: cold,
+            keys: None,
         };
         self.apply_report(report, false, None);
         self.grants_wake.notify_one();
@@ -84,7 +85,7 @@
     /// Records that the process of a session is the instance that the former run granted its keys.
     /// That does not follow from the former run's record, which names an instance as soon as it is
     /// attached, but from the owner of the keys.
-    fn confirm_former_grants(&self, instance: &Instance, session: BackendSession) {
+    pub fn confirm_former_grants(&self, instance: &Instance, session: BackendSession) {
         let (name, service) = (self.name(), self.service());
         let table = self.table.borrow();
         let mut held = self.held.borrow_mut();
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -12,8 +12,9 @@
 use super::datagram::TableUpdate;
 use super::metrics::ServerChange;
 use super::node::{BackendStatus, Node};
-use super::platform_api::{ServerMessage, ServerReport};
+use super::platform_api::{KeyAssignment, ServerMessage, ServerReport};
 use super::reattach;
+use super::report_exchanges::ConnectionId;
 use crate::table::WriteBatch;
 use crate::table::member::Member;
 
@@ -35,16 +36,24 @@
 const ECHO_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl Node {
-    /// Handles a call of the backend server.
-    pub fn handle_message(self: &Rc<Self>, message: ServerMessage) {
+    /// Handles a call of the backend server. Returns the keys that the answer assigns, if any.
+    pub async fn handle_message(
+        self: &Rc<Self>,
+        message: ServerMessage,
+        conn: ConnectionId,
+    ) -> Option<KeyAssignment> {
         match message {
-            ServerMessage::Report(report) => self.handle_report(report),
-            ServerMessage::Leaving(id) => self.handle_leaving(&id),
+            ServerMessage::Report(report) => self.answer_report(report, conn).await,
+            ServerMessage::Leaving(id) => {
+                self.handle_leaving(&id);
+                None
+            }
         }
     }
 
-    /// Applies a report unless it is outdated or of another server.
-    fn handle_report(self: &Rc<Self>, report: ServerReport) {
+    /// Applies a report. Returns false if it has no effect, because it is outdated or of another
+    /// server, or because nothing listens at the server's address.
+    pub fn handle_report(self: &Rc<Self>, report: ServerReport) -> bool {
         let (service, domain) = {
             let settings = self.settings.borrow();
             (settings.service.clone(), settings.domain.clone())
@@ -52,7 +61,7 @@
         if report.service != service || report.domain != domain {
             let (id, reported) = (report.instance.id.as_str(), report.service.as_str());
             spdlog::warn!("ignored a report of another service or failure domain", kv: { id, told = reported });
-            return;
+            return false;
         }
         let before = self.server.borrow().clone();
         let same = before.as_ref().is_some_and(|b| b.report.instance == report.instance);
@@ -64,12 +73,12 @@
                 report.instance.started_ms < known.instance.started_ms
             };
             if stale {
-                return;
+                return false;
             }
         }
         if self.unreachable_server.borrow().as_ref() == Some(&report.instance) {
             self.reconnect(report);
-            return;
+            return false;
         }
         let now = Instant::now();
         let since = before.as_ref().filter(|_| same).and_then(|b| b.leaving_since);
@@ -93,6 +102,7 @@
             self.announce_wake.notify_one();
             self.grants_wake.notify_one();
         }
+        true
     }
 
     /// Stores the backend server's latest report, and applies its slots and its cold start to the
@@ -113,6 +123,7 @@
         if last.is_some_and(|last| last != instance) {
             // The connection for grants may lead to the former instance.
             (self.platform.backend.end_session)();
+            self.report_exchanges.borrow_mut().begin_session();
         }
         self.server.replace(Some(BackendStatus { report, received, leaving_since: leaving }));
     }
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -88,7 +88,7 @@
     let now = clock::now();
     let witness = Witness::new(IncarnationId::from(holder.inc), now);
     let mut held = held_ranges::HeldRanges::default();
-    held.assume_former_grants(now);
+    held.assume_former_grants(now, settings.grant_excess());
     Node {
         settings: RefCell::new(settings),
         platform,
@@ -112,6 +112,8 @@
         checking_listener: Cell::new(false),
         announce_wake: Notify::new(),
         grants_wake: Notify::new(),
+        report_exchanges: RefCell::default(),
+        keys_checked: Notify::new(),
         held_changed: watch::Sender::new(0),
         queue: RefCell::new(RequestQueue::new(DEFAULT_SLOTS)),
         tickets: RefCell::default(),
@@ -135,6 +137,7 @@
         udp,
         stopping: watch::Sender::new(false),
         stop_began: Cell::new(None),
+        last_connection: Cell::new(0),
         inflight: Cell::new(0),
         metrics: Metrics::default(),
     }
--- a/src/kelpwind/mesh/takeover.rs
+++ b/src/kelpwind/mesh/takeover.rs
@@ -125,13 +125,14 @@
     Takeover::new(watched.holder.clone(), watched.version, watched.set.clone())
 }
 
-/// Spawns the writes of takeovers for which a majority of witnesses has promised and their earlier
-/// acknowledgements have expired.
+/// Spawns the writes of takeovers for which a majority of witnesses has promised, their earlier
+/// acknowledgements have expired, and so have the grants that may outlast these.
 fn finish_takeovers(node: &Rc<Node>) {
     let now = clock::now();
+    let expired = now - node.settings.borrow().grant_excess();
     let mut ready = Vec::new();
     for takeover in node.takeovers.borrow_mut().values_mut() {
-        if takeover.is_ready(now) && takeover.try_begin_write(now) {
+        if takeover.is_ready(expired) && takeover.try_begin_write(now) {
             ready.push(takeover.clone());
         }
     }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -12,6 +12,7 @@
 mod node_runs;
 #[path = "../platform/mod.rs"]
 mod platform;
+mod report_grants;
 mod server_lifecycle;
 mod server_processes;
 
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -21,7 +21,7 @@
 use tokio::task::{AbortHandle, JoinHandle};
 
 use super::history::{Conflict, History, Moment, Records, conflicts};
-use super::server::{self, Server, ServerConfig, Stop};
+use super::server::{self, GRANTED_REPORT_INTERVAL, Server, ServerConfig, Stop};
 use super::server_process::ServerProcess;
 use super::store::Store;
 
@@ -109,6 +109,8 @@
     bootstrap: bool,
     /// Version of the next configuration. Versions increase, but need not be consecutive.
     version: u32,
+    /// Whether the servers of the keyed service are granted keys in the answers to their reports.
+    reports_keys: bool,
 }
 
 impl Fleet {
@@ -116,7 +118,20 @@
     /// service is keyed. `service_time` is the time that a server takes for a request. All traffic
     /// between the hosts and the store goes through the proxy.
     pub async fn start(services: &[(&str, u32)], service_time: Duration) -> Fleet {
-        let mut fleet = Fleet::start_nodes(services, service_time).await;
+        Fleet::start_granted(services, service_time, false).await
+    }
+
+    /// Like [`Fleet::start`], with servers that are granted keys in the answers to their reports.
+    pub async fn start_reporting(services: &[(&str, u32)], service_time: Duration) -> Fleet {
+        Fleet::start_granted(services, service_time, true).await
+    }
+
+    async fn start_granted(
+        services: &[(&str, u32)],
+        service_time: Duration,
+        reports_keys: bool,
+    ) -> Fleet {
+        let mut fleet = Fleet::start_nodes(services, service_time, reports_keys).await;
         for host in 0..fleet.hosts.len() {
             fleet.start_server(host).await;
         }
@@ -130,9 +145,28 @@
     pub async fn start_with_processes(
         services: &[(&str, u32)],
         service_time: Duration,
+        configure: impl FnMut(usize, &mut ServerConfig),
+    ) -> Fleet {
+        Fleet::start_processes(services, service_time, false, configure).await
+    }
+
+    /// Like [`Fleet::start_with_processes`], with servers that are granted keys in the answers to
+    /// their reports.
+    pub async fn start_with_reporting_processes(
+        services: &[(&str, u32)],
+        service_time: Duration,
+        configure: impl FnMut(usize, &mut ServerConfig),
+    ) -> Fleet {
+        Fleet::start_processes(services, service_time, true, configure).await
+    }
+
+    async fn start_processes(
+        services: &[(&str, u32)],
+        service_time: Duration,
+        reports_keys: bool,
         mut configure: impl FnMut(usize, &mut ServerConfig),
     ) -> Fleet {
-        let mut fleet = Fleet::start_nodes(services, service_time).await;
+        let mut fleet = Fleet::start_nodes(services, service_time, reports_keys).await;
         for host in 0..fleet.hosts.len() {
             fleet.start_server_process(host, |config| configure(host, config));
         }
@@ -141,7 +175,11 @@
         fleet
     }
 
-    async fn start_nodes(services: &[(&str, u32)], service_time: Duration) -> Fleet {
+    async fn start_nodes(
+        services: &[(&str, u32)],
+        service_time: Duration,
+        reports_keys: bool,
+    ) -> Fleet {
         let number = FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
         let block = 1 + (std::process::id() % 250) as u8;
         let ip = |last: u8| Ipv4Addr::new(127, block, number, last);
@@ -159,6 +197,7 @@
             folder,
             bootstrap: true,
             version: 1,
+            reports_keys,
         };
         fleet.publish(services, "");
         let all = services.iter().flat_map(|(name, count)| (0..*count).map(move |_| *name));
@@ -175,6 +214,7 @@
                 close_every: 0,
                 id: String::new(),
                 stop: Stop::default(),
+                reports_keys: reports_keys && service == services[0].0,
             };
             fleet.add_host(&format!("side-{}", 1 + i), ip(1 + i as u8), server_config).await;
         }
@@ -232,9 +272,10 @@
         });
         let routes: Vec<String> = routes.chain((!extra.is_empty()).then(|| extra.into())).collect();
         let first = services[0].0;
-        let rows = services
-            .iter()
-            .map(|(name, _)| format!(r#"["{name}","/healthz",130,3.0,50.0,{}]"#, *name == first));
+        let grants = if self.reports_keys { "heartbeat" } else { "call" };
+        let rows = services.iter().map(|(name, _)| {
+            format!(r#"["{name}","/healthz",130,3.0,50.0,{},"{grants}"]"#, *name == first)
+        });
         let rows: Vec<String> = rows.collect();
         let limits = self.limits.map(|l| {
             format!(
@@ -249,7 +290,7 @@
         let config = format!(
             r#"{{"version":{},"routes":{{"columns":["name","host","path-prefix","kind","timeout-s",
             "aim-s","priority","attempts","service"],"rows":[{}]}},"services":{{"columns":["name",
-            "health-path","max-connections","cold-start-s","cold-per-s","sharded"],"rows":[{}]}}{}}}"#,
+            "health-path","max-connections","cold-start-s","cold-per-s","sharded","grants"],"rows":[{}]}}{}}}"#,
             self.version,
             routes.join(","),
             rows.join(","),
@@ -614,12 +655,17 @@
 
 fn settings(name: &str, ip: Ipv4Addr, config: &ServerConfig, bootstrap: bool) -> String {
     let ServerConfig { service, zone, .. } = config;
+    let (grants, interval) = match config.reports_keys {
+        true => ("heartbeat", GRANTED_REPORT_INTERVAL.as_secs_f64()),
+        false => ("call", 1.0),
+    };
     format!(
         "self.node-name={name}\nself.ip={ip}\nself.zone={zone}\nself.service={service}\n\
          self.app-addr={ip}:8301\nself.bootstrap={bootstrap}\nnetwork.listen.outbound={ip}:8304\n\
          network.listen.ready-address={ip}:8302\nnetwork.listen.control={ip}:8306\n\
          network.port-range=7620,7635\nnetwork.zones.{zone}=west\n\
-         platform.platform.address={ip}:8400\nterms.bounds.grace-s={}\n\
+         platform.platform.address={ip}:8400\nterms.bounds.grace-s={}\ngrants={grants}\n\
+         platform.heartbeat-s={interval}\n\
          terms.bounds.hold-max-s=10\nterms.bounds.budget-window-s=10\n\
          terms.bounds.retry-budget-ratio=0.2\nterms.bounds.retry-budget-slack=64\n",
         NODE_GRACE.as_secs()
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Full};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -17,8 +18,14 @@
 use super::history::{Event, HeldRange, History, Moment, Run};
 use super::{Endless, FullRequest, Reply, Serving, query_param, reply, serve};
 
-/// Interval between liveness reports.
+/// Interval between liveness reports of a server that is granted keys by calls.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval between liveness reports of a server that is granted keys in their answers.
+pub const GRANTED_REPORT_INTERVAL: Duration = Duration::from_millis(870);
+/// Interval between these while it releases keys.
+const RELEASING_INTERVAL: Duration = Duration::from_millis(80);
+/// Longest wait for the answer to a report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// How a server that is a process stops after SIGTERM.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -75,6 +82,8 @@
     pub id: String,
     /// How it stops.
     pub stop: Stop,
+    /// Whether it is granted keys in the answers to its reports instead of by calls.
+    pub reports_keys: bool,
 }
 
 /// Which answers a server closes the connection with.
@@ -89,6 +98,19 @@
     Others,
 }
 
+/// How the reports of a server that is granted keys in their answers are disturbed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReportFaults {
+    /// Answers do not arrive.
+    pub lose_answers: bool,
+    /// Time for which an answer is on its way.
+    pub answer_delay: Duration,
+    /// Time for which a report is on its way.
+    pub report_delay: Duration,
+    /// Each report opens a connection.
+    pub new_connections: bool,
+}
+
 /// A running server.
 pub struct Server {
     /// ID of the server's process.
@@ -98,6 +120,12 @@
     config: ServerConfig,
     /// Indices in the history of the ranges held now.
     grants: Mutex<Vec<usize>>,
+    /// Spans taken back, with their tokens, on which it may still work.
+    releasing: Mutex<Vec<(u16, u16, u64)>>,
+    /// Spans released since the last report that was answered.
+    freed: Mutex<Vec<(u16, u16)>>,
+    /// How it disturbs its exchanges with the node.
+    report_faults: Mutex<ReportFaults>,
     history: Arc<History>,
     /// Highest fencing token seen, by key.
     tokens: Mutex<BTreeMap<u16, u64>>,
@@ -133,6 +161,15 @@
     hold_s: Option<f64>,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct AnswerWire {
+    /// All keys to hold: first key, last key, token, handover data.
+    holds: Option<Vec<(u16, u16, u64, String)>>,
+    /// Duration of the grants, in seconds.
+    hold_s: Option<f64>,
+}
+
 impl Server {
     /// Starts a server at `addr` that reports to `node`.
     pub async fn start(
@@ -151,6 +188,9 @@
             grant_delay: Mutex::new(config.grant_delay),
             config,
             grants: Mutex::default(),
+            releasing: Mutex::default(),
+            freed: Mutex::default(),
+            report_faults: Mutex::default(),
             history,
             tokens: Mutex::default(),
             running: Mutex::new(0),
@@ -274,27 +314,159 @@
         }
     }
 
+    /// Disturbs all later reports.
+    pub fn set_report_faults(&self, faults: ReportFaults) {
+        *self.report_faults.lock() = faults;
+    }
+
     async fn report(&self) {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let born = since.as_millis() as u64;
         tokio::time::sleep(self.config.report_delay).await;
+        let mut conn = None;
         for sequence in 1.. {
             if *self.reports_stopped.lock() {
                 return;
             }
             let ServerConfig { service, zone, slots, .. } = &self.config;
             let state = if *self.draining.lock() { "draining" } else { "ready" };
-            let body = serde_json::json!({
+            let mut body = serde_json::json!({
                 "address": "", "born": born,
                 "info": {"service": service, "version": "v1", "zone": zone, "slots": slots},
                 "status": {"state": state, "sequence": sequence, "cold-remaining-s": 0},
             });
-            let path = format!("/-/instances/{}", self.id);
-            let call = call(self.node, "PUT", &path, body.to_string());
+            let sent = Moment::now();
+            let freed = self.freed.lock().clone();
+            if self.config.reports_keys {
+                let rows = freed.iter().map(|(first, last)| (first, last, "left"));
+                body["holds"] = serde_json::json!(self.held_rows(sent));
+                body["freed"] = serde_json::json!(rows.collect::<Vec<_>>());
+            }
+            let faults = *self.report_faults.lock();
+            if faults.new_connections {
+                conn = None;
+            }
+            let exchange = async {
+                tokio::time::sleep(faults.report_delay).await;
+                let path = format!("/-/instances/{}", self.id);
+                let answer = call_on(&mut conn, self.node, "PUT", &path, body.to_string()).await;
+                tokio::time::sleep(faults.answer_delay).await;
+                answer.filter(|_| !faults.lose_answers)
+            };
             // The node may be down; then the next report reaches it.
-            let _ = tokio::time::timeout(Duration::from_secs(1), call).await;
-            tokio::time::sleep(REPORT_INTERVAL).await;
+            let answer = tokio::time::timeout(REPORT_TIMEOUT, exchange).await.ok().flatten();
+            match answer {
+                Some((200, answer)) if self.config.reports_keys => {
+                    self.freed.lock().retain(|span| !freed.contains(span));
+                    self.take_answer(&answer, sent);
+                }
+                Some(_) => {}
+                None => conn = None,
+            }
+            let pause = match self.config.reports_keys {
+                true if !self.releasing.lock().is_empty() => RELEASING_INTERVAL,
+                true => GRANTED_REPORT_INTERVAL.saturating_sub(Moment::now().since(sent)),
+                false => REPORT_INTERVAL,
+            };
+            tokio::time::sleep(pause).await;
+            if *self.running.lock() == 0 {
+                let ended: Vec<_> = self.releasing.lock().drain(..).collect();
+                self.freed.lock().extend(ended.into_iter().map(|(first, last, _)| (first, last)));
+            }
+        }
+    }
+
+    /// What it holds or still works on: first key, last key and token, in order.
+    fn held_rows(&self, at: Moment) -> Vec<(u16, u16, u64)> {
+        let grants = self.grants.lock();
+        let mut rows = self.history.with(|records| {
+            let held = grants.iter().map(|i| &records.held[*i]).filter(|range| range.to > at);
+            held.map(|range| (range.keys.0, range.keys.1, range.token)).collect::<Vec<_>>()
+        });
+        rows.extend(self.releasing.lock().iter());
+        rows.sort_unstable();
+        rows
+    }
+
+    /// Takes the answer to a report sent at `sent`: holds what it lists and releases the rest.
+    fn take_answer(&self, answer: &[u8], sent: Moment) {
+        let wire: AnswerWire = serde_json::from_slice(answer).expect("a readable answer");
+        let (Some(rows), Some(hold)) = (wire.holds, wire.hold_s) else { return };
+        let at = Moment::now();
+        let to = sent.after(Duration::from_secs_f64(hold * self.config.hold_factor));
+        let mut grants = self.grants.lock();
+        if *self.crashed.lock() {
+            return;
+        }
+        let mut kept = Vec::new();
+        for index in grants.drain(..) {
+            let range = self.history.with(|records| records.held[index].clone());
+            let (first, last) = range.keys;
+            let listed = |row: &&(u16, u16, u64, String)| {
+                (row.0, row.1, row.2) == (first, last, range.token)
+            };
+            if range.to <= at {
+                continue;
+            }
+            if rows.iter().any(|row| listed(&row)) {
+                kept.push(index);
+                continue;
+            }
+            // Parts that stay under the same token stay held.
+            let mut left = vec![(first, last)];
+            let mut rest = Vec::new();
+            for row in rows.iter().filter(|row| row.2 == range.token) {
+                let part = (row.0.max(first), row.1.min(last));
+                if part.0 <= part.1 {
+                    rest.push(part);
+                    left = left.into_iter().flat_map(|span| without(span, part)).collect();
+                }
+            }
+            let next = self.history.add(Event::Releases { index, at, rest: rest.clone() });
+            kept.extend(next..next + rest.len());
+            let taken = left.into_iter().map(|(first, last)| (first, last, range.token));
+            self.releasing.lock().extend(taken);
+        }
+        for (first, last, token, _) in rows {
+            let same = kept.iter().copied().find(|i| {
+                self.history.with(|records| {
+                    let range = &records.held[*i];
+                    range.keys == (first, last) && range.token == token
+                })
+            });
+            if let Some(index) = same {
+                self.history.add(Event::Renews { index, at, to, delay: Duration::ZERO });
+                continue;
+            }
+            if to <= at || !self.accept_token(first, last, token) {
+                continue;
+            }
+            let range = HeldRange {
+                server: self.id.clone(),
+                life: self.life,
+                keys: (first, last),
+                token,
+                from: at,
+                to,
+                strict_to: to,
+                delay: Duration::ZERO,
+            };
+            kept.push(self.history.add(Event::Takes(range)));
         }
+        *grants = kept;
+    }
+
+    /// Records the token of a grant; false if it has seen a higher one on any of the keys.
+    fn accept_token(&self, first: u16, last: u16, token: u64) -> bool {
+        let mut tokens = self.tokens.lock();
+        if tokens.range(first..=last).any(|(_, seen)| *seen > token) {
+            return false;
+        }
+        // Only every 64th key and the last one are recorded, as a sample of the range.
+        for key in (first..=last).step_by(64).chain([last]) {
+            tokens.insert(key, token);
+        }
+        true
     }
 
     async fn answer(&self, request: FullRequest) -> Reply {
@@ -318,6 +490,7 @@
 
     async fn answer_open(&self, request: FullRequest) -> Reply {
         match request.uri().path() {
+            "/-/grant" | "/-/release" if self.config.reports_keys => reply(404),
             "/-/grant" => {
                 let reading = *self.read_delay.lock();
                 tokio::time::sleep(reading).await;
@@ -343,16 +516,9 @@
         let Ok(grant) = serde_json::from_slice::<GrantWire>(request.body()) else {
             return reply(400);
         };
-        let mut tokens = self.tokens.lock();
-        let keys = grant.from..=grant.target;
-        if tokens.range(keys.clone()).any(|(_, token)| *token > grant.fence) {
+        if !self.accept_token(grant.from, grant.target, grant.fence) {
             return reply(409);
         }
-        // Only every 64th key and the last one are recorded, as a sample of the range.
-        for key in keys.step_by(64).chain([grant.target]) {
-            tokens.insert(key, grant.fence);
-        }
-        drop(tokens);
         let delay = self.history.read_delay();
         let at = Moment::now();
         let hold = grant.hold_s.unwrap_or(0.0) * self.config.hold_factor;
@@ -501,6 +667,67 @@
     answer.expect("the node answers a report");
 }
 
+/// Parts of a span of keys before and after another one.
+fn without(span: (u16, u16), part: (u16, u16)) -> Vec<(u16, u16)> {
+    if part.1 < span.0 || span.1 < part.0 {
+        return vec![span];
+    }
+    let before = (span.0 < part.0).then(|| (span.0, part.0 - 1));
+    let after = (part.1 < span.1).then(|| (part.1 + 1, span.1));
+    before.into_iter().chain(after).collect()
+}
+
+/// A connection to a node. Dropping it closes it.
+pub struct NodeConn {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for NodeConn {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl NodeConn {
+    /// Opens a connection; `None` if that fails.
+    pub async fn open(addr: SocketAddr) -> Option<NodeConn> {
+        let stream = TcpStream::connect(addr).await.ok()?;
+        let (sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+        Some(NodeConn { sender, driver: tokio::spawn(connection).abort_handle() })
+    }
+
+    /// Sends one HTTP request, and returns status and body; `None` if the connection failed.
+    pub async fn call(&mut self, method: &str, path: &str, body: String) -> Option<(u16, Bytes)> {
+        let request = http::Request::builder().method(method).uri(path).header("host", "node");
+        let request = request.body(Full::new(Bytes::from(body))).ok()?;
+        self.sender.ready().await.ok()?;
+        let answer = self.sender.send_request(request).await.ok()?;
+        let status = answer.status().as_u16();
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        Some((status, body))
+    }
+}
+
+/// Sends one HTTP request over `open`, or over a new connection, which it leaves there if the
+/// exchange succeeds.
+async fn call_on(
+    open: &mut Option<NodeConn>,
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    body: String,
+) -> Option<(u16, Bytes)> {
+    let mut conn = match open.take() {
+        Some(conn) => conn,
+        None => NodeConn::open(addr).await?,
+    };
+    let answer = conn.call(method, path, body).await?;
+    *open = Some(conn);
+    Some(answer)
+}
+
 /// Sends one HTTP request over a new connection, and returns status and body; `None` if the
 /// connection failed.
 pub async fn call(
@@ -509,20 +736,5 @@
     path: &str,
     body: String,
 ) -> Option<(u16, Bytes)> {
-    let stream = TcpStream::connect(addr).await.ok()?;
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
-    let driver = tokio::spawn(connection);
-    let request = http::Request::builder().method(method).uri(path).header("host", "node");
-    let answer = if body.is_empty() {
-        let request = request.body(http_body_util::Either::Left(Empty::<Bytes>::new())).ok()?;
-        sender.send_request(request).await.ok()?
-    } else {
-        let body = http_body_util::Either::Right(Full::new(Bytes::from(body)));
-        sender.send_request(request.body(body).ok()?).await.ok()?
-    };
-    let status = answer.status().as_u16();
-    let body = answer.into_body().collect().await.ok()?.to_bytes();
-    driver.abort();
-    Some((status, body))
+    NodeConn::open(addr).await?.call(method, path, body).await
 }
--- a/tests/testsuite/held_ranges.rs
+++ b/tests/testsuite/held_ranges.rs
@@ -503,7 +503,7 @@
 #[test]
 fn keys_of_a_former_run_are_held_elsewhere_until_its_server_is_confirmed() {
     let mut held = synced(&[range(0, 9, 1)]);
-    held.assume_former_grants(at(0));
+    held.assume_former_grants(at(0), Duration::ZERO);
     assert!(held.holds.until_elsewhere(span(0, 9), SESSION) > at(0) + GRANT);
     held.holds.confirm_former(span(0, 9), SESSION);
     assert_eq!(held.holds.until_elsewhere(span(0, 9), SESSION), at(0));
