Test that takeovers wait for grants that outlast the lease

With reports 1.5 s apart a grant may last 1.1 s longer than the lease. The test kills nodes right after a report was answered. The settings are the installation's, so they say the same on every host now. The log line of a node's start says for how long grants may outlast leases there.

--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -59,7 +59,8 @@
     let reload = listen_for(SignalKind::hangup())?;
     let node = Rc::new(build(settings, platform, udp));
     let (name, run) = (node.name().to_string(), node.run_id);
-    spdlog::info!("the node starts", kv: { name = name.as_str(), run, version = env!("CARGO_PKG_VERSION") });
+    let excess_ms = node.settings.borrow().grant_excess().as_millis() as u64;
+    spdlog::info!("the node starts", kv: { name = name.as_str(), run, version = env!("CARGO_PKG_VERSION"), excess_ms });
     let (closed, closing) = watch::channel(false);
     spawn_loops(&node, reload);
     spawn_listeners(&node, &closing, [callers, ready, from_server, metrics]);
--- a/tests/mesh/report_grants.rs
+++ b/tests/mesh/report_grants.rs
@@ -115,6 +115,11 @@
     const INTERVAL: Duration = Duration::from_millis(1500);
     let mut fleet = Fleet::start_reporting_every(INTERVAL, SERVICES, SERVICE_TIME).await;
     for host in 0..3 {
+        // Until a report was answered just before.
+        let server = fleet.hosts[host].server.clone().unwrap();
+        while server.remaining_hold() < INTERVAL {
+            fleet.pause(Duration::from_millis(2)).await;
+        }
         fleet.hosts[host].node = None;
         let took = until_served(&fleet, 3, host as u16 * 16_384).await;
         println!("served after {took:?}");
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -315,7 +315,7 @@
     /// Starts the node of a host.
     pub fn start_node(&mut self, host: usize) {
         let host = &mut self.hosts[host];
-        host.write_settings(self.bootstrap);
+        host.write_settings(self.reports_keys, self.bootstrap);
         let log = std::fs::File::options().create(true).append(true).open(&host.log_file);
         let log = Stdio::from(log.expect("failed to open the log file"));
         host.node = Some(spawn(host, log));
@@ -396,7 +396,7 @@
     /// Restarts the node of a host with a pipe as standard output that is never read.
     pub fn start_node_unread(&mut self, host: usize) {
         let host = &mut self.hosts[host];
-        host.write_settings(self.bootstrap);
+        host.write_settings(self.reports_keys, self.bootstrap);
         host.node = None;
         host.node = Some(spawn(host, Stdio::piped()));
     }
@@ -659,15 +659,21 @@
 }
 
 impl Host {
-    fn write_settings(&self, bootstrap: bool) {
-        let settings = settings(&self.name, self.ip, &self.server_config, bootstrap);
+    fn write_settings(&self, reported: bool, bootstrap: bool) {
+        let settings = settings(&self.name, self.ip, &self.server_config, reported, bootstrap);
         std::fs::write(&self.settings_file, settings).expect("failed to write settings");
     }
 }
 
-fn settings(name: &str, ip: Ipv4Addr, config: &ServerConfig, bootstrap: bool) -> String {
+fn settings(
+    name: &str,
+    ip: Ipv4Addr,
+    config: &ServerConfig,
+    reported: bool,
+    bootstrap: bool,
+) -> String {
     let ServerConfig { service, zone, .. } = config;
-    let grants = if config.reports_keys { "heartbeat" } else { "call" };
+    let grants = if reported { "heartbeat" } else { "call" };
     let interval = config.report_interval.as_secs_f64();
     format!(
         "self.node-name={name}\nself.ip={ip}\nself.zone={zone}\nself.service={service}\n\
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -593,6 +593,16 @@
         reply
     }
 
+    /// How long it still holds keys unless they are renewed.
+    pub fn remaining_hold(&self) -> Duration {
+        let now = Moment::now();
+        let grants = self.grants.lock();
+        self.history.with(|records| {
+            let left = grants.iter().map(|i| records.held[*i].to.since(now));
+            left.max().unwrap_or_default()
+        })
+    }
+
     fn holds(&self, key: u16) -> bool {
         let now = Moment::now();
         let grants = self.grants.lock();
