Let grants outlast work, measure load beyond chance, and move keys part by part

A server ends work that goes on for longer than the grant in force when it began, and grants lasted 0.4 to 1.0 s, work 0.64 s on average.

Change: * Grants outlast the lease by half of the service's longest objective, one second at most, or by what reports need. The excess is in the node's record, the same for a whole incarnation; takeovers and the assignment of a departed owner's keys wait for it. Requests wait for a move for half of their time, at most one second.

Ruled out: grants that outlast the lease by the whole objective (a lost owner's keys would be served again after more than 2 s on deployments with short work too).

--- a/src/kelpwind/gate/grant_time.rs
+++ b/src/kelpwind/gate/grant_time.rs
@@ -6,11 +6,12 @@
 //! expired, keys that the server has released can become active there again, so no other server may
 //! be granted them. Pure: the time is an argument.
 //!
-//! A server that is granted keys in the answers to its reports counts the time from when it sent the
-//! report, so such a grant needs no allowance for its way: however late it takes effect, it ends as
-//! early. But the server learns of a renewal only with its next report, so its grants must outlast
-//! the interval between two reports and therefore may outlast the lease ([`lease_excess`]). Whoever
-//! takes over keys waits for that time too.
+//! Some grants must outlast the lease ([`lease_excess`]), and whoever takes over keys waits for that
+//! time too. Servers end work with an error if it goes on for longer than the grant that was in force
+//! when it began, so a grant must last for as long as the work of its service. And a server that is
+//! granted keys in the answers to its reports learns of a renewal only with its next report. It counts
+//! the time from when it sent the report, so such a grant needs no allowance for its way: however late
+//! it takes effect, it ends as early.
 
 use std::time::Duration;
 
@@ -27,6 +28,10 @@
 const REPORT_JITTER: f64 = 0.1;
 /// Time before the end of grants at which a report that has arrived is answered with their renewal.
 pub const REPORT_RENEW_MARGIN: Duration = Duration::from_millis(150);
+/// Most by which grants outlast the lease for the sake of long work.
+const WORK_EXCESS_MAX: Duration = Duration::from_secs(1);
+/// Most by which grants outlast the lease. A lost owner's keys are without one for as much longer.
+pub const EXCESS_MAX: Duration = Duration::from_secs(2);
 /// What is left of a lease right before its next renewal.
 const LEASE_LEFT_MIN: Duration =
     LEASE_DURATION.saturating_sub(EXPIRY_MARGIN).saturating_sub(RENEW_INTERVAL);
@@ -80,12 +85,19 @@
     (duration >= GRANT_MIN).then_some(duration)
 }
 
-/// How much longer than the lease a grant in the answer to a report may last, if reports usually come
-/// at `interval`: a report that is answered on arrival, right before the lease is renewed, must bring
-/// grants that last until the next one is answered.
-pub fn lease_excess(interval: Duration) -> Duration {
-    let needed = interval.mul_f64(1.0 + REPORT_JITTER) + REPORT_RENEW_MARGIN;
-    needed.mul_f64(CLOCK_DRIFT).saturating_sub(LEASE_LEFT_MIN)
+/// How much longer than the lease grants may last, for a service whose answers are due within
+/// `objective`. Work is expected to take half of that; together with the lease, grants then cover
+/// nearly all of it, and a lost owner's keys are served again within 2 s unless answers may take longer
+/// than 1.4 s. `reports` is the usual interval between two reports if grants are made in the answers
+/// to these: one that is made on the arrival of a report, right before the lease is renewed, must last
+/// until the next report is answered.
+pub fn lease_excess(objective: Duration, reports: Option<Duration>) -> Duration {
+    let next = |interval: Duration| {
+        let needed = interval.mul_f64(1.0 + REPORT_JITTER) + REPORT_RENEW_MARGIN;
+        needed.mul_f64(CLOCK_DRIFT).saturating_sub(LEASE_LEFT_MIN)
+    };
+    let work = (objective / 2).min(WORK_EXCESS_MAX);
+    work.max(reports.map_or(Duration::ZERO, next)).min(EXCESS_MAX)
 }
 
 /// Time from which a server cannot hold the keys of a grant that was sent at `sent` for `duration`
--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -22,6 +22,10 @@
 
 /// Weight of the newest sample in the service time estimates: about ten answers count.
 const ESTIMATE_WEIGHT: f64 = 0.1;
+/// Weight of the newest sample in the mean over all classes that tells how busy the server usually
+/// is: about fifty answers count, so that neither a few long ones nor a slowdown of some hundred
+/// milliseconds passes for a lasting change.
+const TYPICAL_WEIGHT: f64 = 0.02;
 /// Time constant of the moving average of the offered load.
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
 /// Offered load, as a fraction of the slots, above which late requests are refused.
@@ -87,6 +91,8 @@
     next_ticket: u64,
     service_times: HashMap<String, f64>,
     mean_time: f64,
+    typical_time: f64,
+    typical_samples: u32,
     slowdown: f64,
     offered_load: f64,
     load_updated: Option<Instant>,
@@ -104,6 +110,8 @@
             next_ticket: 0,
             service_times: HashMap::new(),
             mean_time: 0.0,
+            typical_time: 0.0,
+            typical_samples: 0,
             slowdown: 1.0,
             offered_load: 0.0,
             load_updated: None,
@@ -147,6 +155,12 @@
         Duration::from_secs_f64(self.mean_time * self.slowdown)
     }
 
+    /// Mean service time over all classes as measured, over more answers than [`Self::mean_time`] and
+    /// whatever the slowdown is just now; zero before the first sample.
+    pub fn typical_time(&self) -> Duration {
+        Duration::from_secs_f64(self.typical_time)
+    }
+
     /// Starts, queues or refuses an arriving request.
     pub fn admit(&mut self, request: SlotRequest, now: Instant) -> AdmitDecision {
         self.record_offered_load(&request, now);
@@ -269,6 +283,10 @@
                 self.service_times.insert(class.to_owned(), normal);
             }
         }
+        self.typical_samples = self.typical_samples.saturating_add(1);
+        // Until enough answers are known, each counts alike.
+        let weight = TYPICAL_WEIGHT.max(1.0 / f64::from(self.typical_samples));
+        self.typical_time += weight * (took.as_secs_f64() - self.typical_time);
         match self.mean_time > 0.0 {
             true => self.mean_time += ESTIMATE_WEIGHT * (normal - self.mean_time),
             false => self.mean_time = normal,
--- a/src/kelpwind/mesh/balance.rs
+++ b/src/kelpwind/mesh/balance.rs
@@ -52,7 +52,8 @@
             continue;
         }
         let Some(own) = node.own_load() else { continue };
-        if own.utilization() < relief::OVERLOAD_THRESHOLD {
+        let requests = node.demand.borrow().len();
+        if !relief::is_overloaded(&own, requests) {
             continue;
         }
         node.query_loads(&own).await;
@@ -63,7 +64,7 @@
         }
         let keys: u32 = moves.iter().map(|(s, _)| s.width()).sum();
         spdlog::info!("keys move to less busy owners", kv: {
-            busy = own.utilization(), slots = own.slots, keys, ranges = moves.len()
+            busy = own.utilization(), slots = own.slots, requests, keys, ranges = moves.len()
         });
         let spans: Vec<Span> = moves.iter().map(|(span, _)| *span).collect();
         if node.start_moves(moves) {
@@ -85,7 +86,7 @@
         let now = Instant::now();
         let rate = self.demand.borrow_mut().rate(now);
         let queue = self.queue.borrow();
-        let work = rate * queue.mean_time().as_secs_f64();
+        let work = rate * queue.typical_time().as_secs_f64();
         Some(OwnerLoad { owner, work, slots: f64::from(queue.slots()) })
     }
 
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use super::frame::Outcome;
+use super::gate;
 use super::node::Node;
 use super::orders::Confirmation;
 use super::platform_api::{Answer, CallerRequest};
@@ -22,8 +23,8 @@
 use crate::core::routes::{Route, Routes};
 use crate::route::budget::{Budget, BudgetShare};
 
-/// Longest time that a request waits for another owner of its key. A planned move takes tens of
-/// milliseconds. The takeover of a lost owner takes longer, so callers are told to retry.
+/// Longest time that a request waits for a key without an owner. The takeover of a lost owner takes
+/// longer, so callers are told to retry.
 const OWNER_WAIT: Duration = Duration::from_millis(400);
 /// Fraction of the time left until the latency objective for which a request may wait for an owner.
 /// The rest is left for running the request.
@@ -207,9 +208,10 @@
 
     /// Sends the request to one gate after another until there is a final result.
     async fn try_gates(self: &Rc<Self>, state: &mut RequestState) -> Result<Answer, Failure> {
-        let owner_wait =
-            state.objective.saturating_duration_since(Instant::now()).mul_f64(OWNER_WAIT_RATIO);
-        let owner_until = Instant::now() + owner_wait.min(OWNER_WAIT);
+        let began = Instant::now();
+        let owner_wait = state.objective.saturating_duration_since(began).mul_f64(OWNER_WAIT_RATIO);
+        let owner_until = began + owner_wait.min(OWNER_WAIT);
+        let move_until = began + gate::move_wait(state.remaining());
         loop {
             let chosen = match self.choose_target(state, owner_until).await {
                 Ok(chosen) => chosen,
@@ -224,7 +226,7 @@
                 key = state.key_text(), outcome = outcome.summary(),
                 left_ms = state.remaining().as_millis() as u64, table = self.table.borrow().next.0
             });
-            if let Some(result) = state.handle_outcome(outcome, owner_until) {
+            if let Some(result) = state.handle_outcome(outcome, move_until) {
                 return result;
             }
             if state.request.key.is_some() && state.owner_hint.is_none() {
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -27,8 +27,13 @@
 /// Time for which a node that stops still takes requests of entries that have not learned of it. It
 /// is shorter than [`DRAIN_GRACE`] because the node notifies each entry itself.
 const STOP_GRACE: Duration = Duration::from_millis(300);
-/// Longest time that a request waits until the server holds its key.
-const KEY_WAIT: Duration = Duration::from_millis(400);
+/// Longest time that a request waits for the end of a move of its key. A move lasts for as long as the
+/// work that runs on its keys, so it ends sooner with most servers.
+const MOVE_WAIT_MAX: Duration = Duration::from_secs(1);
+/// Fraction of the time left until its deadline for which a request waits for a move. The rest is
+/// left for running it. A late answer, and much more so one to a call that another request waits
+/// for, is worth more than a refusal.
+const MOVE_WAIT_RATIO: f64 = 0.5;
 /// Time before its deadline at which a request that still waits is rejected, so that its entry
 /// learns in time that it has not run.
 const REJECT_MARGIN: Duration = Duration::from_millis(40);
@@ -76,6 +81,12 @@
     }
 }
 
+/// Longest time that a request waits for the end of a move of its key, by the time left until its
+/// deadline.
+pub(crate) fn move_wait(left: Duration) -> Duration {
+    left.mul_f64(MOVE_WAIT_RATIO).min(MOVE_WAIT_MAX)
+}
+
 impl Node {
     /// Runs a request and returns its outcome. Sets `sent` before the request goes to the server.
     pub async fn run_request(
@@ -122,7 +133,8 @@
             if self.held.borrow().is_owned(key) {
                 self.demand.borrow_mut().record(key, now);
             }
-            self.wait_for_key(key, objective, request.table_offset).await?;
+            let until = now + move_wait(deadline.saturating_duration_since(now));
+            self.wait_for_key(key, until, request.table_offset).await?;
         }
         let slot_request = SlotRequest {
             class: request.class.clone(),
@@ -201,16 +213,16 @@
         Ok(server.report.instance.id.clone())
     }
 
-    /// Waits until the server holds a key that this node owns. Also waits for the end of a move,
-    /// after which the next owner is known. `entry_offset` is how far the entry has read the table.
+    /// Waits until the server holds a key that this node owns, `until` at the latest. Also waits for
+    /// the end of a move, after which the next owner is known. `entry_offset` is how far the entry
+    /// has read the table.
     async fn wait_for_key(
         &self,
         key: u16,
-        objective: Instant,
+        until: Instant,
         entry_offset: Offset,
     ) -> Result<(), Outcome> {
         let mut changes = self.held_changed.subscribe();
-        let until = objective.min(Instant::now() + KEY_WAIT);
         loop {
             let (active, owned) = {
                 let held = self.held.borrow();
--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -168,8 +168,13 @@
 
     /// Sends the grants that are due.
     fn send_grants(self: &Rc<Self>) {
-        let Some(ends) = self.lease.borrow().as_ref().and_then(|l| l.expires_at()) else { return };
         let now = clock::now();
+        let ends = {
+            let lease = self.lease.borrow();
+            let valid = lease.as_ref().filter(|l| l.is_valid(now));
+            let Some(ends) = valid.and_then(|l| l.expires_at()) else { return };
+            ends + self.announced_excess()
+        };
         let longest = self.settings.borrow().bounds.max_grant;
         let transit = self.transit_times.borrow_mut().allowance(now);
         let Some(time) = grant_time::grant_duration(ends, now, longest, transit) else { return };
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -156,6 +156,12 @@
         self.holds.assume_former(grant_time::former_expiry(now, LEASE_DURATION + excess));
     }
 
+    /// Records that a former run, which has ended before `now`, granted keys for at most `excess`
+    /// longer than its lease.
+    pub fn limit_former_grants(&mut self, now: BootInstant, excess: Duration) {
+        self.holds.limit_former(grant_time::former_expiry(now, LEASE_DURATION + excess));
+    }
+
     /// Selects the ranges to grant now in a session: with `all`, also those whose renewal is not due.
     /// Returns their indices, and the spans that were granted in an earlier session: these get higher
     /// tokens first, since the server may have restarted without them. Keys that another process may
--- a/src/kelpwind/mesh/holds.rs
+++ b/src/kelpwind/mesh/holds.rs
@@ -116,6 +116,13 @@
         self.holds.push(Hold { number, span, token, session, open: false, until });
     }
 
+    /// Records that a former run has granted no keys for longer than until `until`.
+    pub fn limit_former(&mut self, until: BootInstant) {
+        for hold in self.holds.iter_mut().filter(|h| h.number.is_none()) {
+            hold.until = hold.until.min(until);
+        }
+    }
+
     /// Records that a former run granted a span to no process but that of a session.
     pub fn confirm_former(&mut self, span: Span, session: BackendSession) {
         let mut holds = Vec::with_capacity(self.holds.len());
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -4,14 +4,17 @@
 //! requests and releases the keys, grants without an answer expire, and only then is the next owner
 //! written. So two servers never hold the same key, whichever messages are lost or late.
 
+use std::collections::BTreeSet;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time::{sleep, timeout};
 
 use super::node::Node;
 use super::platform_api::ReleaseOutcome;
-use crate::core::ids::Token;
+use crate::core::ids::{NodeId, Token};
 use crate::lease::clock;
 use crate::table::WriteBatch;
 use crate::table::keys::{Owner, Span};
@@ -26,6 +29,14 @@
 /// Maximum number of release requests; after that the move waits until the grants expire.
 const RELEASE_ATTEMPTS: u32 = 4;
 
+/// Time for which spans that are released one after another are gathered into one record.
+const GATHER_TIME: Duration = Duration::from_millis(20);
+
+/// The store did not answer in time.
+struct StoreTimeout;
+
+type Result<T> = std::result::Result<T, StoreTimeout>;
+
 impl Node {
     /// Starts the moves that are due: all keys when this node or its server leaves, or its failure
     /// domain is drained; some keys when another target has none.
@@ -98,15 +109,43 @@
         while self.held.borrow().is_granting() {
             sleep(GRANT_CHECK_INTERVAL).await;
         }
-        let releases = parts.iter().map(|(span, token)| self.release(*span, *token));
-        let handovers = futures_util::future::join_all(releases).await;
-        self.wait_for_expiry(&moves).await;
+        // Work on some keys may go on for long; the others do not wait for it.
+        let mut releases: FuturesUnordered<_> =
+            parts.iter().map(|(span, token)| self.release_and_wait(*span, *token)).collect();
+        let mut written = true;
+        while let Some(first) = releases.next().await {
+            let mut free = vec![first];
+            let mut gathered = pin!(sleep(GATHER_TIME));
+            while !releases.is_empty() {
+                tokio::select! {
+                    Some(next) = releases.next() => free.push(next),
+                    () = &mut gathered => break,
+                }
+            }
+            match self.write_moved(&moves, &free, must_give_up).await {
+                Ok(done) => written &= done,
+                Err(StoreTimeout) => return self.abandon_lease(),
+            }
+        }
+        spdlog::info!("keys were moved", kv: { keys = count, ranges = moves.len(), written });
+        self.held.borrow_mut().end_move();
+        self.notify_held_changed();
+    }
+
+    /// Writes the next owners of spans that the server has released, each with what it handed over.
+    /// Returns whether there was anything to write and it was written.
+    async fn write_moved(
+        &self,
+        moves: &[(Span, Owner)],
+        free: &[(Span, Option<String>)],
+        must_give_up: bool,
+    ) -> Result<bool> {
         let me = self.recorded_owner();
         let written = self.commit("a planned move", |node, table| {
             let service = node.service();
             let mut keys = table.keys.get(&service)?.clone();
             let mut changed = false;
-            for ((span, _), handover) in parts.iter().zip(&handovers) {
+            for (span, handover) in free {
                 // An owner that is no longer a member could not be taken over from.
                 for (moved, to) in moves.iter().filter(|(_, to)| table.member(&to.holder).is_some())
                 {
@@ -118,21 +157,19 @@
             }
             changed.then(|| WriteBatch::put_keys(table, &service, &keys))
         });
-        let written = if must_give_up {
-            match timeout(LEAVE_TIMEOUT, written).await {
-                Ok(written) => written,
-                Err(_) => return self.abandon_lease(),
-            }
-        } else {
-            written.await
+        let written = match must_give_up {
+            true => timeout(LEAVE_TIMEOUT, written).await.map_err(|_| StoreTimeout)?,
+            false => written.await,
         };
-        if let Some(update) = &written {
-            self.send_table_update(moves.iter().map(|(_, to)| to.holder.node.clone()), update)
-                .await;
-        }
-        spdlog::info!("keys were moved", kv: { keys = count, ranges = moves.len(), written = written.is_some() });
-        self.held.borrow_mut().end_move();
-        self.notify_held_changed();
+        let Some(update) = &written else { return Ok(false) };
+        let moved_to = |to: &Owner| to.holder.node.clone();
+        let receivers: BTreeSet<NodeId> = moves
+            .iter()
+            .filter(|(moved, _)| free.iter().any(|(span, _)| span.intersection(*moved).is_some()))
+            .map(|(_, to)| moved_to(to))
+            .collect();
+        self.send_table_update(receivers, update).await;
+        Ok(true)
     }
 
     /// Lets the lease expire when all keys must leave but their next owners cannot be written. The
@@ -183,22 +220,20 @@
         None
     }
 
-    /// Waits until no server beside this node can hold the keys to move. Keys that were released
-    /// may become active again by a grant without an answer.
-    async fn wait_for_expiry(&self, moves: &[(Span, Owner)]) {
-        let left = || {
-            let holds = &self.held.borrow().holds;
-            let until = moves.iter().map(|(span, _)| holds.until(*span)).max();
-            until.unwrap_or_default().since(clock::now())
-        };
+    /// Releases a span, and waits until no server beside this node can hold any of its keys. Those
+    /// that were released may become active again by a grant without an answer. Returns the span and
+    /// what the server handed over.
+    async fn release_and_wait(&self, span: Span, token: Token) -> (Span, Option<String>) {
+        let handover = self.release(span, token).await;
+        let left = || self.held.borrow().holds.until(span).since(clock::now());
         if !left().is_zero() {
             let held_ms = left().as_millis() as u64;
-            spdlog::info!("keys to move wait for the end of their grants", kv: { ranges = moves.len(), held_ms });
+            spdlog::info!("keys to move wait for the end of their grants", kv: { first = span.first, last = span.last, held_ms });
         }
         loop {
             let left = left();
             if left.is_zero() {
-                return;
+                return (span, handover);
             }
             sleep(left).await;
         }
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -25,7 +25,7 @@
 use crate::core::routes::Routes;
 use crate::gate::grant_time::TransitTimes;
 use crate::gate::queue::RequestQueue;
-use crate::lease::clock;
+use crate::lease::clock::{self, BootInstant};
 use crate::lease::holder::Lease;
 use crate::lease::message::IncarnationId;
 use crate::lease::takeover::Takeover;
@@ -72,6 +72,8 @@
     pub holder: RefCell<Holder>,
     /// When the process started.
     pub started: Instant,
+    /// The same on the clock of leases.
+    pub started_boot: BootInstant,
     /// When a later run under the name of this node was found to have joined.
     pub replaced_at: Cell<Option<Instant>>,
     /// The configuration; `None` until one is known.
@@ -120,6 +122,9 @@
     pub queue_wake: Notify,
     /// Keys that the backend server holds.
     pub held: RefCell<HeldRanges>,
+    /// How much longer than its lease this incarnation's grants may last; `None` until its record is
+    /// first made.
+    pub grant_excess: Cell<Option<Duration>>,
     /// How long recent grants took.
     pub transit_times: RefCell<TransitTimes>,
     /// Owners of keys that are no longer members, and since when.
@@ -236,6 +241,7 @@
         let (old, fresh) = (old.to_string(), fresh.to_string());
         spdlog::warn!("the node goes on under a new incarnation", kv: { why, old = old.as_str(), fresh = fresh.as_str() });
         self.lease.replace(None);
+        self.grant_excess.set(None);
         let now = clock::now();
         self.witness.replace(Witness::new(IncarnationId::from(self.holder.borrow().inc), now));
         self.announce_wake.notify_one();
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -16,7 +16,6 @@
 use crate::core::codes::Code;
 use crate::core::ids::{Count, DomainName, Offset, ServiceName, Token};
 use crate::core::routes::Routes;
-use crate::gate::grant_time;
 use crate::lease::clock::BootInstant;
 use crate::table::keys::Span;
 use crate::table::member::Instance;
@@ -413,9 +412,6 @@
     pub listen: ListenAddrs,
     /// Whether the installation starts for the first time, so that all nodes are new.
     pub bootstrap: bool,
-    /// Whether servers of the installation may be granted keys in the answers to their reports. The
-    /// configuration says for which services that is so.
-    pub grants_in_reports: bool,
     /// Usual interval between two liveness reports of a server.
     pub report_interval: Duration,
     /// Limits that a reload may change.
@@ -423,15 +419,6 @@
 }
 
 impl NodeSettings {
-    /// How much longer than a lease grants may last in this installation. All nodes must agree on it,
-    /// whichever configuration they know, so it follows from the settings.
-    pub fn grant_excess(&self) -> Duration {
-        match self.grants_in_reports {
-            true => grant_time::lease_excess(self.report_interval),
-            false => Duration::ZERO,
-        }
-    }
-
     /// The region of a failure domain; empty when it is not known.
     pub fn region(&self, domain: &DomainName) -> &str {
         self.regions.get(domain).map_or("", String::as_str)
--- a/src/kelpwind/mesh/reattach.rs
+++ b/src/kelpwind/mesh/reattach.rs
@@ -14,7 +14,7 @@
 use super::node::Node;
 use super::platform_api::{BackendSession, ServerReport};
 use crate::table::keys::Owner;
-use crate::table::member::{Instance, Server};
+use crate::table::member::{Instance, Member, Server};
 
 /// Longest time for the configuration to arrive and for the server to answer. Waiting longer gains
 /// little, since the server's next report is due soon after.
@@ -27,7 +27,11 @@
     drop(table_offset.wait_for(|offset| offset.is_some()).await);
     let former = {
         let table = node.table.borrow();
-        table.members.get(&node.name()).and_then(|m| m.server.clone())
+        let former = table.members.get(&node.name());
+        // A former run whose record is gone has left, or was taken over after its grants had expired.
+        let excess = former.map_or_else(|| node.wanted_excess(), Member::grant_excess);
+        node.held.borrow_mut().limit_former_grants(node.started_boot, excess);
+        former.and_then(|m| m.server.clone())
     };
     if let Some(former) = former.filter(|s| !s.draining)
         && timeout(REATTACH_TIMEOUT, node.reattach_if_same(former)).await.is_err()
--- a/src/kelpwind/mesh/report_grants.rs
+++ b/src/kelpwind/mesh/report_grants.rs
@@ -197,10 +197,8 @@
         if self.has_former_keys() || self.table_offset.borrow().is_none() {
             return None;
         }
-        let (longest, excess) = {
-            let settings = self.settings.borrow();
-            (settings.bounds.max_grant, settings.grant_excess())
-        };
+        let longest = self.settings.borrow().bounds.max_grant;
+        let excess = self.announced_excess();
         let unknown = Duration::ZERO;
         let duration = grant_time::grant_duration(ends + excess, arrival, longest, unknown)?;
         let until = grant_time::latest_expiry(arrival, duration, Duration::ZERO);
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -15,6 +15,8 @@
 use super::platform_api::{KeyAssignment, ServerMessage, ServerReport};
 use super::reattach;
 use super::report_exchanges::ConnectionId;
+use crate::core::routes::{GrantMode, Route};
+use crate::gate::grant_time;
 use crate::table::WriteBatch;
 use crate::table::member::Member;
 
@@ -32,6 +34,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Time for which a node leaves its name to a later run. By then the grants of both have expired.
 const REJOIN_PAUSE: Duration = Duration::from_secs(5);
+/// Longest wait for the configuration before the node's first record is written, which tells for how
+/// long its grants may outlast its lease.
+const CONFIG_WAIT: Duration = Duration::from_millis(800);
 /// Longest wait until a written record can be read back from the store.
 const ECHO_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -254,8 +259,38 @@
             stopping: self.is_stopping(),
             witnesses,
             version,
+            excess_ms: self.chosen_excess().as_millis() as u64,
         }
     }
+
+    /// How much longer than its lease this incarnation's grants may last. It is chosen once, since a
+    /// record may be written late: all of one incarnation must say the same.
+    fn chosen_excess(&self) -> Duration {
+        let chosen = self.grant_excess.get().unwrap_or_else(|| self.wanted_excess());
+        self.grant_excess.set(Some(chosen));
+        chosen
+    }
+
+    /// How much longer than the lease grants should last by the configuration; the most that is
+    /// allowed while none is known.
+    pub fn wanted_excess(&self) -> Duration {
+        let Some(routes) = self.routes() else { return grant_time::EXCESS_MAX };
+        let service = self.service();
+        if !routes.is_keyed(&service) {
+            return Duration::ZERO;
+        }
+        let uses = |r: &&Rc<Route>| r.services.iter().any(|s| s.service == service);
+        let objective = routes.all().filter(uses).map(|r| r.objective).max().unwrap_or_default();
+        let interval = self.settings.borrow().report_interval;
+        let reports = routes.grant_mode(&service) == GrantMode::Reports;
+        grant_time::lease_excess(objective, reports.then_some(interval))
+    }
+
+    /// How much longer than its lease this node's grants may last, as its record tells others.
+    pub fn announced_excess(&self) -> Duration {
+        let table = self.table.borrow();
+        table.member(&self.holder()).map_or(Duration::ZERO, Member::grant_excess)
+    }
 }
 
 /// Detaches a backend server that has stopped reporting, and drops links to nodes that are gone.
@@ -276,6 +311,9 @@
 /// Writes this node's record whenever it differs from the one in the table.
 pub(crate) async fn announce(node: Rc<Node>) {
     reattach::reattach(&node).await;
+    let mut configured = node.configured.subscribe();
+    // On a timeout the record tells the longest time.
+    let _ = timeout(CONFIG_WAIT, configured.wait_for(|known| *known)).await;
     loop {
         sleep(COALESCE_PAUSE).await;
         if node.table_offset.borrow().is_none() {
--- a/src/kelpwind/mesh/request_state.rs
+++ b/src/kelpwind/mesh/request_state.rs
@@ -83,11 +83,11 @@
     }
 
     /// Records the outcome of an attempt. Returns the final result, or `None` when another attempt
-    /// may follow.
+    /// may follow. A request whose key moves is sent to its next owner until `move_until`.
     pub fn handle_outcome(
         &mut self,
         outcome: Outcome,
-        owner_until: Instant,
+        move_until: Instant,
     ) -> Option<Result<Answer, Failure>> {
         match outcome {
             Outcome::Answer(answer) => {
@@ -122,7 +122,7 @@
                         | Code::NoTarget
                 );
                 let retry = match self.request.key {
-                    Some(_) => moved && Instant::now() < owner_until,
+                    Some(_) => moved && Instant::now() < move_until,
                     None => self.tried_gates.len() < GATES_MAX,
                 };
                 if retry { None } else { Some(self.fail(failure)) }
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -20,6 +20,7 @@
 };
 use crate::core::codes::Code;
 use crate::core::ids::{Holder, Incarnation};
+use crate::gate::grant_time;
 use crate::gate::queue::RequestQueue;
 use crate::lease::clock;
 use crate::lease::message::IncarnationId;
@@ -59,8 +60,7 @@
     let reload = listen_for(SignalKind::hangup())?;
     let node = Rc::new(build(settings, platform, udp));
     let (name, run) = (node.name().to_string(), node.run_id);
-    let excess_ms = node.settings.borrow().grant_excess().as_millis() as u64;
-    spdlog::info!("the node starts", kv: { name = name.as_str(), run, version = env!("CARGO_PKG_VERSION"), excess_ms });
+    spdlog::info!("the node starts", kv: { name = name.as_str(), run, version = env!("CARGO_PKG_VERSION") });
     let (closed, closing) = watch::channel(false);
     spawn_loops(&node, reload);
     spawn_listeners(&node, &closing, [callers, ready, from_server, metrics]);
@@ -89,13 +89,14 @@
     let now = clock::now();
     let witness = Witness::new(IncarnationId::from(holder.inc), now);
     let mut held = held_ranges::HeldRanges::default();
-    held.assume_former_grants(now, settings.grant_excess());
+    held.assume_former_grants(now, grant_time::EXCESS_MAX);
     Node {
         settings: RefCell::new(settings),
         platform,
         run_id: fastrand::u64(..),
         holder: RefCell::new(holder),
         started: Instant::now(),
+        started_boot: now,
         replaced_at: Cell::new(None),
         routes: RefCell::new(None),
         configured: watch::Sender::new(false),
@@ -120,6 +121,7 @@
         tickets: RefCell::default(),
         queue_wake: Notify::new(),
         held: RefCell::new(held),
+        grant_excess: Cell::new(None),
         transit_times: RefCell::default(),
         departed_owners: RefCell::default(),
         demand: RefCell::default(),
--- a/src/kelpwind/mesh/takeover.rs
+++ b/src/kelpwind/mesh/takeover.rs
@@ -8,12 +8,13 @@
 
 use super::node::Node;
 use crate::core::ids::Holder;
-use crate::lease::clock;
+use crate::gate::grant_time::EXCESS_MAX;
+use crate::lease::clock::{self, BootInstant};
 use crate::lease::message::IncarnationId;
 use crate::lease::takeover::Takeover;
 use crate::lease::{SILENCE_TIMEOUT, TAKEOVER_STAGGER};
 use crate::place::spread;
-use crate::table::member::WatchedHolder;
+use crate::table::member::{Member, WatchedHolder};
 use crate::table::{Table, WriteBatch};
 use crate::util::timer::every;
 
@@ -89,7 +90,9 @@
         let name = lost.to_string();
         let written = self.commit("takeover", |node, table| {
             let member = table.member(&lost)?;
-            if member.version != takeover.version {
+            if member.version != takeover.version
+                || !have_grants_expired(table, &takeover, clock::now())
+            {
                 return None;
             }
             node.records_without(table, &lost)
@@ -125,17 +128,24 @@
     Takeover::new(watched.holder.clone(), watched.version, watched.set.clone())
 }
 
+/// Whether the silent holder's lease, and all grants that it made under it, have expired.
+fn have_grants_expired(table: &Table, takeover: &Takeover, now: BootInstant) -> bool {
+    let excess = table.member(&takeover.holder).map_or(EXCESS_MAX, Member::grant_excess);
+    takeover.is_ready(now - excess)
+}
+
 /// Spawns the writes of takeovers for which a majority of witnesses has promised, their earlier
 /// acknowledgements have expired, and so have the grants that may outlast these.
 fn finish_takeovers(node: &Rc<Node>) {
     let now = clock::now();
-    let expired = now - node.settings.borrow().grant_excess();
+    let table = node.table.borrow();
     let mut ready = Vec::new();
     for takeover in node.takeovers.borrow_mut().values_mut() {
-        if takeover.is_ready(expired) && takeover.try_begin_write(now) {
+        if have_grants_expired(&table, takeover, now) && takeover.try_begin_write(now) {
             ready.push(takeover.clone());
         }
     }
+    drop(table);
     for takeover in ready {
         let node = node.clone();
         tokio::task::spawn_local(async move { node.write_takeover(takeover).await });
--- a/src/kelpwind/place/relief.rs
+++ b/src/kelpwind/place/relief.rs
@@ -2,7 +2,9 @@
 //!
 //! Load pattern: much of the traffic shifts to a few adjacent keys, and the owner of all of them is
 //! overloaded within a second while other owners have spare capacity. Each owner therefore counts
-//! requests per key. An overloaded owner asks some others for their load and transfers the
+//! requests per key. Another load pattern must not look like that one: few but long requests, of
+//! which some more than usual arrive by chance. So requests are counted for longer where they are
+//! few, and an owner counts as overloaded only if chance is no likely reason. An overloaded owner asks some others for their load and transfers the
 //! narrowest spans that carry enough requests to even out the load. This splits adjacent hot keys
 //! among several owners and moves few keys. This module does no I/O.
 
@@ -11,13 +13,19 @@
 
 use crate::table::keys::{Owner, Span};
 
-/// Period over which requests are counted: short enough to detect a hot spot within a second, long
-/// enough to contain some tens of requests.
-const WINDOW: Duration = Duration::from_millis(1500);
+/// Shortest period over which requests are counted: detects a hot spot within a second.
+const WINDOW_MIN: Duration = Duration::from_millis(1500);
+/// Longest period over which requests are counted.
+const WINDOW_MAX: Duration = Duration::from_secs(6);
+/// Number of requests for which the period is extended beyond the shortest one.
+const WINDOW_REQUESTS: usize = 48;
 /// Maximum number of requests that are remembered.
 const REQUESTS_MAX: usize = 2048;
 /// Utilization from which an owner counts as overloaded and moves keys to others.
 pub const OVERLOAD_THRESHOLD: f64 = 0.9;
+/// Error of a load that is computed from one request, as a fraction of that load; decreases with the
+/// square root of their number.
+const COUNT_ERROR: f64 = 2.0;
 /// Highest utilization to which another owner may be loaded, so that it does not become overloaded
 /// itself.
 const TARGET_UTILIZATION_MAX: f64 = 0.8;
@@ -40,7 +48,8 @@
 /// Maximum number of keys without requests that a span includes on either side.
 const MARGIN_KEYS: u16 = 64;
 
-/// The keys of recent requests, within `WINDOW`.
+/// The keys of recent requests: those of the shortest period that contains [`WINDOW_REQUESTS`], within
+/// the bounds of the period.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
     requests: VecDeque<(Instant, u16)>,
@@ -65,7 +74,20 @@
     /// Requests per second.
     pub fn rate(&mut self, now: Instant) -> f64 {
         self.expire(now);
-        self.requests.len() as f64 / WINDOW.as_secs_f64()
+        let oldest = self.requests.front().map(|(at, _)| now.saturating_duration_since(*at));
+        let full = self.requests.len() >= WINDOW_REQUESTS;
+        let window = oldest.filter(|_| full).unwrap_or(WINDOW_MAX).max(WINDOW_MIN);
+        self.requests.len() as f64 / window.as_secs_f64()
+    }
+
+    /// Number of requests that the rate is computed from.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether there were no requests.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
     }
 
     /// The requested keys in ascending order, one entry for each request.
@@ -76,8 +98,11 @@
     }
 
     fn expire(&mut self, now: Instant) {
-        let old = |at: Instant| now.saturating_duration_since(at) >= WINDOW;
-        while self.requests.front().is_some_and(|(at, _)| old(*at)) {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        while let Some((at, _)) = self.requests.front()
+            && (age(*at) >= WINDOW_MAX
+                || age(*at) >= WINDOW_MIN && self.requests.len() > WINDOW_REQUESTS)
+        {
             self.requests.pop_front();
         }
     }
@@ -101,6 +126,14 @@
     }
 }
 
+/// Whether an owner is overloaded: its utilization, computed from `requests`, exceeds the threshold by
+/// more than the usual error. Both the number of requests and their lengths vary, so the error is
+/// greater than that of a count.
+pub fn is_overloaded(me: &OwnerLoad, requests: usize) -> bool {
+    let error = COUNT_ERROR / (requests.max(1) as f64).sqrt();
+    me.utilization() * (1.0 - error) >= OVERLOAD_THRESHOLD
+}
+
 /// How many other owners to ask for their load: enough to take all excess load.
 pub fn owners_to_ask(me: &OwnerLoad) -> usize {
     let count =
--- a/src/kelpwind/table/member.rs
+++ b/src/kelpwind/table/member.rs
@@ -1,6 +1,7 @@
 //! The record that each node writes about itself and the backend server beside it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +53,10 @@
     pub witnesses: Vec<Peer>,
     /// Version of the witness set; each change of the set adds one.
     pub version: Version,
+    /// How much longer than its lease the node's grants to its server may last, in milliseconds. Does
+    /// not change within an incarnation. Who takes over from the node waits for as much longer.
+    #[serde(default)]
+    pub excess_ms: u64,
 }
 
 /// A holder of keys and its witness set, as one of its witnesses sees it.
@@ -78,6 +83,11 @@
         !self.witnesses.is_empty()
     }
 
+    /// How much longer than its lease the node's grants to its server may last.
+    pub fn grant_excess(&self) -> Duration {
+        Duration::from_millis(self.excess_ms)
+    }
+
     /// The instance of its backend server.
     pub fn instance(&self) -> Option<&Instance> {
         self.server.as_ref().map(|s| &s.instance)
--- a/src/kelpwind/table/mod.rs
+++ b/src/kelpwind/table/mod.rs
@@ -17,6 +17,7 @@
 pub mod polling;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -116,6 +117,8 @@
     pub keys: BTreeMap<ServiceName, KeyMap>,
     /// Nodes whose newest record was written late, by a former run or with a former witness set.
     outdated: BTreeSet<NodeId>,
+    /// The last member that ended under each name, and how long its grants may outlast its lease.
+    ended: BTreeMap<NodeId, (Holder, Duration)>,
     offsets: BTreeMap<String, Offset>,
 }
 
@@ -144,7 +147,9 @@
     fn put_member(&mut self, name: &str, value: Option<&Bytes>) -> Option<()> {
         let name: NodeId = name.parse().ok()?;
         let Some(value) = value else {
-            self.members.remove(&name);
+            if let Some(member) = self.members.remove(&name) {
+                self.record_end(member);
+            }
             self.outdated.remove(&name);
             return Some(());
         };
@@ -154,11 +159,28 @@
             self.outdated.insert(name);
         } else {
             self.outdated.remove(&name);
-            self.members.insert(name, member);
+            let holder = member.holder.clone();
+            if let Some(former) = self.members.insert(name, member)
+                && former.holder != holder
+            {
+                self.record_end(former);
+            }
         }
         Some(())
     }
 
+    fn record_end(&mut self, member: Member) {
+        let excess = member.grant_excess();
+        self.ended.insert(member.holder.node.clone(), (member.holder, excess));
+    }
+
+    /// How much longer than its lease the grants of an owner that is no member any more may last;
+    /// `None` if its record was not seen.
+    pub fn former_excess(&self, owner: &Holder) -> Option<Duration> {
+        let ended = self.ended.get(&owner.node).filter(|(holder, _)| holder == owner);
+        ended.map(|(_, excess)| *excess)
+    }
+
     /// Applies an ownership record whose `name` is `SERVICE/NUMBER`; `None` if it cannot be parsed.
     fn put_chunk(&mut self, name: &str, value: Option<&Bytes>) -> Option<()> {
         let (service, number) = name.rsplit_once('/')?;
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -180,6 +180,21 @@
     assert_no_violations(&fleet);
 }
 
+/// Servers end work with an error that outlasts the grant in force when it began. Each request here
+/// takes most of the time that its latency objective allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_that_takes_most_of_its_objective_ends_within_its_grant() {
+    let fleet = Fleet::start(&[("books", 3)], Duration::from_millis(750)).await;
+    let calls = (0..36).map(async |i: u16| {
+        tokio::time::sleep(Duration::from_millis(150) * i.into()).await;
+        fleet.call(usize::from(i) % 3, "books", i * 1801, false).await
+    });
+    let results = futures_util::future::join_all(calls).await;
+    let failed: Vec<_> = results.iter().filter(|r| r.status != 200).collect();
+    assert!(failed.is_empty(), "{} failed, the first: {:?}", failed.len(), failed[0]);
+    assert_no_violations(&fleet);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_interrupts_no_request() {
     let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
--- a/tests/testsuite/table.rs
+++ b/tests/testsuite/table.rs
@@ -3,6 +3,8 @@
 //! Readers must end with the writer's state in whatever order records arrive, and a move must write
 //! only the records that it affects.
 
+use std::time::Duration;
+
 use kelpwind::core::ids::{Holder, Incarnation, Offset, ServiceName, Version};
 use kelpwind::lease::message::IncarnationId;
 use kelpwind::table::keys::{KEY_MAX, KeyMap, Owner, Range, Span};
@@ -204,6 +206,7 @@
         stopping: false,
         witnesses: Vec::new(),
         version: Version(version),
+        excess_ms: 0,
     }
 }
 
@@ -214,6 +217,26 @@
     (former, later)
 }
 
+/// Who assigns the keys of a member that has ended must know for how long its grants may last.
+#[test]
+fn how_long_grants_outlast_a_lease_is_known_after_the_end_of_the_member() {
+    let (former, later) = two_runs();
+    let record = |offset: u64, member: &Member| {
+        let batch = WriteBatch::put_member(member);
+        batch.records_before(Offset(offset + 1)).remove(0)
+    };
+    let mut table = Table::default();
+    let with_excess = |holder: &Holder, excess_ms| Member { excess_ms, ..member(holder, 0) };
+    assert!(table.apply(&record(0, &with_excess(&former, 700))));
+    assert_eq!(table.former_excess(&former), None);
+    assert!(table.apply(&record(1, &with_excess(&later, 300))));
+    assert_eq!(table.former_excess(&former), Some(Duration::from_millis(700)));
+    let gone = WriteBatch::delete_member(&later.node);
+    assert!(table.apply(&gone.records_before(Offset(3)).remove(0)));
+    assert_eq!(table.former_excess(&later), Some(Duration::from_millis(300)));
+    assert_eq!(table.former_excess(&former), None);
+}
+
 /// The store may carry out a write after its author has ended and its node has started again.
 #[rstest]
 #[case::former_run(two_runs().0, 7)]
