Share what both ways of granting keys do, and drop work that was done twice

Change: * The end of grants (lease and excess) and the time for which a server certainly holds keys stood in grants.rs and in report_grants.rs. Both call `Node::grants_end` and `grant_time::certain_until` now. * Moves waited for the end of holds in one loop for calls and in another for reports; one is left. * `HeldRanges::assign` and `begin_grant` share how a hold begins. * The node kept the rows of keys of the last report, and copied them with each further one. It takes them out before it keeps the report. * Witnesses got a record twice that all members are told of. They get it once now. * Tests: one loop that checks that all requests are served, one choice of the seeds of a soak. Left: the forwarding of writes in net/pool.rs and mesh/connection.rs is alike, but their flushes differ.

--- a/src/kelpwind/gate/grant_time.rs
+++ b/src/kelpwind/gate/grant_time.rs
@@ -20,6 +20,9 @@
 
 /// Factor by which a server may exceed a grant: its clock may run 2% slow.
 const CLOCK_DRIFT: f64 = 1.02;
+/// Fraction of a grant's time for which the server certainly holds the keys: its clock may run 2%
+/// fast.
+const CERTAIN_FRACTION: f64 = 0.98;
 /// Least allowance for the time until a grant takes effect at the server.
 const TRANSIT_MIN: Duration = Duration::from_millis(60);
 /// Time after which the transit times of former grants no longer count. Covers several renewals.
@@ -100,6 +103,12 @@
     work.max(reports.map_or(Duration::ZERO, next)).min(EXCESS_MAX)
 }
 
+/// Time until which a server certainly holds the keys of a grant that was made at `made` for
+/// `duration`.
+pub fn certain_until(made: BootInstant, duration: Duration) -> BootInstant {
+    made + duration.mul_f64(CERTAIN_FRACTION)
+}
+
 /// Time from which a server cannot hold the keys of a grant that was sent at `sent` for `duration`
 /// and takes effect within `transit`.
 pub fn latest_expiry(sent: BootInstant, duration: Duration, transit: Duration) -> BootInstant {
--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -28,9 +28,6 @@
 /// process. The server runs on the same host and answers within milliseconds, but a host with too
 /// much to do may take a tenth of a second. After it, a lease leaves time for two more grants.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Fraction of a grant's time for which the server certainly holds the keys: its clock may run 2%
-/// fast.
-const CERTAIN_FRACTION: f64 = 0.98;
 /// Longest pause between two checks for due grants and moves.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -43,16 +40,13 @@
             continue;
         }
         node.sync_held_ranges();
-        if node.grants_in_reports() {
-            if node.server.borrow().is_none() {
-                node.begin_planned_moves();
-            }
-            node.start_due_moves();
-            node.keys_checked.notify_waiters();
-        } else {
+        if !node.grants_in_reports() {
             node.send_grants();
-            node.start_due_moves();
+        } else if node.server.borrow().is_none() {
+            node.begin_planned_moves();
         }
+        node.start_due_moves();
+        node.keys_checked.notify_waiters();
         let next = node.held.borrow().next_due().map(|due| due.since(clock::now()));
         let pause = next.filter(|p| !p.is_zero()).map_or(CHECK_INTERVAL, |p| p.min(CHECK_INTERVAL));
         // A timeout is the usual case: the next check is due.
@@ -166,15 +160,17 @@
         Some(Rc::new(ServerRef { id, health_path: self.health_path()? }))
     }
 
+    /// When grants that are made at `now` must have ended: the end of the lease, and the excess that
+    /// this node's record tells others. `None` without a valid lease.
+    pub fn grants_end(&self, now: BootInstant) -> Option<BootInstant> {
+        let lease_end = self.lease.borrow().as_ref().filter(|l| l.is_valid(now))?.expires_at()?;
+        Some(lease_end + self.announced_excess())
+    }
+
     /// Sends the grants that are due.
     fn send_grants(self: &Rc<Self>) {
         let now = clock::now();
-        let ends = {
-            let lease = self.lease.borrow();
-            let valid = lease.as_ref().filter(|l| l.is_valid(now));
-            let Some(ends) = valid.and_then(|l| l.expires_at()) else { return };
-            ends + self.announced_excess()
-        };
+        let Some(ends) = self.grants_end(now) else { return };
         let longest = self.settings.borrow().bounds.max_grant;
         let transit = self.transit_times.borrow_mut().allowance(now);
         let Some(time) = grant_time::grant_duration(ends, now, longest, transit) else { return };
@@ -229,7 +225,7 @@
                 // It took effect before its answer, but perhaps not long before.
                 held.holds.extend(number, grant_time::latest_expiry(now, time, Duration::ZERO));
             }
-            held.end_grant(number, granted, made, made + time.mul_f64(CERTAIN_FRACTION))
+            held.end_grant(number, granted, made, grant_time::certain_until(made, time))
         };
         match granted {
             GrantOutcome::Accepted if newly_active => {
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -202,11 +202,8 @@
         session: BackendSession,
         expiry: BootInstant,
     ) -> GrantNumber {
-        self.last_grant += 1;
-        let number = self.last_grant;
-        let range = &mut self.ranges[index];
-        range.assigned = Some(number);
-        self.holds.begin(number, (range.span, range.token), session, expiry);
+        let number = self.begin_hold(index, session, expiry);
+        self.ranges[index].assigned = Some(number);
         number
     }
 
@@ -279,14 +276,24 @@
         session: BackendSession,
         expiry: BootInstant,
     ) -> GrantNumber {
-        self.last_grant += 1;
-        let number = self.last_grant;
-        let range = &mut self.ranges[index];
-        range.in_flight = Some(number);
-        self.holds.begin(number, (range.span, range.token), session, expiry);
+        let number = self.begin_hold(index, session, expiry);
+        self.ranges[index].in_flight = Some(number);
         number
     }
 
+    /// Records that the server may hold a listed range by a grant. Returns the number of the grant.
+    fn begin_hold(
+        &mut self,
+        index: usize,
+        session: BackendSession,
+        expiry: BootInstant,
+    ) -> GrantNumber {
+        self.last_grant += 1;
+        let range = &self.ranges[index];
+        self.holds.begin(self.last_grant, (range.span, range.token), session, expiry);
+        self.last_grant
+    }
+
     /// Records the outcome of a grant that was sent at `sent`, and by which the server, if it has
     /// accepted it, holds the keys at least until `active_until`. Returns whether it did not
     /// certainly hold them before.
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -28,7 +28,6 @@
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum number of release requests; after that the move waits until the grants expire.
 const RELEASE_ATTEMPTS: u32 = 4;
-
 /// Time for which spans that are released one after another are gathered into one record.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
@@ -162,11 +161,10 @@
             false => written.await,
         };
         let Some(update) = &written else { return Ok(false) };
-        let moved_to = |to: &Owner| to.holder.node.clone();
         let receivers: BTreeSet<NodeId> = moves
             .iter()
             .filter(|(moved, _)| free.iter().any(|(span, _)| span.intersection(*moved).is_some()))
-            .map(|(_, to)| moved_to(to))
+            .map(|(_, to)| to.holder.node.clone())
             .collect();
         self.send_table_update(receivers, update).await;
         Ok(true)
@@ -194,9 +192,6 @@
     /// Asks the server to release a span, and returns its handover data. Keys whose release is not
     /// confirmed stay with the server until its grants expire.
     async fn release(&self, span: Span, token: Token) -> Option<String> {
-        if token != Token(0) && self.grants_in_reports() {
-            return self.await_release(span).await;
-        }
         for _ in 0..RELEASE_ATTEMPTS {
             let server = self.server_ref().filter(|_| token != Token(0))?;
             let session = (self.platform.backend.session)();
@@ -224,18 +219,31 @@
     /// that were released may become active again by a grant without an answer. Returns the span and
     /// what the server handed over.
     async fn release_and_wait(&self, span: Span, token: Token) -> (Span, Option<String>) {
+        if token != Token(0) && self.grants_in_reports() {
+            self.wait_until_free(span).await;
+            return (span, self.report_exchanges.borrow().handover(span));
+        }
         let handover = self.release(span, token).await;
-        let left = || self.held.borrow().holds.until(span).since(clock::now());
-        if !left().is_zero() {
-            let held_ms = left().as_millis() as u64;
+        let left = self.held.borrow().holds.until(span).since(clock::now());
+        if !left.is_zero() {
+            let held_ms = left.as_millis() as u64;
             spdlog::info!("keys to move wait for the end of their grants", kv: { first = span.first, last = span.last, held_ms });
         }
+        self.wait_until_free(span).await;
+        (span, handover)
+    }
+
+    /// Waits until no server beside this node can hold any key of a span, by what the server confirms
+    /// or by time.
+    async fn wait_until_free(&self, span: Span) {
+        let mut changes = self.held_changed.subscribe();
         loop {
-            let left = left();
+            let left = self.held.borrow().holds.until(span).since(clock::now());
             if left.is_zero() {
-                return (span, handover);
+                return;
             }
-            sleep(left).await;
+            // A timeout means that the grants have expired.
+            let _ = timeout(left, changes.changed()).await;
         }
     }
 }
--- a/src/kelpwind/mesh/report_exchanges.rs
+++ b/src/kelpwind/mesh/report_exchanges.rs
@@ -17,6 +17,7 @@
 
 use super::holds::GrantNumber;
 use super::platform_api::{BackendSession, ReportedKeys};
+use crate::core::ids::Token;
 use crate::gate::grant_time::REPORT_RENEW_MARGIN;
 use crate::lease::clock::BootInstant;
 use crate::table::keys::{KEY_MAX, Owner, Span};
@@ -66,10 +67,10 @@
     /// Records the arrival of a report. Returns the grants that the server has taken before it sent
     /// the report.
     pub fn confirm(&mut self, conn: ConnectionId) -> Vec<GrantNumber> {
-        let taken = |entry: &(ConnectionId, GrantNumber)| entry.0 == conn;
-        let numbers = self.unconfirmed.iter().filter(|e| taken(e)).map(|(_, n)| *n).collect();
-        self.unconfirmed.retain(|e| !taken(e));
-        numbers
+        let all = std::mem::take(&mut self.unconfirmed).into_iter();
+        let (taken, rest): (Vec<_>, Vec<_>) = all.partition(|(answered, _)| *answered == conn);
+        self.unconfirmed = rest;
+        taken.into_iter().map(|(_, number)| number).collect()
     }
 
     /// Whether the server may not have taken some answers. Then reports or answers are late or lost, and
@@ -149,7 +150,7 @@
     }
 
     /// Whether the server holds all keys of a span under a token.
-    pub fn covers(&self, span: Span, token: crate::core::ids::Token) -> bool {
+    pub fn covers(&self, span: Span, token: Token) -> bool {
         let held = self.held.iter().filter(|(_, t)| *t == token);
         let covered = held.filter_map(|(s, _)| s.intersection(span)).map(Span::width).sum::<u32>();
         covered == span.width()
--- a/src/kelpwind/mesh/report_grants.rs
+++ b/src/kelpwind/mesh/report_grants.rs
@@ -28,9 +28,6 @@
 /// Time for which no request is sent to a server that did not hold a key it was assigned. An answer
 /// that is late may arrive meanwhile.
 const UNHELD_PAUSE: Duration = Duration::from_millis(100);
-/// Fraction of a grant's time for which the server certainly holds the keys: its clock may run 2%
-/// fast.
-const CERTAIN_FRACTION: f64 = 0.98;
 
 /// Counts a report as waiting for its answer until dropped.
 struct OpenReport<'a>(&'a Node);
@@ -69,12 +66,13 @@
     /// not know at present which keys the server is to hold.
     pub async fn answer_report(
         self: &Rc<Self>,
-        report: ServerReport,
+        mut report: ServerReport,
         conn: ConnectionId,
     ) -> Option<KeyAssignment> {
         let arrival = clock::now();
-        let (instance, number, keys) =
-            (report.instance.clone(), report.number, report.keys.clone());
+        let (instance, number) = (report.instance.clone(), report.number);
+        // The node keeps the report, but not its rows of keys, of which there may be thousands.
+        let keys = report.keys.take();
         if !self.handle_report(report) || !self.grants_in_reports() {
             return None;
         }
@@ -177,15 +175,12 @@
         let ranges = self.assignable_ranges();
         let held = self.held.borrow();
         let now = clock::now();
-        let active_until = |range: &HeldRange| match range.is_active(now) {
-            true => range.active_until,
-            false => None,
-        };
-        let expiry = ranges.iter().map(|i| active_until(&held.ranges[*i]).unwrap_or_default());
-        let expiry = expiry.min();
+        let active_until = |range: &HeldRange| range.active_until.filter(|_| range.is_active(now));
+        let expiry =
+            ranges.iter().map(|i| active_until(&held.ranges[*i]).unwrap_or_default()).min();
         // Without a lease there is nothing to grant.
-        let valid = self.lease.borrow().as_ref().is_some_and(|l| l.is_valid(clock::now()));
-        report_exchanges::answer_time(arrival, expiry.filter(|_| valid && !self.has_former_keys()))
+        let can_grant = self.grants_end(now).is_some() && !self.has_former_keys();
+        report_exchanges::answer_time(arrival, expiry.filter(|_| can_grant))
     }
 
     /// Indices of the ranges that the server is to hold. Those of former sessions get higher tokens
@@ -203,16 +198,15 @@
         arrival: BootInstant,
         conn: ConnectionId,
     ) -> Option<KeyAssignment> {
-        let now = clock::now();
-        let ends = self.lease.borrow().as_ref().filter(|l| l.is_valid(now))?.expires_at()?;
+        let ends = self.grants_end(clock::now())?;
         if self.has_former_keys() || self.table_offset.borrow().is_none() {
             return None;
         }
         let longest = self.settings.borrow().bounds.max_grant;
-        let excess = self.announced_excess();
-        let unknown = Duration::ZERO;
-        let duration = grant_time::grant_duration(ends + excess, arrival, longest, unknown)?;
-        let until = grant_time::latest_expiry(arrival, duration, Duration::ZERO);
+        // The time counts from the sending of the report, so the grants need no allowance for transit.
+        let transit = Duration::ZERO;
+        let duration = grant_time::grant_duration(ends, arrival, longest, transit)?;
+        let until = grant_time::latest_expiry(arrival, duration, transit);
         let session = self.grant_session();
         let mut spans = Vec::new();
         let mut numbers = Vec::new();
@@ -226,7 +220,7 @@
             exchanges.record_grant(conn, number);
             exchanges.forget_released(range.span);
         }
-        let certain = arrival + duration.mul_f64(CERTAIN_FRACTION);
+        let certain = grant_time::certain_until(arrival, duration);
         let node = self.clone();
         tokio::task::spawn_local(async move {
             sleep(ANSWER_TRANSIT).await;
@@ -266,18 +260,4 @@
             node.notify_held_changed();
         });
     }
-
-    /// Waits until the server certainly does not hold a span any more, by its reports or by time.
-    /// Returns the state that it hands over.
-    pub async fn await_release(&self, span: Span) -> Option<String> {
-        let mut changes = self.held_changed.subscribe();
-        loop {
-            let left = self.held.borrow().holds.until(span).since(clock::now());
-            if left.is_zero() {
-                return self.report_exchanges.borrow().handover(span);
-            }
-            // A timeout means that the grants have expired.
-            let _ = timeout(left, changes.changed()).await;
-        }
-    }
 }
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -357,14 +357,13 @@
             Ok(next) => {
                 let update = TableUpdate { next, batch };
                 let known = node.apply_table_update(&update);
+                if node.is_keyed() && !known {
+                    node.request_table_read();
+                }
                 if concerns_all {
                     node.notify_members(&update).await;
-                }
-                // Witnesses must know an incarnation before they can acknowledge it.
-                if node.is_keyed() {
-                    if !known {
-                        node.request_table_read();
-                    }
+                } else if node.is_keyed() {
+                    // They must know an incarnation before they can acknowledge it.
                     let witnesses = record.witnesses.iter().map(|p| p.holder.node.clone());
                     node.send_table_update(witnesses, &update).await;
                 }
--- a/src/kelpwind/place/relief.rs
+++ b/src/kelpwind/place/relief.rs
@@ -2,11 +2,13 @@
 //!
 //! Load pattern: much of the traffic shifts to a few adjacent keys, and the owner of all of them is
 //! overloaded within a second while other owners have spare capacity. Each owner therefore counts
-//! requests per key. Another load pattern must not look like that one: few but long requests, of
-//! which some more than usual arrive by chance. So requests are counted for longer where they are
-//! few, and an owner counts as overloaded only if chance is no likely reason. An overloaded owner asks some others for their load and transfers the
-//! narrowest spans that carry enough requests to even out the load. This splits adjacent hot keys
-//! among several owners and moves few keys. This module does no I/O.
+//! requests per key. An overloaded owner asks some others for their load and transfers the narrowest
+//! spans that carry enough requests to even out the load. This splits adjacent hot keys among several
+//! owners and moves few keys.
+//!
+//! Another load pattern must not look like that one: few but long requests, of which some more than
+//! usual arrive by chance. So requests are counted for longer where they are few, and an owner counts
+//! as overloaded only if chance is no likely reason. This module does no I/O.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// Checks that requests for keys all over the range are served to callers on the first hosts.
+async fn assert_serving(fleet: &Fleet, hosts: usize, time: Duration) {
+    let until = Instant::now() + time;
+    let mut key = 0_u16;
+    while Instant::now() < until {
+        key = key.wrapping_add(4099);
+        let result = fleet.call(usize::from(key) % hosts, "books", key, false).await;
+        assert_eq!(result.status, 200, "key {key}: {result:?}");
+    }
+}
+
 fn assert_no_violations(fleet: &Fleet) {
     let found = fleet.violations();
     assert!(found.is_empty(), "{} violations, the first: {}", found.len(), found[0]);
@@ -154,13 +165,7 @@
 async fn owners_keep_serving_while_the_store_is_down() {
     let fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
     fleet.store.set_down(true);
-    let until = Instant::now() + Duration::from_secs(4);
-    let mut key = 0_u16;
-    while Instant::now() < until {
-        key = key.wrapping_add(4099);
-        let result = fleet.call(usize::from(key) % 5, "books", key, false).await;
-        assert_eq!(result.status, 200, "{result:?}");
-    }
+    assert_serving(&fleet, 5, Duration::from_secs(4)).await;
     fleet.store.set_down(false);
     assert_no_violations(&fleet);
 }
--- a/tests/mesh/report_grants.rs
+++ b/tests/mesh/report_grants.rs
@@ -8,7 +8,7 @@
 
 use super::platform::fleet::Fleet;
 use super::platform::server::{NodeConn, ReportFaults};
-use super::{assert_no_violations, until_all_served, until_served};
+use super::{assert_no_violations, assert_serving, until_all_served, until_served};
 
 /// Processing time of a request at a backend server.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
@@ -35,13 +35,7 @@
 async fn keys_are_served_for_as_long_as_reports_are_answered() {
     let fleet = Fleet::start_reporting(SERVICES, SERVICE_TIME).await;
     until_all_served(&fleet, 0).await;
-    let until = Instant::now() + Duration::from_secs(5);
-    let mut key = 0_u16;
-    while Instant::now() < until {
-        key = key.wrapping_add(4099);
-        let result = fleet.call(usize::from(key) % 4, "books", key, false).await;
-        assert_eq!(result.status, 200, "key {key}: {result:?}");
-    }
+    assert_serving(&fleet, 4, Duration::from_secs(5)).await;
     let log = fleet.log(0);
     assert!(log.contains(r#""way":"report""#), "no grant was logged as one in an answer");
     assert_no_violations(&fleet);
@@ -203,13 +197,7 @@
     let fleet = Fleet::start_reporting(SERVICES, SERVICE_TIME).await;
     until_all_served(&fleet, 0).await;
     fleet.store.set_down(true);
-    let until = Instant::now() + Duration::from_secs(6);
-    let mut key = 0_u16;
-    while Instant::now() < until {
-        key = key.wrapping_add(4099);
-        let result = fleet.call(usize::from(key) % 4, "books", key, false).await;
-        assert_eq!(result.status, 200, "{result:?}");
-    }
+    assert_serving(&fleet, 4, Duration::from_secs(6)).await;
     fleet.store.set_down(false);
     assert_no_violations(&fleet);
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -182,6 +182,14 @@
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
 
+/// Runs the seeds that an environment variable names, else `default`.
+async fn run_named_seeds(variable: &str, default: &[u64], run: impl AsyncFn(u64) -> Vec<String>) {
+    match seeds_of(variable) {
+        Some(seeds) => run_seeds(seeds, run).await,
+        None => run_seeds(default.iter().copied(), run).await,
+    }
+}
+
 /// Seeds named by an environment variable of the form FIRST..END.
 fn seeds_of(variable: &str) -> Option<std::ops::Range<u64>> {
     let range = std::env::var(variable).ok()?;
@@ -192,10 +200,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_under_random_faults() {
-    match seeds_of("KELPWIND_SOAK_SEEDS") {
-        Some(seeds) => run_seeds(seeds, run_seed).await,
-        None => run_seeds(SEEDS.iter().copied(), run_seed).await,
-    }
+    run_named_seeds("KELPWIND_SOAK_SEEDS", SEEDS, run_seed).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -205,10 +210,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_with_grants_in_reports_under_random_faults() {
-    match seeds_of("KELPWIND_SOAK_REPORT_SEEDS") {
-        Some(seeds) => run_seeds(seeds, run_reporting_seed).await,
-        None => run_seeds(SEEDS.iter().copied(), run_reporting_seed).await,
-    }
+    run_named_seeds("KELPWIND_SOAK_REPORT_SEEDS", SEEDS, run_reporting_seed).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -8,7 +8,7 @@
 
 use super::platform::fleet::Fleet;
 use super::platform::server::{ServerConfig, Stop};
-use super::{PAUSE_MS_MAX, inject_outage, run_seeds, seeds_of, unserved_keys};
+use super::{PAUSE_MS_MAX, inject_outage, run_named_seeds, run_seeds, unserved_keys};
 
 /// Seeds that run by default, also in CI.
 const SEEDS: &[u64] = &[1, 2, 3, 1001];
@@ -163,10 +163,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_while_server_processes_stop_and_restart() {
-    match seeds_of("KELPWIND_SOAK_PROCESS_SEEDS") {
-        Some(seeds) => run_seeds(seeds, run_seed).await,
-        None => run_seeds(SEEDS.iter().copied(), run_seed).await,
-    }
+    run_named_seeds("KELPWIND_SOAK_PROCESS_SEEDS", SEEDS, run_seed).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
