Log and count the era of the store, and records with a lower token

A report of two servers with the same keys could not be assigned to a cause: nothing read the store's era, and a record whose token is below the one before was applied without a line. The era of every answer, refusals included, is decoded in platform/ and checked in one place; an answer whose era is missing, malformed or earlier is an error with a number and is not used, and so is one that began in another era. Without the header nothing changes.

Nothing reacts to a new era yet but the reads, which begin anew.

--- a/src/kelpwind/core/ids.rs
+++ b/src/kelpwind/core/ids.rs
@@ -149,6 +149,11 @@
     /// Position of a record in the log.
     Offset, u64
 }
+number_type! {
+    /// Era of the platform's store. It rises by one each time the store comes back from an older copy
+    /// and has lost its latest records, so offsets of two eras cannot be compared.
+    Era, u64
+}
 number_type! {
     /// Fencing token of a slice: the offset of the log record that granted the slice to its owner,
     /// or 0 if it was never granted.
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -81,6 +81,35 @@
     pub order_probes: IntCounter,
     /// Limits log lines about these reads.
     pub probe_log: RateLimitedLog,
+    /// Counts how often the store came back from an older copy.
+    pub restorations: IntCounter,
+    era_faults: IntCounterVec,
+    /// Limits log lines about answers without a usable era.
+    pub era_log: RateLimitedLog,
+    /// Counts records of the table that name a lower token for a key than those before.
+    pub lower_tokens: IntCounter,
+    era: IntGauge,
+}
+
+/// Why the era of an answer of the store cannot be used; the value of a metric's label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EraFault {
+    /// It is missing, although other answers have stated one.
+    Missing,
+    /// It is not a number.
+    Malformed,
+    /// It is lower than one that was stated before.
+    Earlier,
+}
+
+impl EraFault {
+    pub fn label(self) -> &'static str {
+        match self {
+            EraFault::Missing => "missing",
+            EraFault::Malformed => "malformed",
+            EraFault::Earlier => "earlier",
+        }
+    }
 }
 
 /// How a read of the store ended; the value of a metric's label.
@@ -214,6 +243,27 @@
             failure_log: RateLimitedLog::default(),
             refusal_log: RateLimitedLog::default(),
             probe_log: RateLimitedLog::default(),
+            restorations: register(
+                &registry,
+                IntCounter::new(
+                    "kelpwind_store_restorations_total",
+                    "Times that the store was found to have come back from an older copy.",
+                ),
+            ),
+            era_faults: counters(
+                "kelpwind_store_era_faults_total",
+                "Answers of the store that state no usable era, by reason.",
+                &["reason"],
+            ),
+            era_log: RateLimitedLog::default(),
+            lower_tokens: register(
+                &registry,
+                IntCounter::new(
+                    "kelpwind_lower_tokens_total",
+                    "Records of the table with a lower token for a key than the record before.",
+                ),
+            ),
+            era: gauge("kelpwind_store_era", "Era of the store; 0 if it states none."),
             registry,
         }
     }
@@ -265,6 +315,11 @@
         self.server_changes.with_label_values(&[change.label()]).inc();
     }
 
+    /// Counts an answer of the store without a usable era.
+    pub fn count_era_fault(&self, fault: EraFault) {
+        self.era_faults.with_label_values(&[fault.label()]).inc();
+    }
+
     /// Counts a request that the gate refused.
     pub fn count_refusal(&self, code: Code) {
         self.refusals_total.with_label_values(&[&code.number().to_string()]).inc();
@@ -290,6 +345,7 @@
         metrics.orders.set(orders.next.0 as i64);
         metrics.orders_end.set(orders.freshness.end().0 as i64);
         metrics.offset.set(self.table.borrow().next.0 as i64);
+        metrics.era.set(self.store_era.known().map_or(0, |era| era.0 as i64));
         let mut text = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&metrics.registry.gather(), &mut text) {
             spdlog::error!("failed to encode the metrics: {e}");
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -9,9 +9,9 @@
 //!
 //! * [`platform_api`]: the interface to the platform, as plain structs of functions.
 //! * [`node`]: the state of the node, which its tasks share.
-//! * [`store_watch`] and [`orders_reader`] read the store, [`orders`] applies what operators
-//!   publish, [`table_updates`] passes table changes between nodes to save reads, and [`commit`]
-//!   writes to the table.
+//! * [`store_watch`] and [`orders_reader`] read the store, [`store_era`] checks the era of its
+//!   answers, [`orders`] applies what operators publish, [`table_updates`] passes table changes
+//!   between nodes to save reads, and [`commit`] writes to the table.
 //! * [`reports`] and [`reattach`]: the backend server's reports and the node's own record.
 //! * [`lease`], [`takeover`], [`grants`], [`plan`], [`balance`], [`moves`] and [`held_ranges`]:
 //!   which node owns which keys, and until when.
@@ -53,6 +53,7 @@
 pub(crate) mod send_queue;
 pub(crate) mod serve;
 pub(crate) mod start;
+pub(crate) mod store_era;
 pub(crate) mod store_watch;
 pub(crate) mod table_updates;
 pub(crate) mod takeover;
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -21,6 +21,7 @@
 use super::platform_api::{NodeSettings, Platform, ServerReport};
 use super::report_exchanges::{ConnectionId, ReportExchanges};
 use super::serve::Sessions;
+use super::store_era::StoreEra;
 use crate::core::ids::{DomainName, Holder, Incarnation, NodeId, Offset, ServiceName};
 use crate::core::routes::Routes;
 use crate::gate::grant_time::TransitTimes;
@@ -88,6 +89,8 @@
     pub table_offset: watch::Sender<Option<Offset>>,
     /// How far the operators' topic has been read.
     pub orders: watch::Sender<OrdersProgress>,
+    /// The era of the store.
+    pub store_era: StoreEra,
     /// Triggers a read of the operators' topic that does not wait.
     pub orders_check: Notify,
     /// When such a read was last requested.
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 
 use crate::core::codes::Code;
-use crate::core::ids::{Count, DomainName, Offset, ServiceName, Token};
+use crate::core::ids::{Count, DomainName, Era, Offset, ServiceName, Token};
 use crate::core::routes::Routes;
 use crate::lease::clock::BootInstant;
 use crate::table::keys::Span;
@@ -58,6 +58,8 @@
     Unknown(String),
     /// the store's answer cannot be read: {0}
     Malformed(String),
+    /// the store has come back from an older copy since the call was sent
+    Restored,
 }
 
 impl std::error::Error for StoreError {}
@@ -99,8 +101,31 @@
     pub end: Offset,
 }
 
+/// What an answer of the store says of its era.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StatedEra {
+    /// Nothing.
+    Missing,
+    /// The era.
+    Era(Era),
+    /// Something that is not a number.
+    Malformed(String),
+}
+
+/// A check of the eras that answers of the store state, whatever their status. An answer that fails it
+/// is not used.
+pub struct EraCheck {
+    /// The era that is known when a call is sent.
+    pub known: Box<dyn Fn() -> Option<Era>>,
+    /// Checks the era that the answer to a call states, given the era that was known when the call was
+    /// sent.
+    pub check: Box<dyn Fn(Option<Era>, StatedEra) -> Result<(), StoreError>>,
+}
+
 /// The platform's store.
 pub struct Store {
+    /// Sets the check of all later answers. Without one, eras are ignored.
+    pub check_eras: Box<dyn Fn(EraCheck)>,
     /// Reads the newest record of each key.
     pub newest: Box<dyn Fn(Topic) -> StoreFuture<Batch>>,
     /// Reads records from an offset on.
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -14,9 +14,10 @@
 use super::metrics::Metrics;
 use super::node::Node;
 use super::platform_api::{NodeSettings, Platform, Topic};
+use super::store_era::StoreEra;
 use super::{
-    balance, gate, grants, held_ranges, http, lease, plan, reports, serve, store_watch, takeover,
-    udp,
+    balance, gate, grants, held_ranges, http, lease, plan, reports, serve, store_era, store_watch,
+    takeover, udp,
 };
 use crate::core::codes::Code;
 use crate::core::ids::{Holder, Incarnation};
@@ -62,6 +63,7 @@
     let (name, run) = (node.name().to_string(), node.run_id);
     spdlog::info!("the node starts", kv: { name = name.as_str(), run, version = env!("CARGO_PKG_VERSION") });
     let (closed, closing) = watch::channel(false);
+    store_era::check_answers(&node);
     spawn_loops(&node, reload);
     spawn_listeners(&node, &closing, [callers, ready, from_server, metrics]);
     tokio::task::spawn_local(serve::accept(node.clone(), peers));
@@ -104,6 +106,7 @@
         table: RefCell::default(),
         table_offset: watch::Sender::new(None),
         orders: watch::Sender::default(),
+        store_era: StoreEra::default(),
         orders_check: Notify::new(),
         orders_check_requested: Cell::new(None),
         table_read_due: Notify::new(),
--- a/src/kelpwind/mesh/store_watch.rs
+++ b/src/kelpwind/mesh/store_watch.rs
@@ -74,6 +74,7 @@
                     node.pause_before_read(topic).await;
                 }
             }
+            Err(StoreError::Restored) => next = None,
             Err(StoreError::Gone) => {
                 spdlog::warn!("the store no longer keeps the next records; reading the whole topic", kv: { topic = format!("{topic:?}") });
                 next = None;
@@ -204,9 +205,14 @@
                 *table = Table::default();
             }
             for record in records {
+                let lower = table.lower_tokens;
                 if !table.apply(record) {
                     spdlog::warn!("failed to decode a record of the table", kv: { key = record.key.as_str(), offset = record.offset.0 });
                 }
+                if table.lower_tokens > lower {
+                    self.metrics.lower_tokens.inc();
+                    spdlog::error!("a record of the table names a lower token than the one before", kv: { key = record.key.as_str(), offset = record.offset.0 });
+                }
             }
             // `next` never exceeds what was read in order, since conditional writes rely on knowing
             // all records before it.
--- a/src/kelpwind/table/keys.rs
+++ b/src/kelpwind/table/keys.rs
@@ -122,6 +122,15 @@
         Token(self.ranges.iter().map(|r| r.token.0).max().unwrap_or(0) + 1)
     }
 
+    /// Whether a key of `ranges` has a higher token here. Tokens rise, so none should.
+    pub fn has_higher_token(&self, ranges: &[Range]) -> bool {
+        let higher = |new: &Range| {
+            let known = self.ranges.iter().filter(|r| r.token > new.token);
+            known.into_iter().any(|r| r.span.intersection(new.span).is_some())
+        };
+        ranges.iter().any(higher)
+    }
+
     /// The range that contains `key`.
     pub fn find(&self, key: u16) -> Option<&Range> {
         let after = self.ranges.partition_point(|r| r.span.last < key);
--- a/src/kelpwind/table/mod.rs
+++ b/src/kelpwind/table/mod.rs
@@ -120,6 +120,8 @@
     /// The last member that ended under each name, and how long its grants may outlast its lease.
     ended: BTreeMap<NodeId, (Holder, Duration)>,
     offsets: BTreeMap<String, Offset>,
+    /// Number of records that name a lower token for some key than the records before them.
+    pub lower_tokens: u64,
 }
 
 impl Table {
@@ -190,7 +192,11 @@
             Some(value) => serde_json::from_slice::<Chunk>(value).ok()?.ranges(span),
             None => Vec::new(),
         };
-        self.keys.entry(service).or_default().replace(span, ranges);
+        let keys = self.keys.entry(service).or_default();
+        if keys.has_higher_token(&ranges) {
+            self.lower_tokens += 1;
+        }
+        keys.replace(span, ranges);
         Some(())
     }
 
