Test a store that comes back from an older copy

The store may be away for a moment and lose what it acknowledged since a copy. The simulated store kept everything, so no test could show what nodes do then.

The simulated store can now copy its records and come back from the copy, counts that in the header Store-Era of all answers, answers 410 to reads from beyond its end, and lets the operators write their records again. Four tests move keys between the copy and the loss, and replace two nodes after it; the same four without the loss are controls.

The controls have not been run yet.

--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -16,6 +16,7 @@
 mod report_grants;
 mod server_lifecycle;
 mod server_processes;
+mod store_restore;
 
 use std::time::{Duration, Instant};
 
--- /dev/null
+++ b/tests/mesh/store_restore.rs
@@ -0,0 +1,167 @@
+//! A store that comes back from an older copy, and has lost what it acknowledged since.
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::assert_no_violations;
+use super::platform::fleet::Fleet;
+
+/// Processing time of a request at a backend server.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Services and their numbers of hosts; the first service is keyed.
+const SERVICES: &[(&str, u32)] = &[("books", 4)];
+/// Time from the start until the copy.
+const COPY_TIME: Duration = Duration::from_secs(4);
+/// Time within which keys move from a draining server, or from a node that is silent.
+const MOVE_TIME: Duration = Duration::from_millis(2500);
+/// Time for which the store is away.
+const AWAY: Duration = Duration::from_millis(200);
+/// Time from the store's return until nodes are replaced, and from then until the end.
+const CALM: Duration = Duration::from_secs(3);
+/// Longest time until all keys are served at the end.
+const SERVED_WITHIN: Duration = Duration::from_secs(10);
+
+/// What moves keys between the copy and the loss.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// Two servers drain.
+    Drains,
+    /// A server drains and crashes, and another one starts in its place.
+    NextServer,
+    /// The same on two hosts, one after the other.
+    TwoNextServers,
+    /// A node is paused, and another one after the loss.
+    Pauses,
+}
+
+/// What the store does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Store {
+    /// Goes away and comes back from an older copy.
+    Loses,
+    /// Goes away and comes back as it was.
+    Keeps,
+}
+
+async fn next_server(fleet: &mut Fleet, host: usize) {
+    fleet.hosts[host].server.as_ref().unwrap().drain();
+    tokio::time::sleep(MOVE_TIME).await;
+    fleet.hosts[host].server.take().unwrap().crash();
+    fleet.start_server(host).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+}
+
+async fn pause_node(fleet: &mut Fleet, host: usize) {
+    fleet.signal_node(host, "STOP");
+    tokio::time::sleep(MOVE_TIME).await;
+    fleet.signal_node(host, "CONT");
+}
+
+async fn move_keys(fleet: &mut Fleet, cause: Cause) {
+    match cause {
+        Cause::Drains => {
+            for host in [0, 1] {
+                fleet.hosts[host].server.as_ref().unwrap().drain();
+            }
+            tokio::time::sleep(MOVE_TIME).await;
+        }
+        Cause::NextServer => next_server(fleet, 0).await,
+        Cause::TwoNextServers => {
+            next_server(fleet, 0).await;
+            next_server(fleet, 1).await;
+        }
+        Cause::Pauses => {
+            pause_node(fleet, 0).await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+    }
+}
+
+/// Time until keys all over the range are served to callers on a host; `None` after
+/// [`SERVED_WITHIN`].
+async fn until_served(fleet: &Fleet, host: usize) -> Option<Duration> {
+    let began = Instant::now();
+    for key in (0..=u16::MAX).step_by(2500) {
+        while fleet.call(host, "books", key, false).await.status != 200 {
+            if began.elapsed() > SERVED_WITHIN {
+                return None;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    Some(began.elapsed())
+}
+
+/// Checks that all keys are served and that no rule of ownership was broken.
+async fn assert_sound(fleet: &Fleet, host: usize) {
+    let served = until_served(fleet, host).await;
+    let overlaps = fleet.overlaps();
+    println!(
+        "{} violations, {} overlaps, the longest {:?}; served after {served:?}; {:?}",
+        fleet.violations().len(),
+        overlaps.len(),
+        overlaps.iter().max().copied().unwrap_or_default(),
+        fleet.statuses(),
+    );
+    assert_no_violations(fleet);
+    assert!(served.is_some(), "some keys are not served within {SERVED_WITHIN:?}");
+}
+
+async fn run(cause: Cause, store: Store) {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    tokio::time::sleep(COPY_TIME).await;
+    fleet.store.copy();
+    move_keys(&mut fleet, cause).await;
+    match store {
+        Store::Loses => fleet.drill(AWAY).await,
+        Store::Keeps => {
+            fleet.store.set_down(true);
+            tokio::time::sleep(AWAY).await;
+            fleet.store.set_down(false);
+        }
+    }
+    if cause == Cause::Pauses {
+        pause_node(&mut fleet, 1).await;
+    }
+    tokio::time::sleep(CALM).await;
+    for host in [2, 3] {
+        fleet.replace_node(host);
+        fleet.until_replaced().await;
+    }
+    fleet.pause(CALM).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_sound(&fleet, 2).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_the_store_loses_drains() {
+    run(Cause::Drains, Store::Loses).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_the_store_loses_a_drain_and_a_restart() {
+    run(Cause::NextServer, Store::Loses).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_the_store_loses_two_restarts() {
+    run(Cause::TwoNextServers, Store::Loses).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_the_store_loses_a_takeover() {
+    run(Cause::Pauses, Store::Loses).await;
+}
+
+/// The same without a loss, to tell what the loss causes from what the outage does.
+#[rstest]
+#[case::drains(Cause::Drains)]
+#[case::next_server(Cause::NextServer)]
+#[case::two_next_servers(Cause::TwoNextServers)]
+#[case::pauses(Cause::Pauses)]
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_the_store_was_away(#[case] cause: Cause) {
+    run(cause, Store::Keeps).await;
+}
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, JoinHandle};
 
-use super::history::{Conflict, History, Moment, Records, conflicts};
+use super::history::{Conflict, HeldRange, History, Moment, Records, conflicts};
 use super::server::{self, GRANTED_REPORT_INTERVAL, REPORT_INTERVAL, Server, ServerConfig, Stop};
 use super::server_process::ServerProcess;
 use super::store::Store;
@@ -450,6 +450,15 @@
         server::send_report(node, &host.server_config, id).await;
     }
 
+    /// Takes the store away for some time, after which it has only what it had at its last copy and
+    /// what the operators wrote since.
+    pub async fn drill(&self, away: Duration) {
+        self.store.set_down(true);
+        tokio::time::sleep(away).await;
+        self.store.restore_copy();
+        self.store.set_down(false);
+    }
+
     /// Sets the faults of the link between a host and the store.
     pub fn set_faults(&self, host: usize, faults: Faults) {
         let link = self.hosts[host].ip.to_string();
@@ -591,6 +600,13 @@
         violations
     }
 
+    /// For how long two servers held the same keys, for each two ranges.
+    pub fn overlaps(&self) -> Vec<Duration> {
+        let all = self.all_records();
+        let held: Vec<_> = all.iter().flat_map(|records| &records.held).collect();
+        range_pairs(&held).filter_map(|(a, b)| a.overlap(b)).collect()
+    }
+
     /// Keys held by two servers, or granted under too low a token, owed to grants that a server
     /// process read late or that a node sent right after it was resumed.
     pub fn excused(&self) -> Vec<String> {
@@ -639,11 +655,16 @@
 
 fn ownership_conflicts(all: &[Records]) -> Vec<Conflict> {
     let held: Vec<_> = all.iter().flat_map(|records| &records.held).collect();
-    let pairs = held
-        .iter()
-        .enumerate()
-        .flat_map(|(i, a)| held[i + 1..].iter().filter(|b| b.life != a.life).map(move |b| (a, b)));
-    pairs.flat_map(|(a, b)| conflicts(a, b)).collect()
+    range_pairs(&held).flat_map(|(a, b)| conflicts(a, b)).collect()
+}
+
+/// All pairs of ranges of different servers.
+fn range_pairs<'a>(
+    held: &'a [&'a HeldRange],
+) -> impl Iterator<Item = (&'a HeldRange, &'a HeldRange)> {
+    held.iter().enumerate().flat_map(move |(i, a)| {
+        held[i + 1..].iter().filter(|b| b.life != a.life).map(move |b| (*a, *b))
+    })
 }
 
 /// Path of the node program: the build of this workspace, or `KELPWIND_TEST_PROGRAM`.
--- a/tests/platform/history.rs
+++ b/tests/platform/history.rs
@@ -173,6 +173,13 @@
         self.strict_to = self.strict_to.min(at);
     }
 
+    /// For how long both ranges were held, if they share keys.
+    pub fn overlap(&self, other: &HeldRange) -> Option<Duration> {
+        let shared = self.keys.0 <= other.keys.1 && other.keys.0 <= self.keys.1;
+        let (began, ended) = (self.from.max(other.from), self.to.min(other.to));
+        (shared && began < ended).then(|| ended.since(began))
+    }
+
     /// When the first grant arrived at the earliest.
     fn arrival(&self) -> Moment {
         self.from.before(self.delay)
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http::HeaderValue;
 use http_body_util::Full;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -18,10 +19,35 @@
 /// Key and value of a record; an empty value deletes the key.
 pub type Record = (String, Bytes);
 
+/// Topic of the operators, who write lost records again.
+const OPERATORS_TOPIC: &str = "keyed.op";
+
+/// What the answers' header `Store-Era` says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum EraHeader {
+    /// How often the store came back from a copy, counted from 1.
+    #[default]
+    Number,
+    /// The answers have no such header.
+    Absent,
+    /// This value.
+    Raw(&'static str),
+}
+
+type Topics = BTreeMap<String, Vec<Record>>;
+
 /// A store that keeps all records in memory.
 #[derive(Default)]
 pub struct Store {
-    topics: Mutex<BTreeMap<String, Vec<Record>>>,
+    topics: Mutex<Topics>,
+    copied: Mutex<Topics>,
+    /// Number of times that a copy was restored.
+    restores: AtomicU64,
+    era_header: Mutex<EraHeader>,
+    /// Time from a restore until the operators have written their records again.
+    rewrite_delay: Mutex<Duration>,
+    /// Whether reads go on waiting while the store is down.
+    park_reads: AtomicBool,
     /// Notified when records are appended or the store goes down or up.
     changed: Notify,
     down: AtomicBool,
@@ -44,7 +70,7 @@
 
     /// Publishes a record to the operators' topic.
     pub fn publish(&self, key: &str, value: &str) {
-        self.append_one("keyed.op", key, Bytes::copy_from_slice(value.as_bytes()));
+        self.append_one(OPERATORS_TOPIC, key, Bytes::copy_from_slice(value.as_bytes()));
     }
 
     /// The newest records whose keys contain `part`, with their topics.
@@ -101,6 +127,54 @@
         self.drop_replies.store(drop_replies, Ordering::Relaxed);
     }
 
+    /// Remembers all records.
+    pub fn copy(&self) {
+        *self.copied.lock() = self.topics.lock().clone();
+    }
+
+    /// Puts the last copy in place of all records. The operators write theirs again.
+    pub fn restore_copy(self: &Arc<Self>) {
+        let copied = self.copied.lock().clone();
+        let known = copied.get(OPERATORS_TOPIC).map_or(0, Vec::len);
+        let former = {
+            let mut topics = self.topics.lock();
+            self.restores.fetch_add(1, Ordering::Relaxed);
+            std::mem::replace(&mut *topics, copied)
+        };
+        let lost = former.get(OPERATORS_TOPIC).and_then(|records| records.get(known..));
+        let lost = lost.unwrap_or_default().to_vec();
+        let delay = *self.rewrite_delay.lock();
+        if delay.is_zero() {
+            self.rewrite(lost);
+        } else {
+            let store = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                store.rewrite(lost);
+            });
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn rewrite(&self, lost: Vec<Record>) {
+        lost.into_iter().for_each(|(key, value)| self.append_one(OPERATORS_TOPIC, &key, value));
+    }
+
+    /// Sets the time from a restore until the operators have written their records again.
+    pub fn set_rewrite_delay(&self, delay: Duration) {
+        *self.rewrite_delay.lock() = delay;
+    }
+
+    /// Sets what the header `Store-Era` says.
+    pub fn set_era_header(&self, header: EraHeader) {
+        *self.era_header.lock() = header;
+    }
+
+    /// Sets whether reads go on waiting while the store is down.
+    pub fn set_park_reads(&self, park_reads: bool) {
+        self.park_reads.store(park_reads, Ordering::Relaxed);
+    }
+
     fn append_one(&self, topic: &str, key: &str, value: Bytes) {
         let mut topics = self.topics.lock();
         topics.entry(topic.to_owned()).or_default().push((key.to_owned(), value));
@@ -113,6 +187,17 @@
     }
 
     async fn answer(&self, request: FullRequest) -> Reply {
+        let mut reply = self.answer_without_era(request).await;
+        let era = match &*self.era_header.lock() {
+            EraHeader::Number => HeaderValue::from(1 + self.restores.load(Ordering::Relaxed)),
+            EraHeader::Absent => return reply,
+            EraHeader::Raw(value) => HeaderValue::from_static(value),
+        };
+        reply.headers_mut().insert("store-era", era);
+        reply
+    }
+
+    async fn answer_without_era(&self, request: FullRequest) -> Reply {
         if self.down.load(Ordering::Relaxed) {
             return reply(503);
         }
@@ -149,7 +234,12 @@
             |name| query_param(request, name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
         let (from, wait) = (number("from") as usize, Duration::from_millis(number("wait-ms")));
         let until = tokio::time::Instant::now() + wait;
-        while self.end(topic) <= from && !self.down.load(Ordering::Relaxed) {
+        if from > self.end(topic) {
+            return gone();
+        }
+        let waits =
+            || self.park_reads.load(Ordering::Relaxed) || !self.down.load(Ordering::Relaxed);
+        while self.end(topic) <= from && waits() {
             let changed = self.changed.notified();
             if self.end(topic) > from || tokio::time::timeout_at(until, changed).await.is_err() {
                 break;
@@ -157,6 +247,9 @@
         }
         let topics = self.topics.lock();
         let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+        if from > records.len() {
+            return gone();
+        }
         let mut body = BytesMut::new();
         body.put_u64(records.len() as u64);
         body.put_u64(0);
@@ -198,3 +291,10 @@
         Reply::new(Full::new(Bytes::from(body)))
     }
 }
+
+/// The answer to a read from an offset that the store does not have.
+fn gone() -> Reply {
+    let mut reply = reply(410);
+    *reply.body_mut() = Full::new(Bytes::from(r#"{"first-offset":0}"#));
+    reply
+}
