Carry ownership into a new era when the store comes back from an older copy

What callers saw: two backend servers held the same keys, and keys were granted under tokens below those that other servers had.

Cause: an acknowledged record was taken for lasting, and an offset for unique. When the store came back from a copy some seconds old, nodes that read the restored table took back keys that they had given away, others kept what the lost records had given them, and the next token was computed from the restored records. Conditional writes of both succeeded, since they agreed on offsets.

Change: record keys begin with the era, so the table of an era consists of records of which none was lost, and a write by a node that does not know of the era changes nothing. Each era begins empty; owners with a valid lease claim their keys with their tokens, and one node of each service writes the keys from the claims. Until then the former table stays in force, so valid leases go on. Keys that nobody claims are assigned once every lease under the former table has certainly ended. Tokens of an era are above all of the former ones whatever was lost. Positions in the table carry their era wherever they are compared or sent.

Orders are read as a whole again; a configuration does not go back, and a drain that is missing counts as lifted only 5 s later, when operators have written again.

Without the header nothing changes: record keys and tokens are as before.

--- a/src/kelpwind/core/ids.rs
+++ b/src/kelpwind/core/ids.rs
@@ -145,6 +145,10 @@
     };
 }
 
+/// Number of tokens of one era. Leaves room for two million eras among the integers that JSON numbers
+/// hold exactly.
+const TOKENS_PER_ERA: u64 = 1 << 32;
+
 number_type! {
     /// Position of a record in the log.
     Offset, u64
@@ -177,6 +181,33 @@
     Count, u32
 }
 
+impl Era {
+    /// Tokens that are assigned in this era are above this one, and so above those of all former eras:
+    /// records of tokens that servers have seen may be lost between two eras.
+    pub fn token_floor(self) -> Token {
+        Token(self.0.saturating_mul(TOKENS_PER_ERA))
+    }
+}
+
+/// Position in the log. Offsets are given out again in each era of the store, so a position of a later
+/// era is later whatever its offset.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    /// The era; `None` if the store states none.
+    pub era: Option<Era>,
+    /// The offset within the era.
+    pub offset: Offset,
+}
+
+impl Position {
+    /// Position of the record that follows.
+    pub fn next(self) -> Position {
+        Position { offset: self.offset.next(), ..self }
+    }
+}
+
 impl Offset {
     /// Offset of the record that follows.
     pub fn next(self) -> Offset {
--- a/src/kelpwind/mesh/commit.rs
+++ b/src/kelpwind/mesh/commit.rs
@@ -8,7 +8,7 @@
 use super::datagram::TableUpdate;
 use super::node::Node;
 use super::platform_api::StoreError;
-use crate::core::ids::Offset;
+use crate::core::ids::Position;
 use crate::table::{Table, WriteBatch};
 
 /// Longest wait, after a conflict, for the record that was appended first.
@@ -28,6 +28,22 @@
 /// followed up beyond them, until it is known whether the record was appended.
 const ATTEMPTS_MAX: u32 = 30;
 
+/// Counts a conditional write as one whose outcome is not known until dropped.
+struct UncertainWrite<'a>(&'a Node);
+
+impl<'a> UncertainWrite<'a> {
+    fn begin(node: &'a Node) -> UncertainWrite<'a> {
+        node.uncertain_writes.set(node.uncertain_writes.get() + 1);
+        UncertainWrite(node)
+    }
+}
+
+impl Drop for UncertainWrite<'_> {
+    fn drop(&mut self) {
+        self.0.uncertain_writes.set(self.0.uncertain_writes.get() - 1);
+    }
+}
+
 impl Node {
     /// Appends the records that `decide` computes from the table, and computes them again whenever
     /// the table has changed. Returns what was written, after it was applied to the table; `None`
@@ -35,20 +51,22 @@
     ///
     /// An append without an answer may still be carried out later, but only while the log ends at
     /// the offset it names. Any record after that offset, also a second attempt of this one, makes
-    /// it void. So nothing that this function sent can be carried out after it returns.
+    /// it void. So nothing that this function sent can be carried out after it returns. What was sent
+    /// in a former era of the store changes nothing in the present one.
     pub async fn commit(
         &self,
         what: &str,
         decide: impl Fn(&Node, &Table) -> Option<WriteBatch>,
     ) -> Option<TableUpdate> {
         let mut failures = 0;
-        let mut unsure: Option<Offset> = None;
+        let mut unsure: Option<(Position, UncertainWrite<'_>)> = None;
         while failures < ATTEMPTS_MAX || unsure.is_some() {
+            self.wait_for_present_era().await;
             let (batch, at) = {
                 let table = self.table.borrow();
-                (decide(self, &table), table.next)
+                (decide(self, &table), table.position())
             };
-            let settled = unsure.is_none_or(|before| at > before);
+            let settled = unsure.as_ref().is_none_or(|(before, _)| at > *before);
             let Some(batch) = batch else {
                 // Nothing is left to write. After an append without an answer, the reason may be
                 // that it was carried out.
@@ -57,8 +75,11 @@
             if settled {
                 unsure = None;
             }
-            match (self.platform.store.append)(batch.clone(), Some(at)).await {
+            let batch = batch.of_era(at.era);
+            let uncertain = UncertainWrite::begin(self);
+            match (self.platform.store.append)(batch.clone(), Some(at.offset)).await {
                 Ok(next) => {
+                    let next = Position { offset: next, ..at };
                     let update = TableUpdate { next, batch };
                     self.apply_table_update(&update);
                     return Some(update);
@@ -74,8 +95,11 @@
                     let why = e.to_string();
                     spdlog::warn!("failed to append a record to the table", kv: { what, why = why.as_str(), failures });
                     self.request_table_read();
-                    if matches!(e, StoreError::Unknown(_) | StoreError::Malformed(_)) {
-                        unsure = Some(at);
+                    if matches!(
+                        e,
+                        StoreError::Unknown(_) | StoreError::Malformed(_) | StoreError::Restored
+                    ) {
+                        unsure = Some((at, uncertain));
                     }
                     let pause = (RETRY_PAUSE * (failures + 1)).min(RETRY_PAUSE_MAX);
                     sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
@@ -88,9 +112,9 @@
     }
 
     /// Waits until the table contains all records before an offset.
-    async fn wait_for_table(&self, offset: Offset) {
-        let mut table_offset = self.table_offset.subscribe();
+    async fn wait_for_table(&self, position: Position) {
+        let mut known = self.table_position.subscribe();
         // `wait_for` fails only if the sender is dropped, and `self` owns the sender.
-        drop(table_offset.wait_for(|next| next.is_some_and(|next| next >= offset)).await);
+        drop(known.wait_for(|next| next.is_some_and(|next| next >= position)).await);
     }
 }
--- a/src/kelpwind/mesh/datagram.rs
+++ b/src/kelpwind/mesh/datagram.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::ids::Offset;
+use crate::core::ids::{Era, Position};
 use crate::lease::message::Message;
 use crate::table::WriteBatch;
 
@@ -10,8 +10,8 @@
 /// the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TableUpdate {
-    /// Offset of the table after the records.
-    pub next: Offset,
+    /// Position of the table after the records.
+    pub next: Position,
     /// The records, which end before `next`; empty when they are too large for a datagram.
     pub batch: WriteBatch,
 }
@@ -25,8 +25,8 @@
     TableUpdate(TableUpdate),
     /// Operators have published orders.
     OrdersPublished {
-        /// Offset of the orders topic after them.
-        next: Offset,
+        /// Position of the orders topic after them.
+        next: Position,
     },
     /// An overloaded owner of keys asks another for its load.
     LoadQuery {
@@ -46,4 +46,6 @@
         /// Requests that the backend server runs at once.
         slots: u32,
     },
+    /// The store has come back from an older copy and is in this era.
+    StoreRestored(Era),
 }
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -253,7 +253,7 @@
         if let Some(hinted) = state.owner_hint.as_ref().and_then(|h| self.hinted_gate(h)) {
             return Ok(hinted);
         }
-        let mut offset = self.table_offset.subscribe();
+        let mut offset = self.table_position.subscribe();
         loop {
             if let Some(owner) = self.owner_gate(&state.service, key) {
                 return Ok(owner);
@@ -267,7 +267,7 @@
     }
 
     async fn send_to_gate(self: &Rc<Self>, chosen: &GateAddr, state: &RequestState) -> Outcome {
-        let request = state.gate_request(self.table.borrow().next);
+        let request = state.gate_request(self.table.borrow().position());
         let gate = &chosen.node;
         let (outcome, service_ms) = if *gate == self.holder.borrow().node {
             let _counted = LocalRequest::start(self);
@@ -289,7 +289,7 @@
     /// node may be outdated.
     async fn wait_for_table_change(&self) {
         const PAUSE: Duration = Duration::from_millis(40);
-        let mut offset = self.table_offset.subscribe();
+        let mut offset = self.table_position.subscribe();
         // A timeout is no error: the table has not changed.
         let _ = timeout(PAUSE, offset.changed()).await;
     }
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -14,7 +14,7 @@
 
 use super::platform_api::{Answer, Request};
 use crate::core::codes::Code;
-use crate::core::ids::{NodeId, Offset, ServiceName};
+use crate::core::ids::{NodeId, Position, ServiceName};
 
 /// Largest frame: the largest body that callers may send, and room for the rest of the request.
 pub(crate) const FRAME_BYTES_MAX: usize = 65 << 20;
@@ -82,8 +82,8 @@
     pub objective_ms: u32,
     /// Milliseconds until the deadline, after which the caller has no use for an answer.
     pub remaining_ms: u32,
-    /// Offset up to which the entry has read the table.
-    pub table_offset: Offset,
+    /// How far the entry has read the table.
+    pub table_position: Position,
 }
 
 /// The outcome of a request.
@@ -128,8 +128,8 @@
 pub(crate) struct OwnerHint {
     /// The owner's node.
     pub node: NodeId,
-    /// Offset up to which the gate has read the table.
-    pub table_offset: Offset,
+    /// How far the gate has read the table.
+    pub table_position: Position,
 }
 
 /// The load of a gate, sent with each reply.
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -17,7 +17,7 @@
 use super::node::Node;
 use super::platform_api::SendOutcome;
 use crate::core::codes::Code;
-use crate::core::ids::{Offset, ServiceName};
+use crate::core::ids::{Position, ServiceName};
 use crate::gate::queue::{AdmitDecision, QueueEvent, SlotRequest, Ticket};
 
 /// Time for which a server that shuts down, or whose failure domain is drained, still takes
@@ -134,7 +134,7 @@
                 self.demand.borrow_mut().record(key, now);
             }
             let until = now + move_wait(deadline.saturating_duration_since(now));
-            self.wait_for_key(key, until, request.table_offset).await?;
+            self.wait_for_key(key, until, request.table_position).await?;
         }
         let slot_request = SlotRequest {
             class: request.class.clone(),
@@ -214,13 +214,13 @@
     }
 
     /// Waits until the server holds a key that this node owns, `until` at the latest. Also waits for
-    /// the end of a move, after which the next owner is known. `entry_offset` is how far the entry
+    /// the end of a move, after which the next owner is known. `entry_position` is how far the entry
     /// has read the table.
     async fn wait_for_key(
         &self,
         key: u16,
         until: Instant,
-        entry_offset: Offset,
+        entry_position: Position,
     ) -> Result<(), Outcome> {
         let mut changes = self.held_changed.subscribe();
         loop {
@@ -238,7 +238,7 @@
                 }
                 let retry_after_ms = KEY_RETRY_AFTER.as_millis() as u32;
                 // The entry may have read more of the table than this node, or less.
-                if entry_offset > self.table.borrow().next {
+                if entry_position > self.table.borrow().position() {
                     self.request_table_read_throttled();
                 }
                 let owner = self.other_owner(key);
@@ -257,8 +257,8 @@
         let service = self.service();
         let chosen = self.owner_gate(&service, key)?;
         let node = chosen.node;
-        let table_offset = self.table.borrow().next;
-        (node != self.name()).then_some(OwnerHint { node, table_offset })
+        let table_position = self.table.borrow().position();
+        (node != self.name()).then_some(OwnerHint { node, table_position })
     }
 
     /// Waits in the queue for a slot of the server.
--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -34,7 +34,7 @@
 /// Renews grants and starts due moves for as long as the process runs.
 pub(crate) async fn maintain_grants(node: Rc<Node>) {
     loop {
-        let idle = !node.is_keyed() || node.table_offset.borrow().is_none();
+        let idle = !node.is_keyed() || node.table_position.borrow().is_none();
         if idle {
             node.grants_wake.notified().await;
             continue;
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -257,6 +257,11 @@
         refused
     }
 
+    /// Spans that are being moved.
+    pub fn moving(&self) -> &[Span] {
+        &self.moving
+    }
+
     /// Whether keys are being moved.
     pub fn is_moving(&self) -> bool {
         !self.moving.is_empty()
--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -232,7 +232,7 @@
 /// Handles a readiness check. The node is ready when it has a configuration and the table, and is
 /// not stopping.
 pub(crate) async fn check_ready(node: Rc<Node>, _request: Request<Incoming>) -> Reply {
-    let known = node.routes().is_some() && node.table_offset.borrow().is_some();
+    let known = node.routes().is_some() && node.table_position.borrow().is_some();
     let mut reply = Response::new(Full::default());
     if !known || node.is_stopping() {
         *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/src/kelpwind/mesh/lease.rs
+++ b/src/kelpwind/mesh/lease.rs
@@ -35,6 +35,9 @@
     let mut timer = every(RENEW_INTERVAL);
     loop {
         timer.tick().await;
+        if !node.trusts_table() {
+            continue;
+        }
         let next = node.table.borrow().next;
         let renewals = match node.lease.borrow_mut().as_mut() {
             Some(lease) if !lease.set().is_empty() => lease.renew(next, clock::now()),
@@ -167,7 +170,7 @@
                 // A holder whose keys were taken over is answered as well, since it learns of that
                 // from the refusal.
                 let known = member || state.has_promised(holder);
-                let known = known && !state.has_rejected(holder);
+                let known = known && !state.has_rejected(holder) && self.trusts_table();
                 (witness == mine && known).then(|| state.handle_renewal(holder, seq, read, now))
             }
             Message::Ack { holder, witness, seq, next: _ } if holder == mine => {
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -12,6 +12,7 @@
 //! * [`store_watch`] and [`orders_reader`] read the store, [`store_era`] checks the era of its
 //!   answers, [`orders`] applies what operators publish, [`table_updates`] passes table changes
 //!   between nodes to save reads, and [`commit`] writes to the table.
+//! * [`restoration`]: how ownership passes into a new era of the store.
 //! * [`reports`] and [`reattach`]: the backend server's reports and the node's own record.
 //! * [`lease`], [`takeover`], [`grants`], [`plan`], [`balance`], [`moves`] and [`held_ranges`]:
 //!   which node owns which keys, and until when.
@@ -49,6 +50,7 @@
 pub(crate) mod report_grants;
 pub(crate) mod reports;
 pub(crate) mod request_state;
+pub(crate) mod restoration;
 pub(crate) mod selection;
 pub(crate) mod send_queue;
 pub(crate) mod serve;
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -40,7 +40,7 @@
     /// Starts the moves that are due: all keys when this node or its server leaves, or its failure
     /// domain is drained; some keys when another target has none.
     pub fn start_due_moves(self: &Rc<Self>) {
-        if self.is_changing_keys() || self.table_offset.borrow().is_none() {
+        if self.is_changing_keys() || self.table_position.borrow().is_none() {
             return;
         }
         let moves = self.due_moves();
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -20,9 +20,10 @@
 use super::orders::OrdersProgress;
 use super::platform_api::{NodeSettings, Platform, ServerReport};
 use super::report_exchanges::{ConnectionId, ReportExchanges};
+use super::restoration::Restoration;
 use super::serve::Sessions;
 use super::store_era::StoreEra;
-use crate::core::ids::{DomainName, Holder, Incarnation, NodeId, Offset, ServiceName};
+use crate::core::ids::{DomainName, Era, Holder, Incarnation, NodeId, Position, ServiceName};
 use crate::core::routes::Routes;
 use crate::gate::grant_time::TransitTimes;
 use crate::gate::queue::RequestQueue;
@@ -85,12 +86,22 @@
     pub drained_domains: RefCell<HashMap<DomainName, Instant>>,
     /// The table as far as this node has read it.
     pub table: RefCell<Table>,
-    /// Offset up to which the table has been read; `None` until the first full read.
-    pub table_offset: watch::Sender<Option<Offset>>,
+    /// How far the table has been read; `None` until the first full read.
+    pub table_position: watch::Sender<Option<Position>>,
+    /// The table of the present era, until it replaces that of the former one.
+    pub restoration: RefCell<Option<Restoration>>,
+    /// When the last restoration began whose table is in force.
+    pub restored_at: Cell<Option<Instant>>,
+    /// A later era that another node has told of, and when.
+    pub announced_era: Cell<Option<(Era, Instant)>>,
+    /// Number of conditional writes whose outcome is not known.
+    pub uncertain_writes: Cell<u32>,
     /// How far the operators' topic has been read.
     pub orders: watch::Sender<OrdersProgress>,
     /// The era of the store.
     pub store_era: StoreEra,
+    /// When the orders are read as a whole again after the store was restored.
+    pub recheck_at: Cell<Option<Instant>>,
     /// Triggers a read of the operators' topic that does not wait.
     pub orders_check: Notify,
     /// When such a read was last requested.
--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -24,6 +24,10 @@
 /// time within which an accepted configuration must be in force everywhere.
 const CONFIRMED_FOR: Duration = Duration::from_secs(2);
 
+/// Time in which operators write again what the store has lost. Until then a failure domain stays
+/// drained although the order is not in the store.
+const OPERATOR_TIME: Duration = Duration::from_secs(5);
+
 /// How far the orders have been read.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct OrdersProgress {
@@ -139,6 +143,29 @@
         }
     }
 
+    /// Forgets how far the orders were read: after the store was restored their offsets differ. What
+    /// was read stays in force.
+    pub fn forget_orders_progress(&self) {
+        self.orders.send_modify(|orders| {
+            *orders = OrdersProgress { skipped: orders.skipped, ..OrdersProgress::default() };
+        });
+        self.recheck_at.set(Some(Instant::now() + OPERATOR_TIME));
+    }
+
+    /// Whether operators may not yet have written again what the store has lost.
+    pub fn awaits_operators(&self) -> bool {
+        self.recheck_at.get().is_some()
+    }
+
+    /// Whether the orders are to be read as a whole because operators have written them again by now.
+    pub fn is_recheck_due(&self) -> bool {
+        let due = self.recheck_at.get().is_some_and(|at| at <= Instant::now());
+        if due {
+            self.recheck_at.set(None);
+        }
+        due
+    }
+
     /// Applies an order.
     pub fn apply_order(self: &Rc<Self>, order: OperatorOrder) {
         match order {
--- a/src/kelpwind/mesh/plan.rs
+++ b/src/kelpwind/mesh/plan.rs
@@ -39,7 +39,7 @@
     loop {
         sleep(CHECK_INTERVAL).await;
         node.update_departed_owners();
-        if !node.is_keyed() || node.is_stopping() || node.table_offset.borrow().is_none() {
+        if !node.is_keyed() || node.is_stopping() || node.table_position.borrow().is_none() {
             continue;
         }
         let first = node.settings.borrow().bootstrap;
@@ -66,8 +66,11 @@
     fn should_assign_unowned(&self) -> bool {
         let service = self.service();
         let table = self.table.borrow();
-        let unowned = |k: &KeyMap| k.ranges.iter().any(|r| self.is_unowned(r));
-        let due = table.keys.get(&service).is_none_or(unowned);
+        let unowned = |k: &KeyMap| {
+            k.ranges.iter().any(|r| self.is_unowned(k, r))
+                || !table.claims.is_empty() && table.apply_claims(&service, &mut k.clone())
+        };
+        let due = table.keys.get(&service).map_or(self.may_assign_unclaimed(), unowned);
         let recipients = if due { self.recipients(&table, &service, None) } else { Vec::new() };
         recipients.first().is_some_and(|r| r.owner.holder == self.holder())
     }
@@ -88,8 +91,10 @@
 
     /// Whether a range has no owner, or one that departed so long ago that it neither holds the
     /// keys nor will reclaim them.
-    fn is_unowned(&self, range: &Range) -> bool {
-        let Some(owner) = &range.owner else { return true };
+    fn is_unowned(&self, keys: &KeyMap, range: &Range) -> bool {
+        let Some(owner) = &range.owner else {
+            return !keys.is_unclaimed(range) || self.may_assign_unclaimed();
+        };
         let table = self.table.borrow();
         if !table.has_departed(&owner.holder) {
             return false;
@@ -112,11 +117,13 @@
         let Some(keys) = table.keys.get(&service) else {
             let shares: Vec<(Owner, f64)> =
                 recipients.iter().map(|r| (r.owner.clone(), r.capacity)).collect();
-            return Some(WriteBatch::put_keys(table, &service, &KeyMap::divide(&shares)));
+            let keys = KeyMap::divide(&shares).above(table.token_floor());
+            return Some(WriteBatch::put_keys(table, &service, &keys));
         };
         let mut keys = keys.clone();
+        let claimed = table.apply_claims(&service, &mut keys);
         let unowned: Vec<Span> =
-            keys.ranges.iter().filter(|r| self.is_unowned(r)).map(|r| r.span).collect();
+            keys.ranges.iter().filter(|r| self.is_unowned(&keys, r)).map(|r| r.span).collect();
         let former_owners: Vec<Option<Holder>> = std::iter::once(None)
             .chain(self.departed_owners.borrow().keys().cloned().map(Some))
             .collect();
@@ -125,7 +132,7 @@
                 keys.transfer(span, holder.as_ref(), Some(to.clone()), None);
             }
         }
-        (!unowned.is_empty()).then(|| WriteBatch::put_keys(table, &service, &keys))
+        (claimed || !unowned.is_empty()).then(|| WriteBatch::put_keys(table, &service, &keys))
     }
 
     /// Moves of this node's keys that are due: all keys when they must leave, otherwise a share for
--- a/src/kelpwind/mesh/reattach.rs
+++ b/src/kelpwind/mesh/reattach.rs
@@ -22,7 +22,7 @@
 
 /// Attaches the former run's server if it still answers under its name.
 pub(crate) async fn reattach(node: &Rc<Node>) {
-    let mut table_offset = node.table_offset.subscribe();
+    let mut table_offset = node.table_position.subscribe();
     // `wait_for` fails only if the sender is dropped, and `node` owns the sender.
     drop(table_offset.wait_for(|offset| offset.is_some()).await);
     let former = {
--- a/src/kelpwind/mesh/report_grants.rs
+++ b/src/kelpwind/mesh/report_grants.rs
@@ -199,7 +199,7 @@
         conn: ConnectionId,
     ) -> Option<KeyAssignment> {
         let ends = self.grants_end(clock::now())?;
-        if self.has_former_keys() || self.table_offset.borrow().is_none() {
+        if self.has_former_keys() || self.table_position.borrow().is_none() {
             return None;
         }
         let longest = self.settings.borrow().bounds.max_grant;
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -15,6 +15,7 @@
 use super::platform_api::{KeyAssignment, ServerMessage, ServerReport};
 use super::reattach;
 use super::report_exchanges::ConnectionId;
+use crate::core::ids::Position;
 use crate::core::routes::{GrantMode, Route};
 use crate::gate::grant_time;
 use crate::table::WriteBatch;
@@ -331,7 +332,7 @@
     let _ = timeout(CONFIG_WAIT, configured.wait_for(|known| *known)).await;
     loop {
         sleep(COALESCE_PAUSE).await;
-        if node.table_offset.borrow().is_none() {
+        if node.table_position.borrow().is_none() {
             node.announce_wake.notified().await;
             continue;
         }
@@ -340,21 +341,29 @@
             let _ = timeout(pause, node.announce_wake.notified()).await;
             continue;
         }
+        sleep(node.rewrite_pause()).await;
         node.outrank_former_runs();
         let record = node.member_record();
         let name = node.name();
-        let known = {
-            let table = node.table.borrow();
-            table.members.get(&name) == Some(&record) && !table.is_outdated(&name)
-        };
+        let claim = node.own_claim();
+        let known = node.with_followed_table(|table| {
+            let claimed = claim.is_none() || table.claims.get(&name) == claim.as_ref();
+            table.members.get(&name) == Some(&record) && !table.is_outdated(&name) && claimed
+        });
         if known {
             node.announce_wake.notified().await;
             continue;
         }
         let concerns_all = node.concerns_all(&record);
-        let batch = WriteBatch::put_member(&record);
+        let era = node.followed_position().0.era;
+        let mut batch = WriteBatch::put_member(&record);
+        if let Some(claim) = &claim {
+            batch = batch.merge(WriteBatch::put_claim(claim));
+        }
+        let batch = batch.of_era(era);
         match (node.platform.store.append)(batch.clone(), None).await {
             Ok(next) => {
+                let next = Position { era, offset: next };
                 let update = TableUpdate { next, batch };
                 let known = node.apply_table_update(&update);
                 if node.is_keyed() && !known {
@@ -367,7 +376,12 @@
                     let witnesses = record.witnesses.iter().map(|p| p.holder.node.clone());
                     node.send_table_update(witnesses, &update).await;
                 }
-                let mut offset = node.table_offset.subscribe();
+                if node.is_restoring() {
+                    // A timeout means that the record was not read back; it is written again then.
+                    let _ = timeout(ECHO_TIMEOUT, node.announce_wake.notified()).await;
+                    continue;
+                }
+                let mut offset = node.table_position.subscribe();
                 let echo = offset.wait_for(|offset| offset.is_some_and(|offset| offset >= next));
                 if timeout(ECHO_TIMEOUT, echo).await.is_err() {
                     spdlog::warn!("the node's record cannot be read back from the store yet");
--- a/src/kelpwind/mesh/request_state.rs
+++ b/src/kelpwind/mesh/request_state.rs
@@ -6,7 +6,7 @@
 use super::frame::{GateRequest, Outcome, OwnerHint};
 use super::platform_api::{Answer, Request};
 use crate::core::codes::Code;
-use crate::core::ids::{NodeId, Offset, ServiceName};
+use crate::core::ids::{NodeId, Position, ServiceName};
 use crate::core::routes::Route;
 use crate::route::budget::Budget;
 use crate::route::retry_after;
@@ -57,7 +57,7 @@
     }
 
     /// The request as it is sent to a gate; the link assigns its number.
-    pub fn gate_request(&self, table_offset: Offset) -> GateRequest {
+    pub fn gate_request(&self, table_position: Position) -> GateRequest {
         let now = Instant::now();
         GateRequest {
             number: 0,
@@ -68,7 +68,7 @@
             priority: self.route.priority,
             objective_ms: self.objective.saturating_duration_since(now).as_millis() as u32,
             remaining_ms: self.deadline.saturating_duration_since(now).as_millis() as u32,
-            table_offset,
+            table_position,
         }
     }
 
@@ -101,7 +101,9 @@
             Outcome::NotRun { code, retry_after_ms, reached_server, owner } => {
                 // Following a hint that is older than the last one could form a loop between gates.
                 let newer = |h: &OwnerHint| {
-                    self.owner_hint.as_ref().is_none_or(|last| h.table_offset > last.table_offset)
+                    self.owner_hint
+                        .as_ref()
+                        .is_none_or(|last| h.table_position > last.table_position)
                 };
                 self.owner_hint = owner.filter(newer);
                 let retry_after = Duration::from_millis(retry_after_ms.into());
--- a/src/kelpwind/mesh/store_era.rs
+++ b/src/kelpwind/mesh/store_era.rs
@@ -27,6 +27,13 @@
         *self.known.borrow()
     }
 
+    /// Returns once an era other than `since` is known.
+    pub async fn changed_from(&self, since: Option<Era>) {
+        let mut known = self.known.subscribe();
+        // `wait_for` fails only if the sender is dropped, and `self` owns the sender.
+        drop(known.wait_for(|era| *era != since).await);
+    }
+
     /// Records the era that an answer states. Returns whether it is a later one than was known.
     ///
     /// # Errors
@@ -72,6 +79,7 @@
             }
         };
         let known = self.store_era.known();
+        self.check_announced_era();
         if restored {
             self.metrics.restorations.inc();
             let era = known.map_or(0, |era| era.0);
--- a/src/kelpwind/mesh/store_watch.rs
+++ b/src/kelpwind/mesh/store_watch.rs
@@ -37,7 +37,21 @@
     let mut failures = 0_u32;
     let (mut draw, mut drawn_at) = (fastrand::f64(), Instant::now());
     let mut orders = OrdersReader::default();
+    let mut era = node.store_era.known();
     loop {
+        if topic == Topic::Table && node.follow_era() {
+            next = None;
+        }
+        if era != node.store_era.known() {
+            era = node.store_era.known();
+            next = None;
+            if topic == Topic::Orders {
+                node.forget_orders_progress();
+            }
+        }
+        if topic == Topic::Orders && node.is_recheck_due() {
+            next = None;
+        }
         if drawn_at.elapsed() >= ReadRole::duration() {
             (draw, drawn_at) = (fastrand::f64(), Instant::now());
         }
@@ -51,12 +65,20 @@
                 let Some(read) = node.read_table().await else { continue };
                 (read, sent)
             }
-            (Some(from), Topic::Orders) => orders.read(&node, from, role).await,
+            (Some(from), Topic::Orders) => tokio::select! {
+                read = orders.read(&node, from, role) => read,
+                () = node.store_era.changed_from(era) => (Err(StoreError::Restored), sent),
+            },
         };
         let result = if read.is_ok() { ReadResult::Done } else { ReadResult::Failed };
         node.metrics.count_read(topic, result);
         match read {
             Ok(batch) => {
+                if next.is_none() {
+                    // The first answer may be the one that states the era.
+                    node.follow_era();
+                    era = era.or(node.store_era.known());
+                }
                 if failures > 0 {
                     spdlog::info!("the store answers again", kv: { topic = format!("{topic:?}"), failures });
                 }
@@ -110,7 +132,8 @@
     /// node needs a record and no answer has come: the connection may be silent.
     async fn read_table(&self) -> Option<Result<Batch, StoreError>> {
         let members = self.member_count();
-        let from = self.table.borrow().next;
+        let from = self.followed_position().0.offset;
+        let era = self.store_era.known();
         let wait = with_jitter(polling::max_table_wait(members));
         let request = ReadRequest::new(Topic::Table, from, wait);
         let answering = request.answering.clone();
@@ -124,6 +147,7 @@
         tokio::select! {
             biased;
             read = (self.platform.store.read)(request) => Some(read),
+            () = self.store_era.changed_from(era) => Some(Err(StoreError::Restored)),
             () = needed => None,
         }
     }
@@ -187,7 +211,7 @@
         match topic {
             Topic::Orders => {
                 let orders = self.decode_orders(records);
-                if whole {
+                if whole && !self.awaits_operators() {
                     self.restore_undrained_domains(&orders);
                 }
                 orders.into_iter().for_each(|order| self.apply_order(order));
@@ -197,12 +221,15 @@
     }
 
     /// Applies records of the table up to `next` and wakes the tasks that depend on it. With
-    /// `whole` they replace the table.
+    /// `whole` they replace the table. After the store was restored they belong to the table of the
+    /// present era, on which no task depends yet.
     pub fn apply_table_records(&self, records: &[Record], whole: bool, next: Offset) {
         {
-            let mut table = self.table.borrow_mut();
+            let mut restoration = self.restoration.borrow_mut();
+            let mut present = self.table.borrow_mut();
+            let table = restoration.as_mut().map_or(&mut *present, |r| &mut r.table);
             if whole {
-                *table = Table::default();
+                *table = Table::new(table.era);
             }
             for record in records {
                 let lower = table.lower_tokens;
@@ -217,8 +244,13 @@
             // `next` never exceeds what was read in order, since conditional writes rely on knowing
             // all records before it.
             table.next = table.next.max(next);
+            if let Some(restoration) = restoration.as_mut() {
+                restoration.loaded = true;
+                self.announce_wake.notify_one();
+                return;
+            }
         }
-        self.table_offset.send_replace(Some(self.table.borrow().next));
+        self.table_position.send_replace(Some(self.table.borrow().position()));
         self.sync_lease();
         self.announce_wake.notify_one();
         self.grants_wake.notify_one();
--- a/src/kelpwind/mesh/table_updates.rs
+++ b/src/kelpwind/mesh/table_updates.rs
@@ -2,14 +2,15 @@
 //! store less often.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use tokio::time::sleep;
 
 use super::datagram::{Datagram, TableUpdate};
 use super::node::Node;
-use crate::core::ids::{NodeId, Offset};
+use super::orders::OrdersProgress;
+use crate::core::ids::{NodeId, Offset, Position};
 use crate::net::datagram::DATAGRAM_BYTES_MAX;
 use crate::table::WriteBatch;
 
@@ -42,11 +43,13 @@
     /// Applies records of an update if they start where this node has read to. Returns false if the
     /// update ends beyond what this node knows, so that it must read the table.
     pub fn apply_table_update(&self, update: &TableUpdate) -> bool {
-        let follows = update.batch.start_offset(update.next) == self.table.borrow().next;
-        if follows && !update.batch.records.is_empty() && self.table_offset.borrow().is_some() {
-            self.apply_table_records(&update.batch.records_before(update.next), false, update.next);
+        let TableUpdate { next, batch } = update;
+        let (read_to, loaded) = self.followed_position();
+        let start = Position { offset: batch.start_offset(next.offset), ..*next };
+        if start == read_to && !batch.records.is_empty() && loaded {
+            self.apply_table_records(&batch.records_before(next.offset), false, next.offset);
         }
-        self.table.borrow().next >= update.next
+        self.followed_position().0 >= *next
     }
 
     /// Sends all other members a record of this node.
@@ -60,6 +63,7 @@
     /// Notifies all other nodes that operators have published orders up to `next`.
     pub async fn notify_orders_published(&self, next: Offset) {
         let me = self.name();
+        let next = Position { era: self.store_era.known(), offset: next };
         let others: Vec<SocketAddr> = {
             let table = self.table.borrow();
             let others = table.members.values().filter(|m| m.holder.node != me);
@@ -70,6 +74,17 @@
         }
     }
 
+    /// Records that another node has read orders up to `next`.
+    pub fn record_announced_orders(&self, next: Position) {
+        if next.era == self.store_era.known() {
+            let announce =
+                |o: &mut OrdersProgress| o.freshness.announce(next.offset, Instant::now());
+            self.orders.send_modify(announce);
+        } else if let Some(era) = next.era {
+            self.record_announced_era(era);
+        }
+    }
+
     /// Returns [`ORDERS_READ_WAIT`] after another node announced orders from offset `from` on.
     pub async fn wait_for_missed_orders(&self, from: Offset) {
         let mut orders = self.orders.subscribe();
--- a/src/kelpwind/mesh/udp.rs
+++ b/src/kelpwind/mesh/udp.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::time::sleep;
 
@@ -56,7 +56,11 @@
                 None
             }
             Datagram::OrdersPublished { next } => {
-                self.orders.send_modify(|orders| orders.freshness.announce(next, Instant::now()));
+                self.record_announced_orders(next);
+                None
+            }
+            Datagram::StoreRestored(era) => {
+                self.record_announced_era(era);
                 None
             }
             Datagram::LoadQuery { query, work } => self.answer_load_query(query, work),
--- a/src/kelpwind/table/chunk.rs
+++ b/src/kelpwind/table/chunk.rs
@@ -70,6 +70,12 @@
     }
 }
 
+impl From<Vec<Range>> for Chunk {
+    fn from(ranges: Vec<Range>) -> Chunk {
+        Chunk(ranges)
+    }
+}
+
 impl Chunk {
     /// The parts of all ranges that lie within `span`.
     pub fn of(keys: &KeyMap, span: Span) -> Chunk {
--- a/src/kelpwind/table/keys.rs
+++ b/src/kelpwind/table/keys.rs
@@ -90,6 +90,8 @@
 pub struct KeyMap {
     /// The ranges, in order and without gaps.
     pub ranges: Vec<Range>,
+    /// Every token that is assigned is above this one.
+    pub floor: Token,
 }
 
 impl KeyMap {
@@ -117,9 +119,50 @@
         keys
     }
 
+    /// Keys that nobody has claimed since the store came back from an older copy. Their token is the
+    /// floor.
+    pub fn unclaimed(floor: Token) -> KeyMap {
+        let span = Span { first: 0, last: KEY_MAX };
+        let ranges = vec![Range { span, owner: None, token: floor, handover: None }];
+        KeyMap { ranges, floor }
+    }
+
+    /// The same keys, with all tokens raised above `floor`.
+    pub fn above(mut self, floor: Token) -> KeyMap {
+        self.ranges.iter_mut().for_each(|r| r.token.0 += floor.0);
+        KeyMap { floor, ..self }
+    }
+
+    /// Whether nobody has claimed the keys of a range.
+    pub fn is_unclaimed(&self, range: &Range) -> bool {
+        range.owner.is_none() && range.token == self.floor && self.floor > Token(0)
+    }
+
+    /// Adopts a range that its owner has claimed, except keys that were assigned in this era or that
+    /// another owner has claimed under a higher token. Returns whether anything has changed.
+    pub fn claim(&mut self, claimed: &Range) -> bool {
+        let mut changed = false;
+        let mut ranges = Vec::with_capacity(self.ranges.len() + 2);
+        for range in std::mem::take(&mut self.ranges) {
+            let open = self.is_unclaimed(&range) || range.token < claimed.token;
+            let Some(part) = range.span.intersection(claimed.span).filter(|_| open) else {
+                ranges.push(range);
+                continue;
+            };
+            changed = true;
+            let rest = range.span.subtract(part);
+            ranges.extend(rest.into_iter().map(|span| Range { span, ..range.clone() }));
+            ranges.push(Range { span: part, ..claimed.clone() });
+        }
+        ranges.sort_by_key(|r| r.span);
+        self.ranges = ranges;
+        changed
+    }
+
     /// A token higher than that of every range.
     fn next_token(&self) -> Token {
-        Token(self.ranges.iter().map(|r| r.token.0).max().unwrap_or(0) + 1)
+        let highest = self.ranges.iter().map(|r| r.token).max().unwrap_or_default();
+        Token(highest.max(self.floor).0 + 1)
     }
 
     /// Whether a key of `ranges` has a higher token here. Tokens rise, so none should.
--- a/src/kelpwind/table/mod.rs
+++ b/src/kelpwind/table/mod.rs
@@ -10,8 +10,15 @@
 //! that the log ends where the author has read to. If two authors decide on the same state, only
 //! one write succeeds, and the other author decides again on the new state. This module does no
 //! I/O: [`Table`] is given records with their offsets.
+//!
+//! If the store comes back from an older copy, records that it had acknowledged are gone, so what is
+//! left of them no longer tells who owns what. Record keys therefore begin with the era of the store,
+//! and a table consists of the records of one era, in which none was lost. Who still writes records of
+//! a former era changes nothing. Each era begins without records; [`claim`] says how ownership passes
+//! into it.
 
 mod chunk;
+pub mod claim;
 pub mod keys;
 pub mod member;
 pub mod polling;
@@ -22,9 +29,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::core::ids::{Holder, Incarnation, NodeId, Offset, ServiceName};
+use crate::core::ids::{Era, Holder, Incarnation, NodeId, Offset, Position, ServiceName, Token};
 use crate::lease::message::IncarnationId;
 use chunk::Chunk;
+use claim::Claim;
 use keys::KeyMap;
 use member::{Member, WatchedHolder};
 
@@ -32,6 +40,10 @@
 const NODE_PREFIX: &str = "node/";
 /// Prefix of the record keys of ownership records.
 const KEYS_PREFIX: &str = "keys/";
+/// Prefix of the record keys of claims.
+const CLAIM_PREFIX: &str = "claim/";
+/// Most records of former eras that are deleted with one write.
+const DELETIONS_MAX: usize = 500;
 
 /// A record of the store: the value of a record key, or the deletion of that record key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -73,6 +85,25 @@
         WriteBatch { records: chunk::all().filter_map(changed).collect() }
     }
 
+    /// Writes the claim of a node.
+    pub fn put_claim(claim: &Claim) -> WriteBatch {
+        let key = format!("{CLAIM_PREFIX}{}", claim.holder.node);
+        WriteBatch { records: vec![(key, Some(encode(claim)))] }
+    }
+
+    /// Deletes records of former eras, as many as fit into one write.
+    pub fn delete_former(table: &Table) -> WriteBatch {
+        let keys = table.former_keys.iter().take(DELETIONS_MAX);
+        WriteBatch { records: keys.map(|key| (key.clone(), None)).collect() }
+    }
+
+    /// The same records as records of an era.
+    pub fn of_era(mut self, era: Option<Era>) -> WriteBatch {
+        let prefix = era_prefix(era);
+        self.records.iter_mut().for_each(|(key, _)| key.insert_str(0, &prefix));
+        self
+    }
+
     /// Offset of the first record if the batch ends just before `next` in the log.
     pub fn start_offset(&self, next: Offset) -> Offset {
         Offset(next.0.saturating_sub(self.records.len() as u64))
@@ -96,6 +127,11 @@
     }
 }
 
+/// Prefix of the record keys of an era.
+fn era_prefix(era: Option<Era>) -> String {
+    era.map_or_else(String::new, |era| format!("e{era}/"))
+}
+
 fn member_key(node: &NodeId) -> String {
     format!("{NODE_PREFIX}{node}")
 }
@@ -111,6 +147,12 @@
     /// Offset of the next record to read. A conditional write succeeds only if the log ends here.
     /// [`Table::apply`] leaves it alone; the reader of the log advances it.
     pub next: Offset,
+    /// Era of the store whose records the table consists of; `None` if the store states none.
+    pub era: Option<Era>,
+    /// What nodes claimed when the era began.
+    pub claims: BTreeMap<NodeId, Claim>,
+    /// Record keys of other eras.
+    former_keys: BTreeSet<String>,
     /// Node records by node name.
     pub members: BTreeMap<NodeId, Member>,
     /// Key ownership by service.
@@ -125,6 +167,32 @@
 }
 
 impl Table {
+    /// An empty table of an era.
+    pub fn new(era: Option<Era>) -> Table {
+        Table { era, ..Table::default() }
+    }
+
+    /// Position of the next record to read.
+    pub fn position(&self) -> Position {
+        Position { era: self.era, offset: self.next }
+    }
+
+    /// Tokens that are assigned in the table's era are above this one.
+    pub fn token_floor(&self) -> Token {
+        self.era.map(Era::token_floor).unwrap_or_default()
+    }
+
+    /// Adopts into `keys` what members have claimed of a service, and returns whether that changed
+    /// anything. A claim of a node that has left is void.
+    pub fn apply_claims(&self, service: &ServiceName, keys: &mut KeyMap) -> bool {
+        let counts = |claim: &&Claim| {
+            let member = self.members.get(&claim.holder.node);
+            claim.service == *service && member.is_some_and(|m| m.holder.inc >= claim.holder.inc)
+        };
+        let ranges = self.claims.values().filter(counts).flat_map(Claim::ranges);
+        ranges.fold(false, |changed, range| keys.claim(&range) | changed)
+    }
+
     /// Applies a record. Returns false if it cannot be parsed; the table then keeps the state it
     /// had. A record older than the one already applied for its record key is ignored: a full read
     /// is not a consistent snapshot, and the reads that follow it begin slightly before its end.
@@ -133,10 +201,20 @@
             return true;
         }
         self.offsets.insert(record.key.clone(), record.offset);
-        if let Some(name) = record.key.strip_prefix(NODE_PREFIX) {
+        let Some(key) = record.key.strip_prefix(&era_prefix(self.era)) else {
+            match record.value {
+                Some(_) => self.former_keys.insert(record.key.clone()),
+                None => self.former_keys.remove(&record.key),
+            };
+            return true;
+        };
+        if let Some(name) = key.strip_prefix(CLAIM_PREFIX) {
+            return self.put_claim(name, record.value.as_ref()).is_some();
+        }
+        if let Some(name) = key.strip_prefix(NODE_PREFIX) {
             return self.put_member(name, record.value.as_ref()).is_some();
         }
-        if let Some(name) = record.key.strip_prefix(KEYS_PREFIX) {
+        if let Some(name) = key.strip_prefix(KEYS_PREFIX) {
             return self.put_chunk(name, record.value.as_ref()).is_some();
         }
         false
@@ -171,6 +249,16 @@
         Some(())
     }
 
+    /// Applies the claim of a node; `None` if it cannot be parsed.
+    fn put_claim(&mut self, name: &str, value: Option<&Bytes>) -> Option<()> {
+        let name: NodeId = name.parse().ok()?;
+        match value {
+            Some(value) => self.claims.insert(name, serde_json::from_slice(value).ok()?),
+            None => self.claims.remove(&name),
+        };
+        Some(())
+    }
+
     fn record_end(&mut self, member: Member) {
         let excess = member.grant_excess();
         self.ended.insert(member.holder.node.clone(), (member.holder, excess));
@@ -192,7 +280,9 @@
             Some(value) => serde_json::from_slice::<Chunk>(value).ok()?.ranges(span),
             None => Vec::new(),
         };
+        let floor = self.token_floor();
         let keys = self.keys.entry(service).or_default();
+        keys.floor = floor;
         if keys.has_higher_token(&ranges) {
             self.lower_tokens += 1;
         }
