Do not run a request again that may run once after its reply was forgotten

Cause: a link sends its unanswered requests again under their numbers over a new connection. The gate keeps a reply for 2.5 s, and took a number that it had forgotten for a new one. Links send a request again later than that after a pause of their process, or when connecting took long. Fix: the gate keeps the highest number that it has accepted in each session. An entry writes its requests to each connection in the order of their numbers, and all unanswered ones before new ones, so a request that somebody waits for never arrives for the first time after one with a higher number. A number that is not higher and is not kept was accepted before; if the request may run once, the answer is that its outcome is unknown. Requests that were cancelled before the server had them, because their connection was gone for 0.5 s, are kept as such and still run when they are sent again. Evidence: tests/mesh/repeated_requests.rs suspends the entry for 3.3 s while a request runs.

--- a/src/kelpwind/mesh/serve.rs
+++ b/src/kelpwind/mesh/serve.rs
@@ -2,10 +2,13 @@
 //!
 //! A session belongs to one link of an entry and may span several connections. The gate runs each
 //! request number once. It keeps the reply for a while, for an entry that sends the request again
-//! over a new connection (see [`super::frame`]).
+//! over a new connection (see [`super::frame`]). Numbers arrive in ascending order when they arrive
+//! for the first time, so one that is neither kept nor higher than all before has been accepted
+//! earlier. Whether it ran is not known any more.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,9 +17,10 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-use super::frame::{self, EntryFrame, GateFrame, GateRequest};
+use super::frame::{self, EntryFrame, GateFrame, GateRequest, Outcome};
 use super::node::Node;
 use super::send_queue::SendQueue;
+use crate::core::codes::Code;
 use crate::net::http1::set_dead_peer_timeouts;
 
 /// Longest wait for the first frame of a connection.
@@ -35,12 +39,16 @@
     Running { task: AbortHandle, idempotent: bool, sent: Rc<Cell<bool>> },
     /// The request has ended with this reply.
     Ended { reply: Bytes, at: Instant },
+    /// The request was cancelled while that was allowed, and runs if the entry sends it again.
+    Stopped { at: Instant },
 }
 
 /// The requests of one link of an entry.
 #[derive(Default)]
 pub(crate) struct Session {
     jobs: RefCell<HashMap<u64, Job>>,
+    /// The highest number accepted so far.
+    highest: Cell<u64>,
     /// The current connection, if there is one.
     queue: RefCell<Option<Rc<SendQueue>>>,
     /// When old replies were last dropped.
@@ -130,8 +138,18 @@
             return;
         }
         Some(Job::Running { .. }) => return,
-        None => {}
+        None if !request.idempotent && number <= session.highest.get() => {
+            spdlog::warn!("gate: a request came again after its reply was dropped", kv: {
+                request = request.request.id.as_str(), number
+            });
+            let outcome = Outcome::Unknown(Code::ConnectionLost);
+            let report = node.load_report(&request.class);
+            session.push(&frame::encode(&GateFrame::Reply { number, outcome, report }));
+            return;
+        }
+        Some(Job::Stopped { .. }) | None => {}
     }
+    session.highest.set(session.highest.get().max(number));
     let (idempotent, sent) = (request.idempotent, Rc::new(Cell::new(false)));
     let (node, task_session, mark) = (node.clone(), session.clone(), sent.clone());
     let task = tokio::task::spawn_local(async move {
@@ -145,6 +163,18 @@
     session.jobs.borrow_mut().insert(number, running);
 }
 
+impl Job {
+    /// Ends the task of a running request if it may be cancelled. Returns whether it did.
+    fn stop(&self) -> bool {
+        let Job::Running { task, idempotent, sent } = self else { return false };
+        let may = *idempotent || !sent.get();
+        if may {
+            task.abort();
+        }
+        may
+    }
+}
+
 impl Session {
     /// Sends a frame to the entry, if it is connected.
     pub fn push(&self, frame: &[u8]) {
@@ -156,19 +186,19 @@
     /// Cancels a request whose caller has left. One that is not idempotent continues once the
     /// server has it, because stopping it midway would leave its effect unknown.
     fn cancel(&self, number: u64) {
-        let mut jobs = self.jobs.borrow_mut();
-        if let Some(Job::Running { task, idempotent, sent }) = jobs.get(&number)
-            && (*idempotent || !sent.get())
+        if let Entry::Occupied(job) = self.jobs.borrow_mut().entry(number)
+            && job.get().stop()
         {
-            task.abort();
-            jobs.remove(&number);
+            job.remove();
         }
     }
 
-    /// Cancels all requests that may be cancelled.
+    /// Cancels all requests that may be cancelled. Their entry may yet send them again.
     fn cancel_all(&self) {
-        let numbers: Vec<u64> = self.jobs.borrow().keys().copied().collect();
-        numbers.into_iter().for_each(|n| self.cancel(n));
+        let at = Instant::now();
+        for job in self.jobs.borrow_mut().values_mut().filter(|job| job.stop()) {
+            *job = Job::Stopped { at };
+        }
     }
 
     /// Drops replies that no entry will ask for again.
@@ -180,7 +210,9 @@
         self.pruned.set(Some(now));
         let keep = |job: &Job| match job {
             Job::Running { .. } => true,
-            Job::Ended { at, .. } => now.duration_since(*at) < REPLY_RETENTION,
+            Job::Ended { at, .. } | Job::Stopped { at } => {
+                now.duration_since(*at) < REPLY_RETENTION
+            }
         };
         self.jobs.borrow_mut().retain(|_, job| keep(job));
     }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -13,6 +13,7 @@
 mod node_runs;
 #[path = "../platform/mod.rs"]
 mod platform;
+mod repeated_requests;
 mod report_grants;
 mod server_lifecycle;
 mod server_processes;
