Do not run a request again that may run once after its session was forgotten

Cause: a gate forgets a session 3 s after its connection ended. An entry that was paused for longer, and has not noticed the end, sends its unanswered requests again; the gate began a new session and took their numbers for new ones. Fix: an entry's hello tells the highest number that it has sent over earlier connections of the session. A gate that doesn't know the session begins it with that number as the highest accepted. A request that was never sent has a higher one, and runs. Gates that know the session ignore what the hello tells, because requests may not have arrived. Evidence: the test suspends the entry for 3.5 s while a request runs and closes both ends of its connection.

--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -29,6 +29,9 @@
         session: u64,
         /// Name of the node that the entry wants to reach; another node closes the connection.
         to: String,
+        /// Highest number that the entry has sent over earlier connections of the session. A gate that
+        /// has forgotten the session can tell by it which requests it may have run.
+        sent: u64,
     },
     /// A request to run.
     Request(Box<GateRequest>),
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -62,10 +62,11 @@
     pub node: NodeId,
     /// Address of the gate.
     pub addr: SocketAddr,
-    /// The encoded first frame of each connection.
-    hello: Bytes,
+    session: u64,
     pending: RefCell<BTreeMap<u64, Pending>>,
     next_number: Cell<u64>,
+    /// The highest number sent so far.
+    last_sent: Cell<u64>,
     queue: RefCell<Option<Rc<SendQueue>>>,
     /// When the last bytes arrived.
     last_received: Cell<Instant>,
@@ -104,13 +105,13 @@
     /// request numbers start at 1, so it must not get the answers that the gate keeps for a
     /// previous link.
     pub fn new(node: NodeId, addr: SocketAddr) -> Rc<Link> {
-        let (session, to) = (fastrand::u64(..), node.to_string());
         let link = Rc::new(Link {
             node,
             addr,
-            hello: frame::encode(&EntryFrame::Hello { session, to }),
+            session: fastrand::u64(..),
             pending: RefCell::default(),
             next_number: Cell::new(1),
+            last_sent: Cell::new(0),
             queue: RefCell::default(),
             last_received: Cell::new(Instant::now()),
             lost_since: Cell::new(None),
@@ -165,6 +166,7 @@
         let sent = queue.is_some();
         if let Some(queue) = queue {
             queue.push(&frame);
+            self.last_sent.set(number);
         }
         let pending = Pending { frame, idempotent, sent, since: Instant::now(), done };
         self.pending.borrow_mut().insert(number, pending);
@@ -256,6 +258,12 @@
         }
     }
 
+    /// The encoded first frame of the next connection.
+    fn hello(&self) -> Bytes {
+        let (session, sent) = (self.session, self.last_sent.get());
+        frame::encode(&EntryFrame::Hello { session, to: self.node.to_string(), sent })
+    }
+
     /// Exchanges frames over a connection until it ends.
     async fn handle_connection(&self, stream: TcpStream) {
         if let Err(e) = set_dead_peer_timeouts(&stream) {
@@ -266,7 +274,7 @@
         }
         let (mut reader, writer) = stream.into_split();
         let queue = Rc::new(SendQueue::default());
-        queue.push(&self.hello);
+        queue.push(&self.hello());
         let sender = queue.clone();
         let writing = tokio::task::spawn_local(async move { sender.write_to(writer).await });
         let mut buffer = BytesMut::new();
@@ -296,9 +304,10 @@
             spdlog::info!("regained contact with a node", kv: { node = self.node.as_str() });
         }
         self.last_received.set(Instant::now());
-        for pending in self.pending.borrow_mut().values_mut() {
+        for (number, pending) in self.pending.borrow_mut().iter_mut() {
             pending.sent = true;
             queue.push(&pending.frame);
+            self.last_sent.set(self.last_sent.get().max(*number));
         }
         self.queue.replace(Some(queue.clone()));
     }
--- a/src/kelpwind/mesh/serve.rs
+++ b/src/kelpwind/mesh/serve.rs
@@ -47,7 +47,7 @@
 #[derive(Default)]
 pub(crate) struct Session {
     jobs: RefCell<HashMap<u64, Job>>,
-    /// The highest number accepted so far.
+    /// The highest number accepted so far, or that may have been before the session was forgotten.
     highest: Cell<u64>,
     /// The current connection, if there is one.
     queue: RefCell<Option<Rc<SendQueue>>>,
@@ -81,11 +81,12 @@
     let (mut reader, writer) = stream.into_split();
     let mut buffer = BytesMut::new();
     let hello = timeout(HELLO_TIMEOUT, frame::read_next(&mut reader, &mut buffer, || {})).await;
-    let Ok(Some(EntryFrame::Hello { session: id, to })) = hello else { return };
+    let Ok(Some(EntryFrame::Hello { session: id, to, sent })) = hello else { return };
     if to != node.name().as_str() {
         return;
     }
-    let session = node.sessions.borrow_mut().entry(id).or_default().clone();
+    let forgotten = || Rc::new(Session { highest: Cell::new(sent), ..Session::default() });
+    let session = node.sessions.borrow_mut().entry(id).or_insert_with(forgotten).clone();
     let queue = Rc::new(SendQueue::default());
     queue.push(&frame::encode(&GateFrame::Hello { run_id: node.run_id }));
     let sender = queue.clone();
--- a/tests/mesh/repeated_requests.rs
+++ b/tests/mesh/repeated_requests.rs
@@ -159,6 +159,14 @@
     assert!(matches!(status, 502 | 504), "answered with {status}");
 }
 
+/// Longer than gates keep sessions.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_run_once_runs_again_after_its_session_was_forgotten() {
+    let (status, runs) = send_and_suspend(Cut::Both, Duration::from_millis(3500)).await;
+    assert_eq!(runs, 1, "answered with {status}");
+    assert!(matches!(status, 502 | 504), "answered with {status}");
+}
+
 /// The gate cancels requests that still wait when their connection has been gone for 0.5 s.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_sent_again_that_were_cancelled_before_they_ran_run_once() {
