Keep replies on the current connection when the hello of an earlier one arrives late

Callers saw: all requests over a link unanswered until their deadline (504). Cause: the gate took any connection with a session's hello for the current one. If the hello of a connection that the entry had given up came after that of the next one, the replies went there, and nowhere once it ended. The entry noticed nothing, because the gate answered the pings on the real connection. Fix: the hello tells the number of its connection, and a gate refuses one that is not higher than the last. Evidence: tests/mesh/repeated_requests.rs sends an earlier hello again.

--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -29,6 +29,9 @@
         session: u64,
         /// Name of the node that the entry wants to reach; another node closes the connection.
         to: String,
+        /// Number of the connection within the session. Only one that is higher than all before becomes
+        /// the current connection.
+        connection: u32,
         /// Highest number that the entry has sent over earlier connections of the session. A gate that
         /// has forgotten the session can tell by it which requests it may have run.
         sent: u64,
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -63,6 +63,8 @@
     /// Address of the gate.
     pub addr: SocketAddr,
     session: u64,
+    /// Number of connections so far.
+    connections: Cell<u32>,
     pending: RefCell<BTreeMap<u64, Pending>>,
     next_number: Cell<u64>,
     /// The highest number sent so far.
@@ -109,6 +111,7 @@
             node,
             addr,
             session: fastrand::u64(..),
+            connections: Cell::new(0),
             pending: RefCell::default(),
             next_number: Cell::new(1),
             last_sent: Cell::new(0),
@@ -260,8 +263,10 @@
 
     /// The encoded first frame of the next connection.
     fn hello(&self) -> Bytes {
+        let connection = self.connections.get() + 1;
+        self.connections.set(connection);
         let (session, sent) = (self.session, self.last_sent.get());
-        frame::encode(&EntryFrame::Hello { session, to: self.node.to_string(), sent })
+        frame::encode(&EntryFrame::Hello { session, to: self.node.to_string(), connection, sent })
     }
 
     /// Exchanges frames over a connection until it ends.
--- a/src/kelpwind/mesh/serve.rs
+++ b/src/kelpwind/mesh/serve.rs
@@ -49,6 +49,8 @@
     jobs: RefCell<HashMap<u64, Job>>,
     /// The highest number accepted so far, or that may have been before the session was forgotten.
     highest: Cell<u64>,
+    /// Number of the last connection.
+    connection: Cell<u32>,
     /// The current connection, if there is one.
     queue: RefCell<Option<Rc<SendQueue>>>,
     /// When old replies were last dropped.
@@ -81,12 +83,17 @@
     let (mut reader, writer) = stream.into_split();
     let mut buffer = BytesMut::new();
     let hello = timeout(HELLO_TIMEOUT, frame::read_next(&mut reader, &mut buffer, || {})).await;
-    let Ok(Some(EntryFrame::Hello { session: id, to, sent })) = hello else { return };
+    let Ok(Some(EntryFrame::Hello { session: id, to, connection, sent })) = hello else { return };
     if to != node.name().as_str() {
         return;
     }
     let forgotten = || Rc::new(Session { highest: Cell::new(sent), ..Session::default() });
     let session = node.sessions.borrow_mut().entry(id).or_insert_with(forgotten).clone();
+    // The hello of a connection that the entry has given up may arrive late.
+    if connection <= session.connection.get() {
+        return;
+    }
+    session.connection.set(connection);
     let queue = Rc::new(SendQueue::default());
     queue.push(&frame::encode(&GateFrame::Hello { run_id: node.run_id }));
     let sender = queue.clone();
--- a/tests/mesh/repeated_requests.rs
+++ b/tests/mesh/repeated_requests.rs
@@ -2,9 +2,11 @@
 //! runs once, whatever the other node still remembers of it.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use kelpwind_stand_ins::proxy::Faults;
+use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
@@ -35,6 +37,8 @@
 /// The way from the entry to the gate, on which connections are cut on demand.
 struct Detour {
     cut: watch::Sender<Cut>,
+    /// The first bytes of each connection, which are the entry's hello.
+    hellos: Arc<Mutex<Vec<Vec<u8>>>>,
 }
 
 impl Detour {
@@ -47,22 +51,32 @@
         let target = SocketAddr::new(ip.into(), PEER_PORT);
         let listener = TcpListener::bind(listen).await.unwrap();
         let (cut, cuts) = watch::channel(Cut::default());
-        tokio::spawn(accept(listener, target, cuts));
+        let hellos = Arc::default();
+        tokio::spawn(accept(listener, target, cuts, Arc::clone(&hellos)));
         tokio::spawn(relay_datagrams(UdpSocket::bind(listen).await.unwrap(), target));
         let off = Faults { cut_forward: true, cut_backward: true, ..Faults::default() };
         fleet.set_faults(GATE, off);
         let (from, to) = (target.to_string(), listen.to_string());
         fleet.store.replace_in_matching(&ip.to_string(), &from, &to);
-        Detour { cut }
+        Detour { cut, hellos }
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, cuts: watch::Receiver<Cut>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    cuts: watch::Receiver<Cut>,
+    hellos: Arc<Mutex<Vec<Vec<u8>>>>,
+) {
     loop {
         let (mut near, _) = listener.accept().await.unwrap();
         let mut cuts = cuts.clone();
         cuts.mark_unchanged();
+        let hellos = hellos.clone();
         tokio::spawn(async move {
+            let mut first = [0; 1024];
+            let size = near.peek(&mut first).await.unwrap_or(0);
+            hellos.lock().push(first[..size].to_vec());
             let mut far = TcpStream::connect(target).await.unwrap();
             tokio::select! {
                 _ = copy_bidirectional(&mut near, &mut far) => return,
@@ -193,3 +207,21 @@
         assert_eq!(runs(&fleet, id), expected, "{id} was answered with {status}");
     }
 }
+
+/// The bytes of a connection that the entry has given up may arrive after those of the next one.
+#[tokio::test(flavor = "multi_thread")]
+async fn replies_go_to_a_connection_that_was_given_up_after_its_hello_arrived_late() {
+    let (fleet, detour) = start().await;
+    detour.cut.send_replace(Cut::Both);
+    sleep(Duration::from_millis(100)).await;
+    let (status, _) = spawn_once(&fleet, "second").await.unwrap();
+    assert_eq!(status, 200);
+    let hello = detour.hellos.lock()[0].clone();
+    let mut late = TcpStream::connect((fleet.hosts[GATE].ip, PEER_PORT)).await.unwrap();
+    late.write_all(&hello).await.unwrap();
+    drop(late);
+    sleep(Duration::from_millis(100)).await;
+    let (status, time) = spawn_once(&fleet, "third").await.unwrap();
+    assert_eq!(status, 200, "after {time:?}");
+    assert_eq!(runs(&fleet, "third"), 1);
+}
