--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,3 +30,4 @@
 mod store_client;
 mod support;
 mod table;
+mod table_eras;
--- a/tests/testsuite/table.rs
+++ b/tests/testsuite/table.rs
@@ -195,7 +195,7 @@
 }
 
 /// A record of `holder` with a witness set of this version.
-fn member(holder: &Holder, version: u64) -> Member {
+pub(crate) fn member(holder: &Holder, version: u64) -> Member {
     Member {
         holder: holder.clone(),
         addr: ([127, 0, 0, 1], 7620).into(),
