Test more losses of the store, and a malformed era

The first tests of a store that comes back from an older copy lose moves of keys only, with all nodes up and reads ended.

These lose a takeover, a configuration and an evacuation, lose twice within a second, lose while reads wait, with a node that started right after the loss, one that had not read what was lost, and with all nodes killed; and they send malformed eras. The store copies itself before a given record if asked to. The soak has a kind of its own with one loss per seed, so that no other seed changes its meaning.

The loss of a takeover after 2.5 s has not been run yet.

--- a/tests/mesh/store_restore.rs
+++ b/tests/mesh/store_restore.rs
@@ -2,10 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+use kelpwind_stand_ins::proxy::Faults;
 use rstest::rstest;
 
-use super::assert_no_violations;
 use super::platform::fleet::Fleet;
+use super::platform::history::Moment;
+use super::platform::store::EraHeader;
+use super::{assert_no_violations, assert_serving};
 
 /// Processing time of a request at a backend server.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
@@ -40,6 +43,8 @@
 enum Store {
     /// Goes away and comes back from an older copy.
     Loses,
+    /// The same, while reads go on waiting.
+    LosesBesideReads,
     /// Goes away and comes back as it was.
     Keeps,
 }
@@ -108,14 +113,24 @@
     assert!(served.is_some(), "some keys are not served within {SERVED_WITHIN:?}");
 }
 
+/// Replaces nodes one after the other, and waits until they may have served.
+async fn replace_nodes(fleet: &mut Fleet, hosts: &[usize]) {
+    for host in hosts {
+        fleet.replace_node(*host);
+        fleet.until_replaced().await;
+    }
+    fleet.pause(CALM).await;
+}
+
 async fn run(cause: Cause, store: Store) {
     let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
     let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
     tokio::time::sleep(COPY_TIME).await;
     fleet.store.copy();
     move_keys(&mut fleet, cause).await;
+    fleet.store.set_park_reads(store == Store::LosesBesideReads);
     match store {
-        Store::Loses => fleet.drill(AWAY).await,
+        Store::Loses | Store::LosesBesideReads => fleet.drill(AWAY).await,
         Store::Keeps => {
             fleet.store.set_down(true);
             tokio::time::sleep(AWAY).await;
@@ -126,11 +141,7 @@
         pause_node(&mut fleet, 1).await;
     }
     tokio::time::sleep(CALM).await;
-    for host in [2, 3] {
-        fleet.replace_node(host);
-        fleet.until_replaced().await;
-    }
-    fleet.pause(CALM).await;
+    replace_nodes(&mut fleet, &[2, 3]).await;
     callers.iter().for_each(|c| c.abort());
     assert_sound(&fleet, 2).await;
 }
@@ -165,3 +176,162 @@
 async fn two_servers_hold_the_same_keys_after_the_store_was_away(#[case] cause: Cause) {
     run(cause, Store::Keeps).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_the_store_loses_drains_while_reads_wait() {
+    run(Cause::Drains, Store::LosesBesideReads).await;
+}
+
+#[rstest]
+#[case::soon(Duration::from_millis(500))]
+#[case::when_they_are_served(MOVE_TIME)]
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_keys_of_a_lost_host_after_the_store_loses_their_takeover(
+    #[case] loss_delay: Duration,
+) {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fleet.store.copy_before("keys/");
+    fleet.hosts[0].node = None;
+    fleet.hosts[0].server.take().unwrap().crash();
+    let killed = Instant::now();
+    while fleet.store.is_copy_due() {
+        assert!(killed.elapsed() < Duration::from_secs(10), "no takeover within 10 s");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(loss_delay).await;
+    fleet.drill(AWAY).await;
+    tokio::time::sleep(CALM).await;
+    replace_nodes(&mut fleet, &[2, 3]).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_sound(&fleet, 1).await;
+}
+
+#[rstest]
+#[case::written_again_at_once(Duration::ZERO)]
+#[case::written_again_after_a_second(Duration::from_secs(1))]
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_are_out_of_force_after_the_store_loses_them(#[case] rewrite_delay: Duration) {
+    const ROUTE: &str = r#"["new","new.example","/get/","safe",2.5,1.0,2,2,"books"]"#;
+    /// A host alone in its failure domain.
+    const EVACUATED: usize = 1;
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    fleet.store.set_rewrite_delay(rewrite_delay);
+    tokio::time::sleep(COPY_TIME).await;
+    fleet.store.copy();
+    fleet.publish(SERVICES, ROUTE);
+    fleet.store.publish("evacuate/zone-1", "{}");
+    tokio::time::sleep(MOVE_TIME * 2).await;
+    let id = fleet.hosts[EVACUATED].server.as_ref().unwrap().id.clone();
+    let emptied = Moment::now();
+    let is_used = || {
+        fleet.history.with(|r| r.held.iter().any(|range| range.server == id && range.to > emptied))
+    };
+    assert!(!is_used(), "the evacuated server still holds keys");
+    for host in 0..4 {
+        assert_eq!(fleet.call(host, "new", 1, false).await.status, 200, "host {host}");
+    }
+    fleet.drill(AWAY).await;
+    let until = Instant::now() + CALM * 2;
+    let mut refused = 0;
+    while Instant::now() < until {
+        for host in 0..4 {
+            refused += u32::from(fleet.call(host, "new", 1, false).await.status == 404);
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    println!("{refused} requests refused by an older configuration; server used: {}", is_used());
+    assert_eq!(refused, 0, "requests refused by an older configuration");
+    assert!(!is_used(), "the server of an evacuated failure domain was granted keys");
+    assert_sound(&fleet, 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_a_node_starts_right_after_the_loss() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    tokio::time::sleep(COPY_TIME).await;
+    fleet.store.copy();
+    move_keys(&mut fleet, Cause::Drains).await;
+    fleet.drill(AWAY).await;
+    fleet.hosts[2].node = None;
+    fleet.start_node(2);
+    tokio::time::sleep(CALM * 2).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_sound(&fleet, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_two_losses_within_a_second() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    tokio::time::sleep(COPY_TIME).await;
+    fleet.store.copy();
+    move_keys(&mut fleet, Cause::Drains).await;
+    fleet.drill(AWAY).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.drill(AWAY).await;
+    tokio::time::sleep(CALM).await;
+    replace_nodes(&mut fleet, &[2, 3]).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_sound(&fleet, 2).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_one_node_did_not_read_what_was_lost() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    tokio::time::sleep(COPY_TIME).await;
+    fleet.store.copy();
+    let cut = Faults { cut_forward: true, cut_backward: true, ..Faults::default() };
+    fleet.set_faults(3, cut);
+    fleet.hosts[0].server.as_ref().unwrap().drain();
+    tokio::time::sleep(MOVE_TIME).await;
+    fleet.drill(AWAY).await;
+    fleet.set_faults(3, Faults::default());
+    tokio::time::sleep(CALM).await;
+    replace_nodes(&mut fleet, &[1, 2]).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_sound(&fleet, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_not_served_after_all_nodes_are_killed_at_the_loss() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    tokio::time::sleep(COPY_TIME).await;
+    fleet.store.copy();
+    move_keys(&mut fleet, Cause::NextServer).await;
+    for host in 0..4 {
+        fleet.hosts[host].node = None;
+    }
+    fleet.drill(AWAY).await;
+    (0..4).for_each(|host| fleet.start_node(host));
+    // With the limit for the last check, 15 s.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_sound(&fleet, 0).await;
+}
+
+#[rstest]
+#[case::not_a_number(EraHeader::Raw("newest"))]
+#[case::empty(EraHeader::Raw(""))]
+#[case::too_large(EraHeader::Raw("99999999999999999999999"))]
+#[case::falling(EraHeader::Raw("1"))]
+#[case::missing(EraHeader::Absent)]
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_not_served_after_a_malformed_era(#[case] header: EraHeader) {
+    const LINE: &str = "the store was restored from an older copy";
+    let fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    // From the second era on, so that it can fall.
+    fleet.store.copy();
+    fleet.drill(AWAY).await;
+    tokio::time::sleep(CALM).await;
+    let count = || (0..4).map(|host| fleet.log(host).matches(LINE).count()).sum::<usize>();
+    let before = count();
+    fleet.store.set_era_header(header);
+    assert_serving(&fleet, 4, CALM).await;
+    assert_eq!(count(), before, "a malformed era was taken for a new one");
+    assert_sound(&fleet, 0).await;
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -41,6 +41,8 @@
 pub struct Store {
     topics: Mutex<Topics>,
     copied: Mutex<Topics>,
+    /// Prefix of the keys of which the next record is preceded by a copy.
+    copy_before: Mutex<Option<&'static str>>,
     /// Number of times that a copy was restored.
     restores: AtomicU64,
     era_header: Mutex<EraHeader>,
@@ -132,6 +134,16 @@
         *self.copied.lock() = self.topics.lock().clone();
     }
 
+    /// Remembers all records right before the next one whose key has this prefix is written.
+    pub fn copy_before(&self, prefix: &'static str) {
+        *self.copy_before.lock() = Some(prefix);
+    }
+
+    /// Whether a copy is still to be made by [`Store::copy_before`].
+    pub fn is_copy_due(&self) -> bool {
+        self.copy_before.lock().is_some()
+    }
+
     /// Puts the last copy in place of all records. The operators write theirs again.
     pub fn restore_copy(self: &Arc<Self>) {
         let copied = self.copied.lock().clone();
@@ -274,11 +286,17 @@
         }
         let (offset, end) = {
             let mut topics = self.topics.lock();
-            let records = topics.entry(topic.to_owned()).or_default();
             let at = query_param(request, "at").and_then(|v| v.parse::<usize>().ok());
-            if at.is_some_and(|at| at != records.len()) {
+            if at.is_some_and(|at| at != topics.get(topic).map_or(0, Vec::len)) {
                 return reply(412);
             }
+            let mut due = self.copy_before.lock();
+            if due.is_some_and(|prefix| appended.iter().any(|(key, _)| key.starts_with(prefix))) {
+                *self.copied.lock() = topics.clone();
+                *due = None;
+            }
+            drop(due);
+            let records = topics.entry(topic.to_owned()).or_default();
             let offset = records.len();
             records.extend(appended);
             (offset, records.len())
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,6 +8,8 @@
 //! `KELPWIND_SOAK_REPORT_SEEDS` names the seeds of the kind whose servers are granted keys in the answers
 //! to their reports.
 //!
+//! `KELPWIND_SOAK_RESTORE_SEEDS` names the seeds of the kind whose store comes back from an older copy.
+//!
 //! In [`processes`] the backend servers are processes too; `KELPWIND_SOAK_PROCESS_SEEDS` names its
 //! seeds, and `KELPWIND_SOAK_HOSTS` the number of hosts.
 
@@ -45,6 +47,8 @@
 const PAUSE_MS_MAX: u64 = 700;
 /// Longest time after the last fault until all keys are served again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time for which the store is away before it comes back from a copy.
+const AWAY: Duration = Duration::from_millis(200);
 /// Services and their numbers of hosts; the first service is keyed.
 const SERVICES: &[(&str, u32)] = &[("books", 4), ("maps", 3)];
 
@@ -132,10 +136,28 @@
     run_seed_with(seed, fleet).await
 }
 
-async fn run_seed_with(seed: u64, mut fleet: Fleet) -> Vec<String> {
+/// The same with a store that comes back from an older copy once.
+async fn run_restoring_seed(seed: u64) -> Vec<String> {
+    let mut random = Rng::with_seed(!seed);
+    let restore = (random.u32(..FAULT_COUNT / 2), random.u32(FAULT_COUNT / 2..FAULT_COUNT));
+    run_faults(seed, Fleet::start(SERVICES, SERVICE_TIME).await, Some(restore)).await
+}
+
+async fn run_seed_with(seed: u64, fleet: Fleet) -> Vec<String> {
+    run_faults(seed, fleet, None).await
+}
+
+/// `restore` holds the numbers of the faults before which the store is copied, and comes back from
+/// the copy.
+async fn run_faults(seed: u64, mut fleet: Fleet, restore: Option<(u32, u32)>) -> Vec<String> {
     let mut random = Rng::with_seed(seed);
     let callers = fleet.spawn_callers(&["books", "maps"], Duration::from_millis(25));
-    for _ in 0..FAULT_COUNT {
+    for number in 0..FAULT_COUNT {
+        match restore {
+            Some((copied, _)) if copied == number => fleet.store.copy(),
+            Some((_, restored)) if restored == number => fleet.drill(AWAY).await,
+            _ => {}
+        }
         inject_fault(&mut fleet, &mut random).await;
         if random.u32(..3) > 0 {
             tokio::time::sleep(Duration::from_millis(random.u64(..PAUSE_MS_MAX))).await;
@@ -217,3 +239,8 @@
 async fn guarantees_hold_with_grants_in_reports_for_seeds_that_failed_before() {
     run_seeds(REPORT_REGRESSIONS.iter().copied(), run_reporting_seed).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_after_the_store_comes_back_from_a_copy_under_random_faults() {
+    run_named_seeds("KELPWIND_SOAK_RESTORE_SEEDS", SEEDS, run_restoring_seed).await;
+}
