Give up a question to the store after 1.5 s, however many were lost before

What callers saw: after an outage of the store in which calls got no answer, one node still routed by an older configuration more than 2 s after the newer one had been acknowledged (rule CONFIG). Cause: a request without a route makes the node ask the store (a probe). The first probe of the outage failed after 1.5 s; the next one was given 3 s, up to 12 s later on. It was sent 10 to 160 ms before the outage ended, so no answer could come. The read that waits failed meanwhile, and the node then waited for the probe before it read again: 3.3 s after the end of the outage. Why it works: a probe now ends before the read that waits, which is repeated within 2.8 s. The longer time was of no use: the request waits 0.4 s, and a confirmation older than 2 s does not count. Records that exist are read from a slow store by the read that waits, whose time still grows.

--- a/src/kelpwind/mesh/orders_reader.rs
+++ b/src/kelpwind/mesh/orders_reader.rs
@@ -21,9 +21,11 @@
 use crate::core::ids::Offset;
 use crate::table::polling::ReadRole;
 
-/// Longest time until the answer to a probe begins.
+/// Longest time until the answer to a probe begins: the same as for other calls that do not wait.
+/// It does not grow with failures, because a probe sent right before the end of an outage delays
+/// the next one. A store that is slow is read by the read that waits.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Number of times that a limit is doubled after reads that have failed.
+/// Number of times that the limit of a read that waits is doubled after reads that have failed.
 const DOUBLINGS_MAX: u32 = 3;
 
 /// Result of a read, with a time at which the store had no orders beyond the answer.
@@ -67,8 +69,6 @@
     probe_at: Option<Instant>,
     /// Consecutive reads that failed although others had orders that this node lacks.
     overdue: u32,
-    /// Consecutive probes that failed.
-    failed_probes: u32,
 }
 
 impl OrdersReader {
@@ -88,8 +88,7 @@
             }
             let end = node.orders.borrow().freshness.end();
             node.record_probe(from);
-            let patience = PROBE_TIMEOUT * 2_u32.pow(self.failed_probes.min(DOUBLINGS_MAX));
-            let probe = Read::start(node, from, Duration::ZERO, patience);
+            let probe = Read::start(node, from, Duration::ZERO, PROBE_TIMEOUT);
             let (read, answer, other) = first_answer(waiting, probe).await;
             let is_probe = read.wait.is_zero();
             match (answer, other) {
@@ -99,7 +98,6 @@
                     return read.outcome(Ok(batch));
                 }
                 (Err(e), Some(other)) if is_probe => {
-                    self.failed_probes += 1;
                     self.probe_at = Some(Instant::now() + PROBE_TIMEOUT);
                     node.record_failed_probe(&e);
                     waiting = other;
@@ -142,7 +140,6 @@
     fn record_probed(&mut self, end: Offset) {
         self.probed = self.probed.max(end);
         self.check_due = false;
-        self.failed_probes = 0;
         self.probe_at = None;
     }
 
--- a/tests/mesh/configuration.rs
+++ b/tests/mesh/configuration.rs
@@ -126,3 +126,23 @@
     until_new_route_served(&fleet, 0, APPLY_TIME).await;
     assert_eq!(status(&fleet, 0, "nowhere").await, 404);
 }
+
+// An outage may end right after any of these reads was sent. No answer to it will come then, so the
+// next one must follow before the node counts as in contact again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_asked_during_an_outage_does_not_delay_reads_of_the_orders() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let cut = Faults { cut_forward: true, cut_backward: true, ..Faults::default() };
+    for host in (0..fleet.hosts.len()).filter(|host| *host != FAULTY) {
+        fleet.set_faults(host, cut.clone());
+    }
+    fleet.store.silence();
+    fleet.set_faults(FAULTY, Faults { silence: 1, ..Faults::default() });
+    assert_eq!(status(&fleet, FAULTY, "new").await, 503);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let reads = fleet.store.silent_reads();
+    let gaps: Vec<_> = reads.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    let longest = gaps.iter().max().expect("several reads");
+    println!("{} reads, gaps {gaps:?}", reads.len());
+    assert!(*longest < CONTACT_TIME, "no read for {longest:?}");
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -27,6 +27,9 @@
     down: AtomicBool,
     /// Whether appends are carried out but not answered.
     drop_replies: AtomicBool,
+    silent: AtomicBool,
+    /// When calls that read the orders arrived while the store was silent.
+    silent_reads: Mutex<Vec<Instant>>,
 }
 
 impl Store {
@@ -96,6 +99,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Leaves all further calls without an answer.
+    pub fn silence(&self) {
+        self.silent.store(true, Ordering::Relaxed);
+    }
+
+    /// When calls that read the orders arrived since the store fell silent.
+    pub fn silent_reads(&self) -> Vec<Instant> {
+        self.silent_reads.lock().clone()
+    }
+
     /// Sets whether replies to appends are dropped.
     pub fn set_drop_replies(&self, drop_replies: bool) {
         self.drop_replies.store(drop_replies, Ordering::Relaxed);
@@ -117,6 +130,12 @@
             return reply(503);
         }
         let topic = query_param(&request, "topic").unwrap_or_default().to_owned();
+        if self.silent.load(Ordering::Relaxed) {
+            if topic == "keyed.op" {
+                self.silent_reads.lock().push(Instant::now());
+            }
+            return std::future::pending().await;
+        }
         match request.uri().path() {
             "/-/log-newest" => self.newest(&topic),
             "/-/log-read" => self.read(&topic, &request).await,
