Ask the store again 1 s after a lost question, not after 1.5 s

Cause: a probe that was lost was followed by the next one after 3.0 s (1.5 s for the answer and 1.5 s of pause). Where others are known to have newer orders, the read that waits may be kept for 9 s, so the probe is what finds the end of an outage, and 3 s after that end a host counts as in contact again. Price: none while the store answers, since the pause follows a failed probe only.

--- a/src/kelpwind/mesh/orders_reader.rs
+++ b/src/kelpwind/mesh/orders_reader.rs
@@ -25,6 +25,9 @@
 /// It does not grow with failures, because a probe sent right before the end of an outage delays
 /// the next one. A store that is slow is read by the read that waits.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause after a probe that failed. With [`PROBE_TIMEOUT`] it is well below the 3 s after an outage
+/// from which on a host counts as in contact again.
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
 /// Number of times that the limit of a read that waits is doubled after reads that have failed.
 const DOUBLINGS_MAX: u32 = 3;
 
@@ -98,7 +101,7 @@
                     return read.outcome(Ok(batch));
                 }
                 (Err(e), Some(other)) if is_probe => {
-                    self.probe_at = Some(Instant::now() + PROBE_TIMEOUT);
+                    self.probe_at = Some(Instant::now() + PROBE_PAUSE);
                     node.record_failed_probe(&e);
                     waiting = other;
                 }
--- a/tests/mesh/configuration.rs
+++ b/tests/mesh/configuration.rs
@@ -129,10 +129,18 @@
 
 // An outage may end right after any of these reads was sent. No answer to it will come then, so the
 // next one must follow before the node counts as in contact again.
+#[rstest]
+#[case::nothing_is_known_of_newer_orders(false)]
+#[case::others_have_newer_orders(true)]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_request_asked_during_an_outage_does_not_delay_reads_of_the_orders() {
+async fn a_request_asked_during_an_outage_does_not_delay_reads_of_the_orders(#[case] behind: bool) {
     let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
     let cut = Faults { cut_forward: true, cut_backward: true, ..Faults::default() };
+    if behind {
+        fleet.set_faults(FAULTY, cut.clone());
+        fleet.publish(SERVICES, &rows(0));
+        until_new_route_served(&fleet, 0, APPLY_TIME).await;
+    }
     for host in (0..fleet.hosts.len()).filter(|host| *host != FAULTY) {
         fleet.set_faults(host, cut.clone());
     }
