--- a/tests/testsuite/table_eras.rs
+++ b/tests/testsuite/table_eras.rs
@@ -164,7 +164,8 @@
     for seed in 0..200 {
         let mut random = fastrand::Rng::with_seed(seed);
         let mut present = divided(FORMER);
-        let mut views: BTreeMap<usize, KeyMap> = (0..OWNERS).map(|n| (n, divided(FORMER))).collect();
+        let mut views: BTreeMap<usize, KeyMap> =
+            (0..OWNERS).map(|n| (n, divided(FORMER))).collect();
         for _ in 0..TRANSFERS {
             let range = present.ranges[random.usize(..present.ranges.len())].clone();
             let first = random.u16(range.span.first..=range.span.last);
@@ -195,7 +196,11 @@
         for key in (0..=KEY_MAX).step_by(97) {
             let last: &Range = present.find(key).unwrap();
             let Some(found) = owner_of(&keys, key) else { continue };
-            assert_eq!(Some(&found), last.owner.as_ref().map(|o| &o.holder), "seed {seed}, key {key}");
+            assert_eq!(
+                Some(&found),
+                last.owner.as_ref().map(|o| &o.holder),
+                "seed {seed}, key {key}"
+            );
         }
     }
 }
