Do not grant keys by a former table whose lease was lost, nor assign them early

What callers saw: after a store came back from an older copy, two backend servers held the same keys in two more cases.

Cause: a node that was cut off from the store lost its lease, and its keys were assigned to others. When it reached the store again it wrote its record in the new era, its witnesses acknowledged it, and it granted its keys by the former table, which was in force for it until the members were back. That another node had told it of the era long ago was forgotten with the store's first answer. A node that had started while the store was away counted the wait for unclaimed keys from its start, and so assigned keys that their owners had not yet claimed.

Evidence: two tests in tests/mesh/store_restore.rs.

Change: a lease that was lost when a node learns of an era allows claims, but no grants, until the table of the era is in force. The time at which another node told of the era counts. A node that has read no table waits from when it learned of the era. After two losses in a row the wait counts from the last one. The first start of an installation is not taken for one if the store shows that it has lost records (a test of the table shows which), and the first division of keys is checked again when it is written; the last three were found by reading, and no run showed them.

--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -163,6 +163,9 @@
     /// When grants that are made at `now` must have ended: the end of the lease, and the excess that
     /// this node's record tells others. `None` without a valid lease.
     pub fn grants_end(&self, now: BootInstant) -> Option<BootInstant> {
+        if !self.may_grant() {
+            return None;
+        }
         let lease_end = self.lease.borrow().as_ref().filter(|l| l.is_valid(now))?.expires_at()?;
         Some(lease_end + self.announced_excess())
     }
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -90,8 +90,10 @@
     pub table_position: watch::Sender<Option<Position>>,
     /// The table of the present era, until it replaces that of the former one.
     pub restoration: RefCell<Option<Restoration>>,
-    /// When the last restoration began whose table is in force.
+    /// When the store told of the era whose table is in force, if another one was in force before.
     pub restored_at: Cell<Option<Instant>>,
+    /// When this node, before its first read of the table, learned of the present era.
+    pub era_since: Cell<Instant>,
     /// A later era that another node has told of, and when.
     pub announced_era: Cell<Option<(Era, Instant)>>,
     /// Number of conditional writes whose outcome is not known.
--- a/src/kelpwind/mesh/plan.rs
+++ b/src/kelpwind/mesh/plan.rs
@@ -115,6 +115,10 @@
             return None;
         }
         let Some(keys) = table.keys.get(&service) else {
+            // A later era may have begun since this was due.
+            if !self.may_assign_unclaimed() {
+                return None;
+            }
             let shares: Vec<(Owner, f64)> =
                 recipients.iter().map(|r| (r.owner.clone(), r.capacity)).collect();
             let keys = KeyMap::divide(&shares).above(table.token_floor());
--- a/src/kelpwind/mesh/restoration.rs
+++ b/src/kelpwind/mesh/restoration.rs
@@ -79,8 +79,13 @@
     pub table: Table,
     /// Whether it has been read.
     pub loaded: bool,
-    /// When this node learned of the era.
+    /// When this node learned that the former table is one of a former era, from the store or from
+    /// another node.
     pub began: Instant,
+    /// When the store told this node of the present era.
+    learned: Instant,
+    /// Whether the lease was valid then. Otherwise its keys may have been assigned to others before.
+    held_lease: bool,
     /// Earliest time at which this node writes its record.
     write_at: Instant,
 }
@@ -114,17 +119,26 @@
         if self.followed_position().0.era == era {
             return false;
         }
+        let now = Instant::now();
+        let told =
+            self.announced_era.get().filter(|(told, _)| Some(*told) <= era).map(|(_, at)| at);
+        if told.is_some() {
+            self.announced_era.set(None);
+        }
         if self.table_position.borrow().is_none() {
             self.table.replace(Table::new(era));
+            self.era_since.set(now);
             return true;
         }
-        let now = Instant::now();
         // Of an era in between nothing came into force, and the former table is as old as before.
-        let before = self.restoration.borrow().as_ref().map(|r| r.began);
+        let before = self.restoration.borrow().as_ref().map(|r| (r.began, r.held_lease));
+        let valid = self.lease.borrow().as_ref().is_some_and(|l| l.is_valid(clock::now()));
         self.restoration.replace(Some(Restoration {
             table: Table::new(era),
             loaded: false,
-            began: before.unwrap_or(now),
+            began: before.map(|(began, _)| began).into_iter().chain(told).fold(now, Instant::min),
+            learned: now,
+            held_lease: valid && before.is_none_or(|(_, held)| held),
             write_at: now + rewrite_time(self.member_count()).mul_f64(fastrand::f64()),
         }));
         if before.is_none() {
@@ -150,6 +164,12 @@
         }
     }
 
+    /// Whether keys may be granted by the table in force. A lease that was lost before this node
+    /// learned of the present era, and that witnesses acknowledge again, only allows claims.
+    pub fn may_grant(&self) -> bool {
+        self.restoration.borrow().as_ref().is_none_or(|r| r.held_lease)
+    }
+
     /// Whether this node may still act by its table as holder and as witness.
     pub fn trusts_table(&self) -> bool {
         let restoration = self.restoration.borrow();
@@ -168,10 +188,10 @@
     }
 
     /// Records that the store has answered in the known era, which may show that what another node
-    /// told is not true.
+    /// told is not true. What is true is kept for [`Node::follow_era`].
     pub fn check_announced_era(&self) {
         let Some((era, at)) = self.announced_era.get() else { return };
-        if self.store_era.known() >= Some(era) || at.elapsed() > STALE_ANSWER_TIME {
+        if self.store_era.known() < Some(era) && at.elapsed() > STALE_ANSWER_TIME {
             self.announced_era.set(None);
         }
     }
@@ -197,14 +217,16 @@
     /// Whether keys without an owner that nobody has claimed may be assigned.
     pub fn may_assign_unclaimed(&self) -> bool {
         let first_start = self.settings.borrow().bootstrap && self.restored_at.get().is_none();
-        if first_start || self.table.borrow().era.is_none() {
+        let table = self.table.borrow();
+        if table.era.is_none() || first_start && !table.follows_loss() {
             return true;
         }
+        drop(table);
         // A node that has just started may not know of all members yet.
         let members = self.member_count();
         match self.restored_at.get() {
             Some(at) => at.elapsed() >= unclaimed_wait(members),
-            None => self.started.elapsed() >= unclaimed_wait(2 * members),
+            None => self.era_since.get().elapsed() >= unclaimed_wait(2 * members),
         }
     }
 
@@ -268,7 +290,9 @@
 
     /// Puts the table of the present era into force.
     fn adopt_era(&self) {
-        let Some(Restoration { table, began, .. }) = self.restoration.take() else { return };
+        let Some(Restoration { table, began, learned, .. }) = self.restoration.take() else {
+            return;
+        };
         let unclaimed = |keys: &KeyMap| {
             let ranges = keys.ranges.iter().filter(|r| keys.is_unclaimed(r));
             ranges.map(|r| r.span.width()).sum::<u32>()
@@ -280,7 +304,7 @@
         let took_ms = began.elapsed().as_millis() as u64;
         spdlog::info!("the table of a new era is in force", kv: { era, members, lacking, unclaimed, took_ms });
         self.table.replace(table);
-        self.restored_at.set(Some(began));
+        self.restored_at.set(Some(learned));
         self.table_position.send_replace(Some(self.table.borrow().position()));
         self.sync_lease();
         self.announce_wake.notify_one();
@@ -295,7 +319,7 @@
 
 /// Tells the other members of the new era, and puts its table into force once that is complete.
 async fn restore(node: Rc<Node>) {
-    if let Some(era) = node.store_era.known().filter(|_| node.announced_era.get().is_none()) {
+    if let Some(era) = node.store_era.known() {
         let others: Vec<_> = {
             let me = node.name();
             let table = node.table.borrow();
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -107,6 +107,7 @@
         table_position: watch::Sender::new(None),
         restoration: RefCell::default(),
         restored_at: Cell::new(None),
+        era_since: Cell::new(Instant::now()),
         announced_era: Cell::new(None),
         uncertain_writes: Cell::new(0),
         orders: watch::Sender::default(),
--- a/src/kelpwind/table/mod.rs
+++ b/src/kelpwind/table/mod.rs
@@ -182,6 +182,13 @@
         self.era.map(Era::token_floor).unwrap_or_default()
     }
 
+    /// Whether the store shows that it has lost records: some are of other eras, or keys have tokens of
+    /// former eras.
+    pub fn follows_loss(&self) -> bool {
+        let former = |k: &KeyMap| k.ranges.iter().any(|r| r.token <= k.floor);
+        !self.former_keys.is_empty() || self.era.is_some() && self.keys.values().any(former)
+    }
+
     /// Adopts into `keys` what members have claimed of a service, and returns whether that changed
     /// anything. A claim of a node that has left is void.
     pub fn apply_claims(&self, service: &ServiceName, keys: &mut KeyMap) -> bool {
--- a/tests/mesh/store_restore.rs
+++ b/tests/mesh/store_restore.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use kelpwind_stand_ins::proxy::Faults;
 use rstest::rstest;
 
 use super::assert_no_violations;
@@ -22,6 +23,9 @@
 /// Longest time until all keys are served at the end.
 const SERVED_WITHIN: Duration = Duration::from_secs(10);
 
+/// Time after which keys that nobody has claimed are assigned, with some reserve.
+const UNCLAIMED_WAIT: Duration = Duration::from_secs(10);
+
 /// What moves keys between the copy and the loss.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Cause {
@@ -165,3 +169,48 @@
 async fn two_servers_hold_the_same_keys_after_the_store_was_away(#[case] cause: Cause) {
     run(cause, Store::Keeps).await;
 }
+
+/// A node and the store do not reach each other.
+fn cut() -> Faults {
+    Faults { cut_forward: true, cut_backward: true, ..Faults::default() }
+}
+
+/// A node starts while the store is away, and first reads it when it has come back from an older copy.
+/// Another node is cut off from it and goes on by the former table.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_started_long_before_its_first_read_waits_for_claims() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    tokio::time::sleep(COPY_TIME).await;
+    fleet.store.copy();
+    fleet.store.set_down(true);
+    fleet.replace_node(0);
+    fleet.until_replaced().await;
+    fleet.pause(UNCLAIMED_WAIT).await;
+    fleet.set_faults(3, cut());
+    fleet.store.restore_copy();
+    fleet.store.set_down(false);
+    tokio::time::sleep(CALM).await;
+    fleet.set_faults(3, Faults::default());
+    fleet.pause(CALM).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_sound(&fleet, 2).await;
+}
+
+/// Two nodes do not reach the store until others have been assigned their keys.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_was_cut_off_from_the_store_does_not_hold_keys_by_the_former_table() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    tokio::time::sleep(COPY_TIME).await;
+    fleet.store.copy();
+    [1, 3].iter().for_each(|host| fleet.set_faults(*host, cut()));
+    fleet.drill(AWAY).await;
+    tokio::time::sleep(UNCLAIMED_WAIT).await;
+    for host in [1, 3] {
+        fleet.set_faults(host, Faults::default());
+        fleet.pause(CALM).await;
+    }
+    callers.iter().for_each(|c| c.abort());
+    assert_sound(&fleet, 2).await;
+}
--- a/tests/testsuite/table.rs
+++ b/tests/testsuite/table.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use kelpwind::core::ids::{Holder, Incarnation, Offset, ServiceName, Version};
+use kelpwind::core::ids::{Era, Holder, Incarnation, Offset, ServiceName, Version};
 use kelpwind::lease::message::IncarnationId;
 use kelpwind::table::keys::{KEY_MAX, KeyMap, Owner, Range, Span};
 use kelpwind::table::member::{Instance, Member};
@@ -284,3 +284,26 @@
     let expected = std::collections::BTreeSet::from([IncarnationId::from(former.inc)]);
     assert_eq!(log.table.succeeded_owners(), expected);
 }
+
+/// A table of an era to which a batch was written.
+fn table_of_era(era: Option<Era>, batch: WriteBatch) -> Table {
+    let mut table = Table::new(Some(Era(2)));
+    let next = Offset(batch.records.len() as u64);
+    for record in batch.of_era(era).records_before(next) {
+        assert!(table.apply(&record));
+    }
+    table
+}
+
+#[test]
+fn a_store_with_records_or_tokens_of_former_eras_has_lost_records() {
+    let empty = Table::new(Some(Era(2)));
+    let floor = empty.token_floor();
+    let assigned = KeyMap::divide(&[(owner(1), 1.0)]);
+    let put = |keys: &KeyMap| WriteBatch::put_keys(&empty, &service(), keys);
+    assert!(!empty.follows_loss());
+    assert!(table_of_era(None, put(&assigned)).follows_loss());
+    assert!(table_of_era(Some(Era(1)), put(&assigned)).follows_loss());
+    assert!(table_of_era(Some(Era(2)), put(&KeyMap::unclaimed(floor))).follows_loss());
+    assert!(!table_of_era(Some(Era(2)), put(&assigned.above(floor))).follows_loss());
+}
