Write nothing to the table of an era that is known to be over

Cause: the answer to a read of the orders may tell of a new era up to a second before the table's reader follows it, while that one pauses. A conditional write of the former table was then sent as a call of the new era. If the log ended at the same offset, since the table had lost nothing, its answer was taken for a success: it told the receiver of a move that is not in the table of the new era. Besides, a node in a new era wrote its record about every 65 ms for as long as it could not read the table, since it was woken every 50 ms.

Evidence: both were found by reading, and no test shows them.

Change: conditional writes wait until the table is one of the known era, and the next record waits until the last one was read, at most as long as otherwise.

--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -378,7 +378,12 @@
                 }
                 if node.is_restoring() {
                     // A timeout means that the record was not read back; it is written again then.
-                    let _ = timeout(ECHO_TIMEOUT, node.announce_wake.notified()).await;
+                    let echo = async {
+                        while node.followed_position().0 < next {
+                            node.announce_wake.notified().await;
+                        }
+                    };
+                    let _ = timeout(ECHO_TIMEOUT, echo).await;
                     continue;
                 }
                 let mut offset = node.table_position.subscribe();
--- a/src/kelpwind/mesh/restoration.rs
+++ b/src/kelpwind/mesh/restoration.rs
@@ -155,10 +155,12 @@
         at.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()))
     }
 
-    /// Waits until the table of the present era is in force.
+    /// Waits until the table of the present era is in force. The era may be known before the table's
+    /// reader follows it.
     pub async fn wait_for_present_era(&self) {
         let mut known = self.table_position.subscribe();
-        while self.is_restoring() {
+        let is_former = || self.table.borrow().era != self.store_era.known();
+        while self.is_restoring() || is_former() {
             // Fails only if the sender is dropped, and `self` owns the sender.
             drop(known.changed().await);
         }
