--- a/tests/mesh/store_restore.rs
+++ b/tests/mesh/store_restore.rs
@@ -25,6 +25,9 @@
 /// Longest time until all keys are served at the end.
 const SERVED_WITHIN: Duration = Duration::from_secs(10);
 
+/// Time after which keys that nobody has claimed are assigned, with some reserve.
+const UNCLAIMED_WAIT: Duration = Duration::from_secs(10);
+
 /// What moves keys between the copy and the loss.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Cause {
@@ -49,6 +52,11 @@
     Keeps,
 }
 
+/// A node and the store do not reach each other.
+fn cut() -> Faults {
+    Faults { cut_forward: true, cut_backward: true, ..Faults::default() }
+}
+
 async fn next_server(fleet: &mut Fleet, host: usize) {
     fleet.hosts[host].server.as_ref().unwrap().drain();
     tokio::time::sleep(MOVE_TIME).await;
@@ -284,8 +292,7 @@
     let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
     tokio::time::sleep(COPY_TIME).await;
     fleet.store.copy();
-    let cut = Faults { cut_forward: true, cut_backward: true, ..Faults::default() };
-    fleet.set_faults(3, cut);
+    fleet.set_faults(3, cut());
     fleet.hosts[0].server.as_ref().unwrap().drain();
     tokio::time::sleep(MOVE_TIME).await;
     fleet.drill(AWAY).await;
@@ -335,3 +342,43 @@
     assert_eq!(count(), before, "a malformed era was taken for a new one");
     assert_sound(&fleet, 0).await;
 }
+
+/// A node starts while the store is away, and first reads it when it has come back from an older copy.
+/// Another node is cut off from it and goes on by the former table.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_a_node_started_long_before_its_first_read() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    tokio::time::sleep(COPY_TIME).await;
+    fleet.store.copy();
+    fleet.store.set_down(true);
+    fleet.replace_node(0);
+    fleet.until_replaced().await;
+    fleet.pause(UNCLAIMED_WAIT).await;
+    fleet.set_faults(3, cut());
+    fleet.store.restore_copy();
+    fleet.store.set_down(false);
+    tokio::time::sleep(CALM).await;
+    fleet.set_faults(3, Faults::default());
+    fleet.pause(CALM).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_sound(&fleet, 2).await;
+}
+
+/// Two nodes do not reach the store until others have been assigned their keys.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_hold_the_same_keys_after_nodes_reach_the_store_late() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    tokio::time::sleep(COPY_TIME).await;
+    fleet.store.copy();
+    [1, 3].iter().for_each(|host| fleet.set_faults(*host, cut()));
+    fleet.drill(AWAY).await;
+    tokio::time::sleep(UNCLAIMED_WAIT).await;
+    for host in [1, 3] {
+        fleet.set_faults(host, Faults::default());
+        fleet.pause(CALM).await;
+    }
+    callers.iter().for_each(|c| c.abort());
+    assert_sound(&fleet, 2).await;
+}
