Begin moves that wait for a report when the server is granted keys by calls

What callers saw: nothing until the server left. Its node moved no more keys, so a server that drained kept its keys. Cause: a move that waits for the next report marks a change of keys as in progress. Only a report that is answered with keys, or the end of the server in this way of granting, began it. When the configuration changed to grants by calls in between, neither came any more, and the mark kept all later moves from beginning. Evidence: the new test changes the way at run time. Why it works: planned moves now begin whenever nothing has to wait for a report, for whatever reason. While a report waits for its answer there are none, because its arrival began them. They begin before grants are sent by calls, so that no key is granted only to be released. Tests: the simulated server and the configurations of a test can change the way of granting.

--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -40,10 +40,12 @@
             continue;
         }
         node.sync_held_ranges();
+        // Planned moves need not wait for a report of a server that is gone or granted keys by calls.
+        if !node.must_await_report() {
+            node.begin_planned_moves();
+        }
         if !node.grants_in_reports() {
             node.send_grants();
-        } else if node.server.borrow().is_none() {
-            node.begin_planned_moves();
         }
         node.start_due_moves();
         node.keys_checked.notify_waiters();
--- a/tests/mesh/report_grants.rs
+++ b/tests/mesh/report_grants.rs
@@ -232,6 +232,38 @@
     assert_eq!(broken.collect::<Vec<_>>(), Vec::new());
 }
 
+/// Calls can tell a server at any time what to release.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_move_that_waits_for_a_report_begins_when_the_server_is_granted_keys_by_calls() {
+    const MOVE_TIME: Duration = Duration::from_secs(4);
+    let fleet = check_ownership(async |fleet| {
+        let idle = fleet.hosts[3].server.take().unwrap();
+        idle.drain();
+        fleet.pause(GRANT_END * 2).await;
+        idle.crash();
+        fleet.pause(GRANT_END).await;
+        let server = fleet.hosts[0].server.clone().unwrap();
+        // None arrives before the configuration changes.
+        let late = Duration::from_secs(60);
+        server.set_report_faults(ReportFaults { report_delay: late, ..ReportFaults::default() });
+        fleet.pause(Duration::from_secs(1)).await;
+        let before = fleet.log(0).matches("keys begin to move").count();
+        fleet.start_server(3).await;
+        fleet.pause(Duration::from_secs(1)).await;
+        assert_eq!(fleet.log(0).matches("keys begin to move").count(), before);
+        fleet.set_grants_in_reports(false);
+        fleet.publish(SERVICES, "");
+        server.set_report_faults(ReportFaults::default());
+        fleet.pause(MOVE_TIME).await;
+        assert_eq!(fleet.log(0).matches("keys begin to move").count(), before + 1);
+        server.drain();
+        fleet.pause(MOVE_TIME).await;
+        assert_eq!(server.remaining_hold(), Duration::ZERO, "the keys have not moved");
+    })
+    .await;
+    assert!(!fleet.log(0).contains(r#""change":"silent""#), "the server was detached meanwhile");
+}
+
 /// Reports that cannot be read are refused, change nothing and delay no request.
 #[tokio::test(flavor = "multi_thread")]
 async fn malformed_reports_change_nothing() {
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -273,6 +273,17 @@
         self.start_node(self.hosts.len() - 1);
     }
 
+    /// Changes how the servers of the keyed service are granted keys, from the next configuration on.
+    pub fn set_grants_in_reports(&mut self, reported: bool) {
+        self.reports_keys = reported;
+        for host in &mut self.hosts {
+            if host.server_config.keyed {
+                host.server_config.reports_keys = reported;
+                host.server.iter().for_each(|server| server.set_grants_in_reports(reported));
+            }
+        }
+    }
+
     /// Publishes a configuration with two routes per service; `extra` is one more row of the table
     /// of routes, or empty.
     pub fn publish(&mut self, services: &[(&str, u32)], extra: &str) {
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -120,6 +120,8 @@
     /// Differs for each start, also under the same ID.
     pub life: u64,
     config: ServerConfig,
+    /// Whether it is granted keys in the answers to its reports at present.
+    reports_keys: Mutex<bool>,
     /// Indices in the history of the ranges held now.
     grants: Mutex<Vec<usize>>,
     /// Spans taken back, with their tokens, on which it may still work.
@@ -189,6 +191,7 @@
             id,
             life: fastrand::u64(..),
             grant_delay: Mutex::new(config.grant_delay),
+            reports_keys: Mutex::new(config.reports_keys),
             config,
             grants: Mutex::default(),
             releasing: Mutex::default(),
@@ -241,6 +244,15 @@
         *self.draining.lock() = true;
     }
 
+    /// Changes the way in which it is granted keys from now on.
+    pub fn set_grants_in_reports(&self, reported: bool) {
+        *self.reports_keys.lock() = reported;
+    }
+
+    fn reports_keys(&self) -> bool {
+        *self.reports_keys.lock()
+    }
+
     /// Stops the server's reports; it still runs requests.
     pub fn stop_reports(&self) {
         *self.reports_stopped.lock() = true;
@@ -346,7 +358,7 @@
             });
             let sent = Moment::now();
             let freed = self.freed.lock().clone();
-            if self.config.reports_keys {
+            if self.reports_keys() {
                 let rows = freed.iter().map(|(first, last)| (first, last, "left"));
                 body["holds"] = serde_json::json!(self.held_rows(sent));
                 body["freed"] = serde_json::json!(rows.collect::<Vec<_>>());
@@ -365,14 +377,14 @@
             // The node may be down; then the next report reaches it.
             let answer = tokio::time::timeout(REPORT_TIMEOUT, exchange).await.ok().flatten();
             match answer {
-                Some((200, answer)) if self.config.reports_keys => {
+                Some((200, answer)) if self.reports_keys() => {
                     self.freed.lock().retain(|span| !freed.contains(span));
                     self.take_answer(&answer, sent);
                 }
                 Some(_) => {}
                 None => conn = None,
             }
-            let pause = match self.config.reports_keys {
+            let pause = match self.reports_keys() {
                 true if !self.releasing.lock().is_empty() => RELEASING_INTERVAL,
                 true => self.config.report_interval.saturating_sub(Moment::now().since(sent)),
                 false => self.config.report_interval,
@@ -499,7 +511,7 @@
 
     async fn answer_open(&self, request: FullRequest) -> Reply {
         match request.uri().path() {
-            "/-/grant" | "/-/release" if self.config.reports_keys => reply(404),
+            "/-/grant" | "/-/release" if self.reports_keys() => reply(404),
             "/-/grant" => {
                 let reading = *self.read_delay.lock();
                 tokio::time::sleep(reading).await;
