Take a gate for stopping only for as long as the connection lasts that said so

Cause: an entry forgot that a gate had announced to stop only when another run of the gate answered the hello of a later connection. A link whose connection ended while no request waited connects with the next request, and a gate that stops gets none. So the entry never connected again. Why it works: what a gate has announced ends with the connection. A gate that still stops says so again right after its hello, and until then at most refuses requests without running them.

--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -79,7 +79,7 @@
     wake: Notify,
     /// Whether the link takes no new requests.
     retired: Cell<bool>,
-    /// Whether the gate has announced that it stops.
+    /// Whether the gate has announced over the present connection that it stops.
     leaving: Cell<bool>,
     availability: Cell<Availability>,
     /// The last load report of the gate and when it arrived.
@@ -143,7 +143,7 @@
             || self.silence() > PING_AFTER + CHECK_INTERVAL
     }
 
-    /// Whether the gate has announced that it stops.
+    /// Whether the gate has announced over the present connection that it stops.
     pub fn is_leaving(&self) -> bool {
         self.leaving.get()
     }
@@ -296,6 +296,8 @@
         self.queue.replace(None);
         queue.close();
         writing.abort();
+        // Only a request opens the next connection. A gate that still stops says so again there.
+        self.leaving.set(false);
     }
 
     /// Handles the gate's hello: unanswered requests are sent again, except those that a previous
@@ -303,7 +305,6 @@
     fn resume(&self, run_id: u64, queue: &Rc<SendQueue>) {
         if self.gate_run.replace(Some(run_id)).is_some_and(|before| before != run_id) {
             self.complete(|p| p.sent);
-            self.leaving.set(false);
         }
         if self.lost_since.take().is_some() {
             spdlog::info!("regained contact with a node", kv: { node = self.node.as_str() });
--- a/tests/mesh/node_runs.rs
+++ b/tests/mesh/node_runs.rs
@@ -1,6 +1,6 @@
 //! Two runs of a node under one name, and the backend servers beside them.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use kelpwind_stand_ins::proxy::Faults;
 use rstest::rstest;
@@ -167,3 +167,22 @@
     until_all_served(&fleet, 1).await;
     assert_no_violations(&fleet);
 }
+
+/// Others keep an idle link to a gate that stops, over which it has told them so.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_only_gate_of_a_service_gets_requests_again_after_it_was_replaced_while_idle() {
+    const SERVED_WITHIN: Duration = Duration::from_secs(5);
+    let services = [("books", 1), ("maps", 1)];
+    let mut fleet = Fleet::start(&services, Duration::from_millis(20)).await;
+    for _ in 0..2 {
+        assert_eq!(fleet.call(0, "maps", 0, false).await.status, 200);
+        fleet.replace_node(1);
+        fleet.until_replaced().await;
+        let began = Instant::now();
+        while fleet.call(0, "maps", 0, false).await.status != 200 {
+            assert!(began.elapsed() < SERVED_WITHIN, "not served within {SERVED_WITHIN:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    assert_no_violations(&fleet);
+}
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -13,7 +13,7 @@
 /// Seeds that run by default, also in CI.
 const SEEDS: &[u64] = &[1, 2, 3, 1001];
 /// Seeds that failed: a service that is not divided by key was not served within 15 s of the last
-/// fault. The cause is not known.
+/// fault, because entries took its gates for stopping after they had been replaced.
 const REGRESSIONS: &[u64] = &[136, 138];
 /// Number of hosts unless `KELPWIND_SOAK_HOSTS` says otherwise.
 const HOSTS: u32 = 6;
