--- a/src/kelpwind/mesh/restoration.rs
+++ b/src/kelpwind/mesh/restoration.rs
@@ -32,7 +32,7 @@
 use crate::gate::grant_time::EXCESS_MAX;
 use crate::lease::{LEASE_DURATION, clock};
 use crate::table::claim::Claim;
-use crate::table::keys::{KeyMap, Range};
+use crate::table::keys::{KeyMap, Range, Span};
 use crate::table::{Table, WriteBatch};
 
 /// Interval at which the tables of the present and the former era are compared.
@@ -316,7 +316,7 @@
 }
 
 /// The parts of a range outside a span.
-fn without(range: &Range, span: crate::table::keys::Span) -> Vec<Range> {
+fn without(range: &Range, span: Span) -> Vec<Range> {
     range.span.subtract(span).into_iter().map(|span| Range { span, ..range.clone() }).collect()
 }
 
--- a/src/kelpwind/mesh/store_watch.rs
+++ b/src/kelpwind/mesh/store_watch.rs
@@ -17,7 +17,7 @@
 use super::node::Node;
 use super::orders_reader::OrdersReader;
 use super::platform_api::{Batch, ReadRequest, StoreError, Topic};
-use crate::core::ids::Offset;
+use crate::core::ids::{Era, Offset};
 use crate::table::polling::{self, ReadRole};
 use crate::table::{Record, Table};
 
@@ -39,17 +39,7 @@
     let mut orders = OrdersReader::default();
     let mut era = node.store_era.known();
     loop {
-        if topic == Topic::Table && node.follow_era() {
-            next = None;
-        }
-        if era != node.store_era.known() {
-            era = node.store_era.known();
-            next = None;
-            if topic == Topic::Orders {
-                node.forget_orders_progress();
-            }
-        }
-        if topic == Topic::Orders && node.is_recheck_due() {
+        if !node.continues_reading(topic, &mut era) {
             next = None;
         }
         if drawn_at.elapsed() >= ReadRole::duration() {
@@ -122,6 +112,23 @@
 }
 
 impl Node {
+    /// Whether the next read of a topic begins where the last one ended, which was of `era`. Otherwise
+    /// the topic is read as a whole: its offsets are of a former era, or operators have published again
+    /// what the store had lost.
+    fn continues_reading(self: &Rc<Self>, topic: Topic, era: &mut Option<Era>) -> bool {
+        let present = self.store_era.known();
+        let same = std::mem::replace(era, present) == present;
+        match topic {
+            Topic::Table => !self.follow_era() && same,
+            Topic::Orders => {
+                if !same {
+                    self.forget_orders_progress();
+                }
+                !self.is_recheck_due() && same
+            }
+        }
+    }
+
     /// Makes the next read of the table due at once, because this node needs a record that was just
     /// written.
     pub fn request_table_read(&self) {
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -87,6 +87,21 @@
     assert_no_violations(&fleet);
 }
 
+/// Record keys are those of nodes that know of no eras.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_of_a_lost_host_are_taken_over_with_a_store_that_states_no_era() {
+    let mut fleet = Fleet::start_without_eras(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["books"], Duration::from_millis(10));
+    fleet.hosts[0].node = None;
+    fleet.hosts[0].server.take().unwrap().crash();
+    until_all_served(&fleet, 1).await;
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+    let records = fleet.store.newest_matching("keys/books/");
+    assert!(records.iter().all(|(_, (key, _))| key.starts_with("keys/")), "{records:?}");
+    assert_eq!(records.len(), 64);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn restarted_nodes_keep_serving_their_servers_keys() {
     let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -23,7 +23,7 @@
 use super::history::{Conflict, HeldRange, History, Moment, Records, conflicts};
 use super::server::{self, GRANTED_REPORT_INTERVAL, REPORT_INTERVAL, Server, ServerConfig, Stop};
 use super::server_process::ServerProcess;
-use super::store::Store;
+use super::store::{EraHeader, Store};
 
 /// Longest time until a new deployment serves, for each ten of its hosts.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -118,12 +118,23 @@
     /// service is keyed. `service_time` is the time that a server takes for a request. All traffic
     /// between the hosts and the store goes through the proxy.
     pub async fn start(services: &[(&str, u32)], service_time: Duration) -> Fleet {
-        Fleet::start_granted(services, service_time, None).await
+        Fleet::start_granted(services, service_time, None, EraHeader::Number).await
+    }
+
+    /// Like [`Fleet::start`], with a store whose answers state no era.
+    pub async fn start_without_eras(services: &[(&str, u32)], service_time: Duration) -> Fleet {
+        Fleet::start_granted(services, service_time, None, EraHeader::Absent).await
     }
 
     /// Like [`Fleet::start`], with servers that are granted keys in the answers to their reports.
     pub async fn start_reporting(services: &[(&str, u32)], service_time: Duration) -> Fleet {
-        Fleet::start_granted(services, service_time, Some(GRANTED_REPORT_INTERVAL)).await
+        Fleet::start_granted(
+            services,
+            service_time,
+            Some(GRANTED_REPORT_INTERVAL),
+            EraHeader::Number,
+        )
+        .await
     }
 
     /// Like [`Fleet::start_reporting`], with another interval between reports.
@@ -132,15 +143,16 @@
         services: &[(&str, u32)],
         service_time: Duration,
     ) -> Fleet {
-        Fleet::start_granted(services, service_time, Some(interval)).await
+        Fleet::start_granted(services, service_time, Some(interval), EraHeader::Number).await
     }
 
     async fn start_granted(
         services: &[(&str, u32)],
         service_time: Duration,
         reports_keys: Option<Duration>,
+        eras: EraHeader,
     ) -> Fleet {
-        let mut fleet = Fleet::start_nodes(services, service_time, reports_keys).await;
+        let mut fleet = Fleet::start_nodes(services, service_time, reports_keys, eras).await;
         for host in 0..fleet.hosts.len() {
             fleet.start_server(host).await;
         }
@@ -176,7 +188,8 @@
         reports_keys: Option<Duration>,
         mut configure: impl FnMut(usize, &mut ServerConfig),
     ) -> Fleet {
-        let mut fleet = Fleet::start_nodes(services, service_time, reports_keys).await;
+        let mut fleet =
+            Fleet::start_nodes(services, service_time, reports_keys, EraHeader::Number).await;
         for host in 0..fleet.hosts.len() {
             fleet.start_server_process(host, |config| configure(host, config));
         }
@@ -189,6 +202,7 @@
         services: &[(&str, u32)],
         service_time: Duration,
         reports_keys: Option<Duration>,
+        eras: EraHeader,
     ) -> Fleet {
         let reported = reports_keys.is_some();
         let number = FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
@@ -197,6 +211,7 @@
         let folder = std::env::temp_dir().join(format!("kelpwind-fleet-{block}-{number}"));
         std::fs::create_dir_all(&folder).expect("failed to create the folder for settings");
         let store = Store::start(SocketAddr::new(ip(250).into(), 8309)).await;
+        store.set_era_header(eras);
         let proxy = Proxy::default();
         let mut fleet = Fleet {
             store,
