Log and count what backend servers state of themselves

They are decoded in platform/ now and kept by the server's id (mesh/statements.rs); a change is logged with its source, and metrics have the limit in force and the requests sent to the server.

Nothing is decided by them yet. An answer that does not say whether its request ran keeps what else it states, and a request that could not be sent is told apart from one that the server rejected.

--- a/src/kelpwind/core/ids.rs
+++ b/src/kelpwind/core/ids.rs
@@ -189,6 +189,48 @@
     }
 }
 
+/// A finite number of requests per second, zero or more.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// Requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl TryFrom<f64> for RequestRate {
+    type Error = ParseError;
+    fn try_from(raw: f64) -> Result<Self> {
+        match raw.is_finite() && raw >= 0.0 {
+            true => Ok(RequestRate(raw)),
+            false => Err(ParseError::Number(raw.to_string())),
+        }
+    }
+}
+
+impl From<RequestRate> for f64 {
+    fn from(rate: RequestRate) -> f64 {
+        rate.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = ParseError;
+    fn from_str(raw: &str) -> Result<Self> {
+        let rate: f64 = raw.parse().map_err(|_| ParseError::Number(raw.to_owned()))?;
+        RequestRate::try_from(rate)
+    }
+}
+
 /// Position in the log. Offsets are given out again in each era of the store, so a position of a later
 /// era is later whatever its offset.
 #[derive(
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -19,6 +19,7 @@
 use crate::core::codes::Code;
 use crate::core::ids::{Position, ServiceName};
 use crate::gate::queue::{AdmitDecision, QueueEvent, SlotRequest, Ticket};
+use crate::table::member::Instance;
 
 /// Time for which a server that shuts down, or whose failure domain is drained, still takes
 /// requests, since entries learn of it only within tens of milliseconds. The limits for servers
@@ -41,6 +42,8 @@
 const KEY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry-after while there is no backend server, and of requests whose time in the queue ran out.
 const SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry-after of a request that the server rejected or could not be sent.
+const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// Channels of the queued requests: each gets `Ok` to start, or the retry-after with which it is
 /// rejected.
@@ -152,24 +155,31 @@
         }
         sent.set(true);
         let began = Instant::now();
-        let result = (self.platform.backend.send)(&request.request, &server, deadline).await;
-        Ok(self.to_outcome(result, key, &slot, began))
+        self.metrics.count_sent();
+        let result = (self.platform.backend.send)(&request.request, &server.id, deadline).await;
+        Ok(self.to_outcome(result, &server, key, &slot, began))
     }
 
-    /// Converts the server's result, and records the load and the service time that come with it.
+    /// Converts the server's result, and records what the server states of itself and the service time
+    /// that come with it.
     fn to_outcome(
         self: &Rc<Self>,
         result: SendOutcome,
+        server: &Instance,
         key: Option<u16>,
         slot: &Slot<'_>,
         began: Instant,
     ) -> Outcome {
-        let load = match &result {
-            SendOutcome::Ran(_, load) | SendOutcome::NotRun(_, load, _) => Some(load),
-            SendOutcome::Unknown(_) => None,
+        let state = match &result {
+            SendOutcome::Ran(_, state) | SendOutcome::Rejected(_, state) => Some(state),
+            SendOutcome::Unknown(_, state) => state.as_ref(),
+            SendOutcome::NotSent(_) => None,
         };
-        if let Some(slowdown) = load.and_then(|l| l.slowdown) {
-            self.queue.borrow_mut().set_slowdown(slowdown);
+        if let Some(state) = state {
+            if let Some(slowdown) = state.slowdown {
+                self.queue.borrow_mut().set_slowdown(slowdown);
+            }
+            self.record_server_state(server, state, began);
         }
         match result {
             SendOutcome::Ran(answer, _) => {
@@ -178,21 +188,23 @@
                 }
                 Outcome::Answer(answer)
             }
-            SendOutcome::NotRun(code, _, reached_server) => {
-                match (code, key) {
-                    (Code::Unreachable, _) => self.check_listener(),
-                    (Code::NotOwner, Some(key)) => self.record_unheld_key(key),
-                    _ => {}
+            SendOutcome::Rejected(code, _) => {
+                if let (Code::NotOwner, Some(key)) = (code, key) {
+                    self.record_unheld_key(key);
                 }
-                let retry_after_ms = SERVER_RETRY_AFTER.as_millis() as u32 / 2;
-                Outcome::NotRun { code, retry_after_ms, reached_server, owner: None }
+                let retry_after_ms = REJECTED_RETRY_AFTER.as_millis() as u32;
+                Outcome::NotRun { code, retry_after_ms, reached_server: true, owner: None }
+            }
+            SendOutcome::NotSent(code) => {
+                self.check_listener();
+                Outcome::not_run(code, REJECTED_RETRY_AFTER)
             }
-            SendOutcome::Unknown(code) => Outcome::Unknown(code),
+            SendOutcome::Unknown(code, _) => Outcome::Unknown(code),
         }
     }
 
-    /// Returns the id of the server if it belongs to the requested service and takes work.
-    fn check_server(&self, service: &ServiceName) -> Result<String, Outcome> {
+    /// Returns the server if it belongs to the requested service and takes work.
+    fn check_server(&self, service: &ServiceName) -> Result<Instance, Outcome> {
         let settings = self.settings.borrow();
         if settings.service != *service {
             return Err(Outcome::not_run(Code::StaleRoute, KEY_RETRY_AFTER));
@@ -210,7 +222,7 @@
         if closed.into_iter().any(|since| since.elapsed() >= DRAIN_GRACE) || stopping >= grace {
             return Err(Outcome::not_run(Code::Draining, KEY_RETRY_AFTER));
         }
-        Ok(server.report.instance.id.clone())
+        Ok(server.report.instance.clone())
     }
 
     /// Waits until the server holds a key that this node owns, `until` at the latest. Also waits for
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 use super::node::Node;
@@ -65,6 +65,13 @@
     server_changes: IntCounterVec,
     /// Counts the takeovers that this node has started.
     pub takeovers: IntCounter,
+    sent: IntCounter,
+    /// Counts statements of the backend server that are malformed.
+    pub malformed_statements: IntCounter,
+    /// Limits log lines about these.
+    pub statement_log: RateLimitedLog,
+    limit: Gauge,
+    leaving: IntGauge,
     running: IntGauge,
     waiting: IntGauge,
     keys: IntGauge,
@@ -229,6 +236,33 @@
                 &registry,
                 IntCounter::new("kelpwind_takeovers_total", "Takeovers started."),
             ),
+            sent: register(
+                &registry,
+                IntCounter::new(
+                    "kelpwind_gate_sent_total",
+                    "Requests that this node's gate has sent to the backend server.",
+                ),
+            ),
+            malformed_statements: register(
+                &registry,
+                IntCounter::new(
+                    "kelpwind_server_malformed_statements_total",
+                    "Answers of the backend server that state a malformed limit.",
+                ),
+            ),
+            statement_log: RateLimitedLog::default(),
+            limit: register(
+                &registry,
+                Gauge::new(
+                    "kelpwind_server_limit",
+                    "Requests per second that the backend server takes by its own statement; -1 if \
+                     it states no limit.",
+                ),
+            ),
+            leaving: gauge(
+                "kelpwind_server_leaving",
+                "Whether the backend server has said that it is about to shut down.",
+            ),
             running: gauge("kelpwind_gate_running", "Requests running at the backend server."),
             waiting: gauge("kelpwind_gate_waiting", "Requests waiting for the backend server."),
             keys: gauge("kelpwind_keys_held", "Keys that the backend server holds."),
@@ -320,6 +354,11 @@
         self.era_faults.with_label_values(&[fault.label()]).inc();
     }
 
+    /// Counts a request that the gate sends to the backend server.
+    pub fn count_sent(&self) {
+        self.sent.inc();
+    }
+
     /// Counts a request that the gate refused.
     pub fn count_refusal(&self, code: Code) {
         self.refusals_total.with_label_values(&[&code.number().to_string()]).inc();
@@ -335,6 +374,13 @@
             metrics.running.set(queue.running().into());
             metrics.waiting.set(queue.waiting().into());
         }
+        {
+            let (statements, server) = (self.statements.borrow(), self.server_instance());
+            let stated = server.as_ref().and_then(|instance| statements.of(instance));
+            let rate = stated.and_then(|s| s.limit).map(|limit| limit.rate.per_second());
+            metrics.limit.set(rate.unwrap_or(-1.0));
+            metrics.leaving.set(stated.is_some_and(|s| s.leaving_since.is_some()).into());
+        }
         metrics.keys.set(self.held.borrow().active_keys().into());
         let now = clock::now();
         let left =
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -18,6 +18,7 @@
 //!   which node owns which keys, and until when.
 //! * [`report_grants`] and [`report_exchanges`]: grants in the answers to the server's reports.
 //! * [`holds`]: until when a backend server here may hold keys, whoever owns them.
+//! * [`statements`] and [`server_state`]: what backend servers state of themselves in their answers.
 //! * [`selection`]: the choice among the targets of a service.
 //! * [`request_state`]: attempts and retries of one request at the entry.
 //! * [`frame`], [`send_queue`], [`serve`], [`datagram`] and [`udp`]: connections and datagrams
@@ -54,7 +55,9 @@
 pub(crate) mod selection;
 pub(crate) mod send_queue;
 pub(crate) mod serve;
+pub(crate) mod server_state;
 pub(crate) mod start;
+pub mod statements;
 pub(crate) mod store_era;
 pub(crate) mod store_watch;
 pub(crate) mod table_updates;
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -22,11 +22,13 @@
 use super::report_exchanges::{ConnectionId, ReportExchanges};
 use super::restoration::Restoration;
 use super::serve::Sessions;
+use super::statements::ServerStatements;
 use super::store_era::StoreEra;
 use crate::core::ids::{DomainName, Era, Holder, Incarnation, NodeId, Position, ServiceName};
 use crate::core::routes::Routes;
 use crate::gate::grant_time::TransitTimes;
 use crate::gate::queue::RequestQueue;
+
 use crate::lease::clock::{self, BootInstant};
 use crate::lease::holder::Lease;
 use crate::lease::message::IncarnationId;
@@ -130,6 +132,8 @@
     pub keys_checked: Notify,
     /// Counts changes of the keys that the backend server holds.
     pub held_changed: watch::Sender<u64>,
+    /// What backend servers state of themselves.
+    pub statements: RefCell<ServerStatements>,
     /// The queue in front of the backend server.
     pub queue: RefCell<RequestQueue>,
     /// Requests that wait in the queue.
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 
 use crate::core::codes::Code;
-use crate::core::ids::{Count, DomainName, Era, Offset, ServiceName, Token};
+use crate::core::ids::{Count, DomainName, Era, Offset, RequestRate, ServiceName, Token};
 use crate::core::routes::Routes;
 use crate::lease::clock::BootInstant;
 use crate::table::keys::Span;
@@ -242,11 +242,27 @@
     pub echo: Vec<(String, Bytes)>,
 }
 
-/// The load that a backend server states in an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
+/// What a backend server states of itself in an answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServerState {
     /// Current service time relative to the usual one: 1 is usual, 2 is twice as long.
     pub slowdown: Option<f64>,
+    /// The requests that it takes at present.
+    pub limit: StatedLimit,
+    /// Whether it is about to shut down.
+    pub leaving: bool,
+}
+
+/// What an answer of a backend server says of the requests that it takes from all nodes together.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum StatedLimit {
+    /// Nothing: there is no limit.
+    #[default]
+    None,
+    /// At most this rate.
+    Rate(RequestRate),
+    /// Something that is not a rate.
+    Malformed(String),
 }
 
 /// A complete answer.
@@ -264,11 +280,14 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum SendOutcome {
     /// The request ran; this is the answer.
-    Ran(Answer, Load),
-    /// The request did not run, for this reason. The flag is true when it reached the server.
-    NotRun(Code, Load, bool),
-    /// Whether the request ran is unknown, for this reason.
-    Unknown(Code),
+    Ran(Answer, ServerState),
+    /// The server answered that it did not run the request, for this reason.
+    Rejected(Code, ServerState),
+    /// The request did not reach the server, for this reason.
+    NotSent(Code),
+    /// Whether the request ran is unknown, for this reason. If the server answered, the answer does not
+    /// say.
+    Unknown(Code, Option<ServerState>),
 }
 
 /// The backend server that a call is meant for, and where to ask the process at the address for its
@@ -354,6 +373,8 @@
     pub healthy: bool,
     /// Time until the server's cold start is over; `None` when it does not say.
     pub cold_left: Option<Duration>,
+    /// What else the server states of itself.
+    pub state: ServerState,
 }
 
 /// Sends a request to the server with the given id and tells it the deadline.
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -126,6 +126,7 @@
         report_exchanges: RefCell::default(),
         keys_checked: Notify::new(),
         held_changed: watch::Sender::new(0),
+        statements: RefCell::default(),
         queue: RefCell::new(RequestQueue::new(DEFAULT_SLOTS)),
         tickets: RefCell::default(),
         queue_wake: Notify::new(),
--- a/tests/testsuite/endless_answers.rs
+++ b/tests/testsuite/endless_answers.rs
@@ -383,7 +383,7 @@
         let outcome = send(&backend).await;
         let (took, what) = (began.elapsed(), format!("{:?} {:?}", script.start, script.pause));
         assert!(took < CALL_LIMIT + CALL_SLACK, "took {took:?} for {what}");
-        assert!(matches!(outcome, SendOutcome::Unknown(_)), "{outcome:?} for {what}");
+        assert!(matches!(outcome, SendOutcome::Unknown(..)), "{outcome:?} for {what}");
         server.until_closed().await;
     }
 }
@@ -407,9 +407,9 @@
     let deadline = Instant::now() + Duration::from_secs(3);
     let sends = (0..ANSWERS).map(|_| (backend.send)(&request, "i-1", deadline));
     let outcomes = futures_util::future::join_all(sends).await;
-    assert!(outcomes.iter().all(|o| matches!(o, SendOutcome::Unknown(_))), "{outcomes:?}");
+    assert!(outcomes.iter().all(|o| matches!(o, SendOutcome::Unknown(..))), "{outcomes:?}");
     // Those that were still awaited at the deadline had arrived up to the last byte.
-    let held = outcomes.iter().filter(|o| **o == SendOutcome::Unknown(Code::Expired)).count();
+    let held = outcomes.iter().filter(|o| **o == SendOutcome::Unknown(Code::Expired, None)).count();
     assert!(held * ANSWER_BYTES <= MEMORY_MAX, "{held} answers were held at once");
 }
 
