--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -17,6 +17,7 @@
 mod report_grants;
 mod server_lifecycle;
 mod server_processes;
+mod server_statements;
 mod store_restore;
 
 use std::time::{Duration, Instant};
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -74,7 +74,7 @@
     pub ip: Ipv4Addr,
     /// Name of its node.
     name: String,
-    server_config: ServerConfig,
+    pub server_config: ServerConfig,
     settings_file: PathBuf,
     log_file: PathBuf,
     /// Its node; `None` while it is down.
@@ -778,7 +778,7 @@
             Some(conn) => conn,
             None => CallerConn::open(ip).await?,
         };
-        let answer = exchange(&mut conn, service, key, &result, query).await?;
+        let answer = exchange(&mut conn, ip, service, key, &result, query).await?;
         Some((conn, answer))
     };
     if let Ok(Some((conn, answer))) = tokio::time::timeout(CALL_TIMEOUT, exchange).await {
@@ -790,6 +790,7 @@
 
 async fn exchange(
     conn: &mut CallerConn,
+    ip: Ipv4Addr,
     service: &str,
     key: u16,
     result: &CallResult,
@@ -802,6 +803,7 @@
         .header("host", format!("{service}.example"))
         .header("x-request-id", &result.id)
         .header("x-shard-key", key)
+        .header(server::CALLER, ip.to_string())
         .header("x-deadline-ms", CALL_TIMEOUT.as_millis() as u64)
         .body(Empty::<Bytes>::new())
         .ok()?;
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -10,6 +10,7 @@
 pub mod history;
 pub mod server;
 pub mod server_process;
+pub mod stated;
 pub mod store;
 
 use std::convert::Infallible;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -16,6 +16,7 @@
 use tokio::task::AbortHandle;
 
 use super::history::{Event, HeldRange, History, Moment, Run};
+use super::stated::Stated;
 use super::{Endless, FullRequest, Reply, Serving, query_param, reply, serve};
 
 /// Interval between liveness reports of a server that is granted keys by calls.
@@ -24,6 +25,8 @@
 pub const GRANTED_REPORT_INTERVAL: Duration = Duration::from_millis(870);
 /// Interval between these while it releases keys.
 const RELEASING_INTERVAL: Duration = Duration::from_millis(80);
+/// Header of callers' requests with the host that they are sent from.
+pub const CALLER: &str = "x-test-caller";
 /// Longest wait for the answer to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -119,6 +122,8 @@
     pub id: String,
     /// Differs for each start, also under the same ID.
     pub life: u64,
+    /// Start of the server, in milliseconds since the Unix epoch.
+    born_ms: u64,
     config: ServerConfig,
     /// Whether it is granted keys in the answers to its reports at present.
     reports_keys: Mutex<bool>,
@@ -147,6 +152,8 @@
     health_delay: Mutex<Duration>,
     release_delay: Mutex<Duration>,
     closing: Mutex<Closing>,
+    /// What it states of itself in its answers.
+    pub stated: Mutex<Stated>,
     /// Where it reports.
     node: SocketAddr,
     serving: Mutex<Option<Serving>>,
@@ -190,6 +197,7 @@
         let server = Arc::new(Server {
             id,
             life: fastrand::u64(..),
+            born_ms: unix_ms(),
             grant_delay: Mutex::new(config.grant_delay),
             reports_keys: Mutex::new(config.reports_keys),
             config,
@@ -208,6 +216,7 @@
             health_delay: Mutex::default(),
             release_delay: Mutex::default(),
             closing: Mutex::default(),
+            stated: Mutex::default(),
             answers: Mutex::default(),
             node,
             serving: Mutex::default(),
@@ -320,7 +329,7 @@
     }
 
     /// Tells the node that the server has left.
-    async fn deregister(&self) {
+    pub async fn deregister(&self) {
         let path = format!("/-/instances/{}", self.id);
         // The node may be down; the server exits all the same.
         let call = call(self.node, "DELETE", &path, String::new());
@@ -340,9 +349,21 @@
         *self.report_faults.lock() = faults;
     }
 
+    /// Sends a report that says that the server is ready.
+    pub async fn report_once(&self) {
+        let ServerConfig { service, zone, slots, .. } = &self.config;
+        let body = serde_json::json!({
+            "address": "", "born": self.born_ms,
+            "info": {"service": service, "version": "v1", "zone": zone, "slots": slots},
+            "status": {"state": "ready", "sequence": 1_000_000, "cold-remaining-s": 0},
+        });
+        let path = format!("/-/instances/{}", self.id);
+        let answer = call(self.node, "PUT", &path, body.to_string()).await;
+        answer.expect("the node answers a report");
+    }
+
     async fn report(&self) {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let born = since.as_millis() as u64;
+        let born = self.born_ms;
         tokio::time::sleep(self.config.report_delay).await;
         let mut conn = None;
         for sequence in 1.. {
@@ -492,7 +513,12 @@
 
     async fn answer(&self, request: FullRequest) -> Reply {
         let is_grant = request.uri().path() == "/-/grant";
+        let caller = request.headers().get(CALLER).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        if let Some(caller) = &caller {
+            self.stated.lock().record_arrival(caller);
+        }
         let mut answer = self.answer_open(request).await;
+        self.stated.lock().state(answer.headers_mut(), caller.as_deref());
         let closes = match *self.closing.lock() {
             Closing::None => false,
             Closing::Grants => is_grant,
@@ -693,12 +719,16 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
 /// Sends the first report of a server that has just started.
 pub async fn send_report(node: SocketAddr, config: &ServerConfig, id: &str) {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let ServerConfig { service, zone, slots, .. } = config;
     let body = serde_json::json!({
-        "address": "", "born": since.as_millis() as u64,
+        "address": "", "born": unix_ms(),
         "info": {"service": service, "version": "v1", "zone": zone, "slots": slots},
         "status": {"state": "ready", "sequence": 1, "cold-remaining-s": 0},
     });
--- /dev/null
+++ b/tests/platform/stated.rs
@@ -0,0 +1,131 @@
+//! What a simulated backend server states of itself in its answers, and the requests that arrive in
+//! spite of it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue};
+
+use super::history::Moment;
+
+/// Time from the first statement of a limit until it is to be kept.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time from an answer that states a limit until the host that passed it on is bound by it.
+const NOTICE_TIME: Duration = Duration::from_millis(500);
+/// Any period of this length counts.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Factor on what a limit allows.
+const LIMIT_FACTOR: f64 = 1.5;
+/// Requests beyond that.
+const LIMIT_SLACK: f64 = 5.0;
+/// Time from an answer that states that the server leaves until the host that passed it on sends
+/// nothing more.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// What a server states, and what arrives.
+#[derive(Debug, Default)]
+pub struct Stated {
+    /// The text of the header for the limit.
+    limit: Option<String>,
+    leaving: bool,
+    /// All limits so far that are numbers, each with the time from which on it was stated; `None` is no
+    /// limit.
+    limits: Vec<(Moment, Option<f64>)>,
+    /// When each caller's host first passed on an answer that states a limit.
+    told_limit: HashMap<String, Moment>,
+    /// The same for an answer that states that the server leaves.
+    told_leaving: HashMap<String, Moment>,
+    /// Requests that arrived, with their callers' hosts.
+    arrivals: Vec<(Moment, String)>,
+}
+
+impl Stated {
+    /// States a limit in all later answers, or none.
+    pub fn set_limit(&mut self, limit: Option<&str>) {
+        self.limit = limit.map(str::to_owned);
+        let rate = limit.map(str::parse::<f64>);
+        match rate {
+            Some(Err(_)) => {}
+            rate => self.limits.push((Moment::now(), rate.and_then(Result::ok))),
+        }
+        if limit.is_none() {
+            self.told_limit.clear();
+        }
+    }
+
+    /// States in all later answers that the server leaves.
+    pub fn set_leaving(&mut self) {
+        self.leaving = true;
+    }
+
+    pub fn record_arrival(&mut self, caller: &str) {
+        self.arrivals.push((Moment::now(), caller.to_owned()));
+    }
+
+    /// Adds to the headers of an answer to a host what the server states.
+    pub fn state(&mut self, headers: &mut HeaderMap, caller: Option<&str>) {
+        let now = Moment::now();
+        let tell = |told: &mut HashMap<String, Moment>| {
+            if let Some(caller) = caller {
+                told.entry(caller.to_owned()).or_insert(now);
+            }
+        };
+        if let Some(limit) = &self.limit {
+            headers.insert("server-limit", limit.parse().expect("valid header value"));
+            if limit.parse::<f64>().is_ok() {
+                tell(&mut self.told_limit);
+            }
+        }
+        if self.leaving {
+            headers.insert("server-leaving", HeaderValue::from_static("1"));
+            tell(&mut self.told_leaving);
+        }
+    }
+
+    /// Number of requests that arrived at or after a point in time.
+    pub fn arrivals_since(&self, from: Moment) -> usize {
+        self.arrivals.iter().filter(|(at, _)| *at >= from).count()
+    }
+
+    /// Requests in some period that exceed what the limit in force allows, by how many at most. Only
+    /// requests of hosts count that had passed on such an answer, and that are not `excused`.
+    pub fn excess(&self, excused: &[String]) -> f64 {
+        let bound = |at: Moment, caller: &String| {
+            let told = self.told_limit.get(caller);
+            !excused.contains(caller) && told.is_some_and(|told| at.since(*told) >= NOTICE_TIME)
+        };
+        let counted: Vec<Moment> =
+            self.arrivals.iter().filter(|(at, caller)| bound(*at, caller)).map(|a| a.0).collect();
+        let ends = counted.iter().map(|to| {
+            let from = to.before(WINDOW);
+            let count = counted.iter().filter(|at| **at > from && **at <= *to).count();
+            count as f64 - self.allowed(from, *to)
+        });
+        ends.fold(f64::NEG_INFINITY, f64::max)
+    }
+
+    /// What the highest limit in a period allows; unlimited before it is to be kept.
+    fn allowed(&self, from: Moment, to: Moment) -> f64 {
+        let next = |i: usize| self.limits.get(i + 1).map_or(to, |(at, _)| *at);
+        let in_force =
+            self.limits.iter().enumerate().filter(|(i, (at, _))| *at <= to && next(*i) >= from);
+        let rates: Vec<Option<f64>> = in_force.map(|(_, (_, rate))| *rate).collect();
+        let first = self.limits.iter().find(|(_, rate)| rate.is_some());
+        let is_due = first.is_some_and(|(at, _)| to.since(*at) >= CONTACT_TIME);
+        if !is_due || rates.contains(&None) {
+            return f64::INFINITY;
+        }
+        let rate = rates.into_iter().flatten().fold(0.0, f64::max);
+        LIMIT_FACTOR * rate * WINDOW.as_secs_f64() + LIMIT_SLACK
+    }
+
+    /// Number of requests that arrived from hosts that should have sent nothing more to a server that
+    /// leaves, except `excused` ones.
+    pub fn late_arrivals(&self, excused: &[String]) -> usize {
+        let late = |at: Moment, caller: &String| {
+            let told = self.told_leaving.get(caller);
+            !excused.contains(caller) && told.is_some_and(|told| at.since(*told) >= DRAIN_TIME)
+        };
+        self.arrivals.iter().filter(|(at, caller)| late(*at, caller)).count()
+    }
+}
