Keep to the limit that a backend server states

What callers saw: a server that named a limit got all of their requests (163 in 4 s where 76 are allowed), and those that it could not bear failed there.

The gate, through which all requests to the server pass, starts them from a token bucket at the stated rate. A lower limit counts at once, a higher one or none only in the answer to a request sent after the present one was stated; a malformed one changes nothing. One request in 4 s is sent whatever the limit, since only its answer can lift it.

A limit is less capacity: the queue predicts by it, refuses what it will not reach before the deadline as soon as that is known (code 213), and lets refused callers return at the rate at which room comes back. An owner of keys whose limit is below its load moves keys to others.

--- a/src/kelpwind/gate/mod.rs
+++ b/src/kelpwind/gate/mod.rs
@@ -9,8 +9,8 @@
 //! [`backend`] sends it, bounded by its deadline and the end of the lease. [`dedup`] keeps the
 //! outcomes of requests that must run at most once.
 //!
-//! On a platform ([`crate::mesh`]), admission is decided by [`queue`] and [`cold_start`], and the
-//! duration of key grants by [`grant_time`].
+//! On a platform ([`crate::mesh`]), admission is decided by [`queue`], [`cold_start`] and
+//! [`rate_limit`], and the duration of key grants by [`grant_time`].
 
 pub(crate) mod admission;
 pub(crate) mod backend;
@@ -21,3 +21,4 @@
 pub(crate) mod inflight;
 pub mod limiter;
 pub mod queue;
+pub mod rate_limit;
--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -13,12 +13,17 @@
 //!    while the offered load is below the capacity of the slots: in an overload they would time
 //!    out.
 //!
+//! A rate limit that the server states ([`super::rate_limit`]) counts as less capacity: requests whose
+//! turn would come too late are refused as soon as that is known, not when their turn comes.
+//!
 //! Pure: the time is an argument, and the requests to start are returned as values.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use super::cold_start::ColdStart;
+use super::rate_limit::RateLimit;
+use crate::core::ids::RequestRate;
 
 /// Weight of the newest sample in the service time estimates: about ten answers count.
 const ESTIMATE_WEIGHT: f64 = 0.1;
@@ -98,6 +103,7 @@
     load_updated: Option<Instant>,
     /// Limit on request starts while the server is cold.
     pub cold_start: ColdStart,
+    rate_limit: RateLimit,
 }
 
 impl RequestQueue {
@@ -116,6 +122,7 @@
             offered_load: 0.0,
             load_updated: None,
             cold_start: ColdStart::default(),
+            rate_limit: RateLimit::default(),
         }
     }
 
@@ -130,6 +137,26 @@
         self.slowdown = slowdown.clamp(SLOWDOWN_BOUNDS.0, SLOWDOWN_BOUNDS.1);
     }
 
+    /// Sets the limit that the server states for its requests; `None` if it states none.
+    pub fn set_rate_limit(&mut self, rate: Option<RequestRate>, now: Instant) {
+        self.rate_limit.set_rate(rate, now);
+    }
+
+    /// Whether the server's rate limit lets no request start now.
+    pub fn is_rate_limited(&self, now: Instant) -> bool {
+        !self.rate_limit.may_start(now)
+    }
+
+    /// Work that the server can do at once, in slots: all of them, or as many as requests keep busy that
+    /// arrive at the server's rate limit.
+    pub fn capacity(&self) -> f64 {
+        let slots = f64::from(self.slots);
+        match self.rate_limit.per_second().filter(|_| self.typical_time > 0.0) {
+            Some(rate) => slots.min(rate * self.typical_time),
+            None => slots,
+        }
+    }
+
     /// Number of running requests.
     pub fn running(&self) -> u32 {
         self.running
@@ -164,27 +191,27 @@
     /// Starts, queues or refuses an arriving request.
     pub fn admit(&mut self, request: SlotRequest, now: Instant) -> AdmitDecision {
         self.record_offered_load(&request, now);
-        if self.running < self.slots && self.waiting.is_empty() && self.cold_start.may_start(now) {
+        if self.running < self.slots && self.waiting.is_empty() && self.may_start(now) {
             self.start(now);
             return AdmitDecision::Run;
         }
         let own = self.expected_secs(&request);
-        let ahead: f64 = self
-            .waiting
-            .iter()
-            .filter(|w| starts_before(&w.request, &request))
-            .map(|w| self.expected_secs(&w.request))
-            .sum();
+        let (mut ahead, mut ahead_secs) = (0, 0.0);
+        for other in self.waiting.iter().filter(|w| starts_before(&w.request, &request)) {
+            ahead += 1;
+            ahead_secs += self.expected_secs(&other.request);
+        }
         let wait = self.secs_until_free()
-            + ahead / f64::from(self.slots)
+            + ahead_secs / f64::from(self.slots)
             + self.cold_start.wait_secs(now, self.waiting.len());
+        let wait = wait.max(self.rate_limit.wait(now, ahead).as_secs_f64());
         let end = now + Duration::from_secs_f64(wait + own);
-        let late_fits = self.offered_load < LATE_LOAD_MAX * f64::from(self.slots)
+        let late_fits = self.offered_load < LATE_LOAD_MAX * self.capacity()
             && (self.waiting.len() as u32) < self.slots
             && end <= request.deadline;
         if end > request.objective && !late_fits {
             let over = end.saturating_duration_since(request.objective.max(now));
-            return AdmitDecision::Refuse(over.max(RETRY_DELAY_MIN));
+            return AdmitDecision::Refuse(self.retry_delay(over, now));
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
@@ -217,42 +244,83 @@
             let (ticket, own) = (*ticket, self.expected_secs(request));
             // The estimate is a mean, and a short request may take only half of it.
             let too_late = now + Duration::from_secs_f64(own / 2.0) >= request.deadline;
-            if !too_late && !self.cold_start.may_start(now) {
+            if !too_late && !self.may_start(now) {
                 break;
             }
             self.waiting.swap_remove(first);
             if too_late {
-                events.push(QueueEvent::Refuse(ticket, RETRY_DELAY_MIN));
+                events.push(QueueEvent::Refuse(ticket, self.retry_delay(Duration::ZERO, now)));
                 continue;
             }
             self.start(now);
             events.push(QueueEvent::Start(ticket));
         }
+        self.refuse_hopeless(now, &mut events);
         events
     }
 
-    /// When [`dispatch`](Self::dispatch) must run next even if no request finishes, since the cold
-    /// start limit is what holds requests back; `None` if it does not.
+    /// Refuses the queued requests whose turn under the rate limit comes too late. They were admitted
+    /// before the limit was stated or lowered, or before others with a higher priority arrived.
+    fn refuse_hopeless(&mut self, now: Instant, events: &mut Vec<QueueEvent>) {
+        if self.rate_limit.per_second().is_none() {
+            return;
+        }
+        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
+        order.sort_by_key(|i| self.start_order(&self.waiting[*i], now));
+        let mut ahead = 0;
+        let mut hopeless = Vec::new();
+        for Queued { ticket, request } in order.into_iter().map(|i| &self.waiting[i]) {
+            let start = now + self.rate_limit.wait(now, ahead);
+            if start + Duration::from_secs_f64(self.expected_secs(request) / 2.0)
+                >= request.deadline
+            {
+                hopeless.push(*ticket);
+            } else {
+                ahead += 1;
+            }
+        }
+        self.waiting.retain(|w| !hopeless.contains(&w.ticket));
+        for ticket in hopeless {
+            events.push(QueueEvent::Refuse(ticket, self.retry_delay(Duration::ZERO, now)));
+        }
+    }
+
+    /// Retry delay of a request that is refused because its answer would be late by `over`.
+    fn retry_delay(&mut self, over: Duration, now: Instant) -> Duration {
+        over.max(RETRY_DELAY_MIN).max(self.rate_limit.record_refusal(now))
+    }
+
+    /// When [`dispatch`](Self::dispatch) must run next even if no request finishes, since at most the
+    /// cold start and the rate limit hold requests back; `None` if a slot must become free first.
     pub fn next_dispatch(&self, now: Instant) -> Option<Instant> {
         if self.waiting.is_empty() || self.running >= self.slots {
             return None;
         }
-        self.cold_start.next_start(now)
+        let next = self.cold_start.next_start(now).max(self.rate_limit.next_start(now));
+        Some(next.unwrap_or(now))
+    }
+
+    /// Whether the limits on request starts let one more start.
+    fn may_start(&self, now: Instant) -> bool {
+        self.cold_start.may_start(now) && self.rate_limit.may_start(now)
     }
 
     fn start(&mut self, now: Instant) {
         self.running += 1;
         self.cold_start.record_start(now);
+        self.rate_limit.record_start(now);
+    }
+
+    /// Sort key of queued requests by when they start: the lowest is next.
+    fn start_order(&self, queued: &Queued, now: Instant) -> (bool, u8, Ticket) {
+        let own = Duration::from_secs_f64(self.expected_secs(&queued.request));
+        let late = now + own > queued.request.objective;
+        (late, queued.request.priority, queued.ticket)
     }
 
     /// Index of the queued request that starts next.
     fn next_index(&self, now: Instant) -> Option<usize> {
-        let order = |w: &Queued| {
-            let own = Duration::from_secs_f64(self.expected_secs(&w.request));
-            let late = now + own > w.request.objective;
-            (late, w.request.priority, w.ticket)
-        };
-        (0..self.waiting.len()).min_by_key(|i| order(&self.waiting[*i]))
+        (0..self.waiting.len()).min_by_key(|i| self.start_order(&self.waiting[*i], now))
     }
 
     /// Expected seconds until a slot is free.
--- a/src/kelpwind/mesh/balance.rs
+++ b/src/kelpwind/mesh/balance.rs
@@ -87,7 +87,7 @@
         let rate = self.demand.borrow_mut().rate(now);
         let queue = self.queue.borrow();
         let work = rate * queue.typical_time().as_secs_f64();
-        Some(OwnerLoad { owner, work, slots: f64::from(queue.slots()) })
+        Some(OwnerLoad { owner, work, slots: queue.capacity() })
     }
 
     /// Asks a random sample of other owners for their load, and resets the replies.
@@ -132,7 +132,7 @@
             query,
             server,
             work: (work * 1000.0) as u32,
-            slots: own.slots as u32,
+            slots: (own.slots * 1000.0) as u32,
         })
     }
 
@@ -146,7 +146,7 @@
         let Some(owner) = latest.owners.iter().find(|o| o.instance.id == server).cloned() else {
             return;
         };
-        let (work, slots) = (f64::from(work) / 1000.0, f64::from(slots));
+        let (work, slots) = (f64::from(work) / 1000.0, f64::from(slots) / 1000.0);
         latest.replies.push(OwnerLoad { owner, work, slots });
     }
 
--- a/src/kelpwind/mesh/datagram.rs
+++ b/src/kelpwind/mesh/datagram.rs
@@ -43,7 +43,7 @@
         server: String,
         /// Work offered to the backend server, including reservations, in thousandths of a slot.
         work: u32,
-        /// Requests that the backend server runs at once.
+        /// Work that the backend server can do at once, in thousandths of a slot.
         slots: u32,
     },
     /// The store has come back from an older copy and is in this era.
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -1,9 +1,10 @@
 //! The gate: runs requests on the backend server beside this node.
 //!
 //! Every request to the server passes through its gate, so the gate alone enforces the limits that
-//! hold for all callers together: the server's slots, its request rate during a cold start, that it
-//! serves a key only while it holds it, and that it gets no new work once it shuts down. Entries
-//! know of these states too, but correctness does not depend on how soon they learn of them.
+//! hold for all callers together: the server's slots, its request rate during a cold start, the rate
+//! that the server states, that it serves a key only while it holds it, and that it gets no new work
+//! once it shuts down. Entries know of these states too, but correctness does not depend on how soon
+//! they learn of them.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -101,7 +102,7 @@
         let id = request.request.id.clone();
         let outcome = self.try_run(request, sent).await.unwrap_or_else(|refused| refused);
         if let Outcome::NotRun { code, retry_after_ms, .. } = &outcome {
-            self.metrics.count_refusal(*code);
+            self.metrics.count_refusal(*code, &class);
             self.metrics.refusal_log.write(|left_out| {
                 spdlog::info!("gate: not run", kv: {
                     request = id.as_str(), code = code.number(), why = code.text(), room_ms = *retry_after_ms,
@@ -301,8 +302,14 @@
 
     /// The code of requests for which the server has no capacity.
     fn busy_code(&self) -> Code {
-        let cold = self.queue.borrow().cold_start.is_cold(Instant::now());
-        if cold { Code::Cold } else { Code::Busy }
+        let (queue, now) = (self.queue.borrow(), Instant::now());
+        if queue.cold_start.is_cold(now) {
+            Code::Cold
+        } else if queue.is_rate_limited(now) {
+            Code::Limited
+        } else {
+            Code::Busy
+        }
     }
 
     fn free_slot(&self, class: &str, service_time: Option<Duration>) {
@@ -311,7 +318,7 @@
     }
 
     /// Tells queued requests to start, or that they are rejected.
-    fn notify(&self, events: Vec<QueueEvent>) {
+    pub fn notify(&self, events: Vec<QueueEvent>) {
         for event in events {
             let (ticket, result) = match event {
                 QueueEvent::Start(ticket) => (ticket, Ok(())),
@@ -327,17 +334,19 @@
     }
 }
 
-/// Starts queued requests during a cold start, when capacity grows with time rather than with the
-/// end of other requests.
+/// Starts queued requests during a cold start or under a rate limit, when capacity grows with time
+/// rather than with the end of other requests.
 pub(crate) async fn dispatch_queued(node: Rc<Node>) {
     loop {
         let next = node.queue.borrow().next_dispatch(Instant::now());
         match next {
             None => node.queue_wake.notified().await,
             Some(at) => {
-                tokio::time::sleep_until(at.into()).await;
-                let events = node.queue.borrow_mut().dispatch(Instant::now());
-                node.notify(events);
+                // The limits may change meanwhile.
+                if timeout_at(at.into(), node.queue_wake.notified()).await.is_err() {
+                    let events = node.queue.borrow_mut().dispatch(Instant::now());
+                    node.notify(events);
+                }
             }
         }
     }
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -192,8 +192,8 @@
             latency: register(&registry, HistogramVec::new(latency, &["service"])),
             refusals_total: counters(
                 "kelpwind_gate_refusals_total",
-                "Requests that this node's gate refused, by result code.",
-                &["code"],
+                "Requests that this node's gate refused, by result code and class of request.",
+                &["code", "class"],
             ),
             unrouted: counters(
                 "kelpwind_unrouted_requests_total",
@@ -360,8 +360,8 @@
     }
 
     /// Counts a request that the gate refused.
-    pub fn count_refusal(&self, code: Code) {
-        self.refusals_total.with_label_values(&[&code.number().to_string()]).inc();
+    pub fn count_refusal(&self, code: Code, class: &str) {
+        self.refusals_total.with_label_values(&[code.number().to_string().as_str(), class]).inc();
     }
 }
 
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -15,6 +15,7 @@
 use super::platform_api::{KeyAssignment, ServerMessage, ServerReport};
 use super::reattach;
 use super::report_exchanges::ConnectionId;
+use super::statements::Change;
 use crate::core::ids::Position;
 use crate::core::routes::{GrantMode, Route};
 use crate::gate::grant_time;
@@ -127,6 +128,7 @@
         }
         drop(queue);
         let instance = report.instance.clone();
+        let attached = !same;
         let last = self.last_instance.replace(Some(instance.clone()));
         if last.is_some_and(|last| last != instance) {
             // The connection for grants may lead to the former instance.
@@ -134,6 +136,9 @@
             self.report_exchanges.borrow_mut().begin_session();
         }
         self.server.replace(Some(BackendStatus { report, received, leaving_since: leaving }));
+        if attached {
+            self.apply_statement(Change { limit: true, leaving: true });
+        }
     }
 
     /// Attaches a server that had closed its listener, and that goes on reporting, once it listens
--- a/src/kelpwind/mesh/server_state.rs
+++ b/src/kelpwind/mesh/server_state.rs
@@ -20,6 +20,22 @@
         }
         let change = self.statements.borrow_mut().record(server, state, asked, Instant::now());
         self.log_statement(server, change, Source::Answer);
+        self.apply_statement(change);
+    }
+
+    /// Applies a changed statement of the attached server to its queue.
+    pub fn apply_statement(&self, change: Change) {
+        if change.limit {
+            let server = self.server_instance();
+            let limit = server.and_then(|instance| self.statements.borrow().limit(&instance));
+            let now = Instant::now();
+            let mut queue = self.queue.borrow_mut();
+            queue.set_rate_limit(limit.map(|l| l.rate), now);
+            let events = queue.dispatch(now);
+            drop(queue);
+            self.notify(events);
+            self.queue_wake.notify_one();
+        }
     }
 
     fn log_statement(&self, server: &Instance, change: Change, source: Source) {
--- a/src/kelpwind/mesh/statements.rs
+++ b/src/kelpwind/mesh/statements.rs
@@ -161,6 +161,11 @@
         self.by_id.get(&instance.id).filter(|s| instance.started_ms <= s.last_start)
     }
 
+    /// The limit of an instance.
+    pub fn limit(&self, instance: &Instance) -> Option<Limit> {
+        self.of(instance)?.limit
+    }
+
     /// Records what an instance stated in the answer, received now, to a request that was sent at
     /// `asked`.
     pub fn record(
--- a/src/kelpwind/place/relief.rs
+++ b/src/kelpwind/place/relief.rs
@@ -47,6 +47,9 @@
 /// messages must stay small.
 const OWNERS_ASKED: std::ops::RangeInclusive<usize> = 12..=48;
 
+/// Least capacity that loads are divided by.
+const SLOTS_MIN: f64 = 0.01;
+
 /// Maximum number of keys without requests that a span includes on either side.
 const MARGIN_KEYS: u16 = 64;
 
@@ -117,14 +120,15 @@
     pub owner: Owner,
     /// Requested work, as the number of slots it would keep busy.
     pub work: f64,
-    /// Number of its slots.
+    /// Work that its backend server can do at once, in slots: fewer than it has if it limits its
+    /// requests.
     pub slots: f64,
 }
 
 impl OwnerLoad {
     /// Requested work divided by capacity; above 1 when overloaded.
     pub fn utilization(&self) -> f64 {
-        self.work / self.slots.max(1.0)
+        self.work / self.slots.max(SLOTS_MIN)
     }
 }
 
@@ -186,7 +190,7 @@
         work += other.work;
         slots += other.slots;
     }
-    work / slots.max(1.0)
+    work / slots.max(SLOTS_MIN)
 }
 
 /// The span of the requests in `range`, extended by adjacent keys without requests. Cutting exactly
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod placing;
 mod pool;
 mod queue;
+mod rate_limit;
 mod report_exchanges;
 mod request_flow;
 mod silent_connections;
