Pass on what backend servers state, so that it outlives the gate's process

Cause: the gate alone knew the limit, and its next run did not.

Each reply of a gate now carries what its server has stated, by the server's instance and not by its node. Entries keep it and send it along with their requests, so that a gate's next run knows it before it sends the first of them. What the gate has heard from the server itself goes before what others pass on.

Frames between nodes change: stop an installation as a whole to upgrade.

--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -267,8 +267,9 @@
     }
 
     async fn send_to_gate(self: &Rc<Self>, chosen: &GateAddr, state: &RequestState) -> Outcome {
-        let request = state.gate_request(self.table.borrow().position());
         let gate = &chosen.node;
+        let stated = self.statement_for(gate);
+        let request = state.gate_request(self.table.borrow().position(), stated);
         let (outcome, service_ms) = if *gate == self.holder.borrow().node {
             let _counted = LocalRequest::start(self);
             let sent = std::cell::Cell::new(false);
@@ -276,8 +277,12 @@
             (outcome, report.service_ms)
         } else {
             let link = self.link(&chosen.node, chosen.addr);
-            let outcome = link.send(request).await;
-            (outcome, link.last_report.get().0.service_ms)
+            let asked = Instant::now();
+            let reply = link.send(request).await;
+            if let Some(stated) = &reply.stated {
+                self.learn_statement(stated, asked);
+            }
+            (reply.outcome, link.last_report.get().0.service_ms)
         };
         if matches!(outcome, Outcome::Answer(_)) {
             self.record_service_time(&state.route.name, gate, service_ms);
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -13,6 +13,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 use super::platform_api::{Answer, Request};
+use super::statements::PeerStatement;
 use crate::core::codes::Code;
 use crate::core::ids::{NodeId, Position, ServiceName};
 
@@ -61,6 +62,8 @@
         outcome: Outcome,
         /// The gate's load after the request.
         report: LoadReport,
+        /// What the backend server has stated of itself, if it ever has.
+        stated: Option<PeerStatement>,
     },
     /// The gate is about to stop and should get no more requests.
     Leaving,
@@ -90,6 +93,9 @@
     pub remaining_ms: u32,
     /// How far the entry has read the table.
     pub table_position: Position,
+    /// What the entry knows that the backend server has stated of itself. The gate's process may not have
+    /// heard it.
+    pub stated: Option<PeerStatement>,
 }
 
 /// The outcome of a request.
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -100,6 +100,9 @@
     ) -> (Outcome, LoadReport) {
         let class = request.class.clone();
         let id = request.request.id.clone();
+        if let Some(stated) = &request.stated {
+            self.adopt_statement(stated);
+        }
         let outcome = self.try_run(request, sent).await.unwrap_or_else(|refused| refused);
         if let Outcome::NotRun { code, retry_after_ms, .. } = &outcome {
             self.metrics.count_refusal(*code, &class);
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -19,6 +19,7 @@
 
 use super::frame::{self, EntryFrame, GateFrame, GateRequest, LoadReport, Outcome};
 use super::send_queue::SendQueue;
+use super::statements::PeerStatement;
 use crate::core::codes::Code;
 use crate::core::ids::NodeId;
 use crate::net::http1::set_dead_peer_timeouts;
@@ -53,7 +54,21 @@
     /// Whether it was written to a connection, so that the gate may have it.
     sent: bool,
     since: Instant,
-    done: oneshot::Sender<Outcome>,
+    done: oneshot::Sender<GateReply>,
+}
+
+/// The end of a request to a gate.
+pub(crate) struct GateReply {
+    /// Outcome of the request.
+    pub outcome: Outcome,
+    /// What the gate says that its backend server has stated of itself.
+    pub stated: Option<PeerStatement>,
+}
+
+impl From<Outcome> for GateReply {
+    fn from(outcome: Outcome) -> GateReply {
+        GateReply { outcome, stated: None }
+    }
 }
 
 /// A connection to one gate.
@@ -154,10 +169,10 @@
     }
 
     /// Sends a request and waits for its outcome. Dropping the future cancels the request.
-    pub async fn send(&self, mut request: GateRequest) -> Outcome {
+    pub async fn send(&self, mut request: GateRequest) -> GateReply {
         if self.lost_since.get().is_some() {
             // The gate is unreachable, so the caller gets its answer at once.
-            return not_sent();
+            return not_sent().into();
         }
         let number = self.next_number.get();
         self.next_number.set(number + 1);
@@ -176,8 +191,8 @@
         let _cancel = CancelOnDrop { link: self, number };
         self.wake.notify_one();
         match answer.await {
-            Ok(outcome) => outcome,
-            Err(_) => Outcome::Unknown(Code::ConnectionLost),
+            Ok(reply) => reply,
+            Err(_) => Outcome::Unknown(Code::ConnectionLost).into(),
         }
     }
 
@@ -257,7 +272,7 @@
                 false => not_sent(),
             };
             // An error means that the sender no longer waits.
-            let _ = pending.done.send(outcome);
+            let _ = pending.done.send(outcome.into());
         }
     }
 
@@ -323,13 +338,13 @@
         let on_bytes = || self.last_received.set(Instant::now());
         while let Some(frame) = frame::read_next(reader, buffer, on_bytes).await {
             match frame {
-                GateFrame::Reply { number, outcome, report } => {
+                GateFrame::Reply { number, outcome, report, stated } => {
                     self.last_report.set((report, Some(Instant::now())));
                     self.update_availability(&outcome);
                     let pending = self.pending.borrow_mut().remove(&number);
                     if let Some(pending) = pending {
                         // An error means that the sender no longer waits.
-                        let _ = pending.done.send(outcome);
+                        let _ = pending.done.send(GateReply { outcome, stated });
                     }
                 }
                 GateFrame::Leaving => self.leaving.set(true),
--- a/src/kelpwind/mesh/request_state.rs
+++ b/src/kelpwind/mesh/request_state.rs
@@ -5,6 +5,7 @@
 
 use super::frame::{GateRequest, Outcome, OwnerHint};
 use super::platform_api::{Answer, Request};
+use super::statements::PeerStatement;
 use crate::core::codes::Code;
 use crate::core::ids::{NodeId, Position, ServiceName};
 use crate::core::routes::Route;
@@ -56,8 +57,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// The request as it is sent to a gate; the link assigns its number.
-    pub fn gate_request(&self, table_position: Position) -> GateRequest {
+    /// The request as it is sent to a gate; the link assigns its number. `stated` is what is known that
+    /// the backend server there has stated of itself.
+    pub fn gate_request(
+        &self,
+        table_position: Position,
+        stated: Option<PeerStatement>,
+    ) -> GateRequest {
         let now = Instant::now();
         GateRequest {
             number: 0,
@@ -69,6 +75,7 @@
             objective_ms: self.objective.saturating_duration_since(now).as_millis() as u32,
             remaining_ms: self.deadline.saturating_duration_since(now).as_millis() as u32,
             table_position,
+            stated,
         }
     }
 
--- a/src/kelpwind/mesh/serve.rs
+++ b/src/kelpwind/mesh/serve.rs
@@ -17,7 +17,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-use super::frame::{self, EntryFrame, GateFrame, GateRequest, Outcome};
+use super::frame::{self, EntryFrame, GateFrame, GateRequest, LoadReport, Outcome};
 use super::node::Node;
 use super::send_queue::SendQueue;
 use crate::core::codes::Code;
@@ -152,7 +152,7 @@
             });
             let outcome = Outcome::Unknown(Code::ConnectionLost);
             let report = node.load_report(&request.class);
-            session.push(&frame::encode(&GateFrame::Reply { number, outcome, report }));
+            session.push(&encode_reply(node, number, outcome, report));
             return;
         }
         Some(Job::Stopped { .. }) | None => {}
@@ -162,7 +162,7 @@
     let (node, task_session, mark) = (node.clone(), session.clone(), sent.clone());
     let task = tokio::task::spawn_local(async move {
         let (outcome, report) = node.run_request(request, &mark).await;
-        let reply = frame::encode(&GateFrame::Reply { number, outcome, report });
+        let reply = encode_reply(&node, number, outcome, report);
         task_session.push(&reply);
         let ended = Job::Ended { reply, at: Instant::now() };
         task_session.jobs.borrow_mut().insert(number, ended);
@@ -171,6 +171,11 @@
     session.jobs.borrow_mut().insert(number, running);
 }
 
+fn encode_reply(node: &Node, number: u64, outcome: Outcome, report: LoadReport) -> Bytes {
+    let stated = node.server_statement();
+    frame::encode(&GateFrame::Reply { number, outcome, report, stated })
+}
+
 impl Job {
     /// Ends the task of a running request if it may be cancelled. Returns whether it did.
     fn stop(&self) -> bool {
--- a/src/kelpwind/mesh/server_state.rs
+++ b/src/kelpwind/mesh/server_state.rs
@@ -4,7 +4,8 @@
 
 use super::node::Node;
 use super::platform_api::{ServerState, StatedLimit};
-use super::statements::{Change, Source};
+use super::statements::{Change, PeerStatement, Source};
+use crate::core::ids::NodeId;
 use crate::table::member::Instance;
 
 impl Node {
@@ -38,17 +39,44 @@
         }
     }
 
+    /// What the backend server beside this node has stated of itself, for other nodes.
+    pub fn server_statement(&self) -> Option<PeerStatement> {
+        let server = self.server.borrow();
+        self.statements.borrow().for_peers(&server.as_ref()?.report.instance.id)
+    }
+
+    /// What is known that the backend server beside another node has stated of itself, if that binds.
+    pub fn statement_for(&self, node: &NodeId) -> Option<PeerStatement> {
+        let table = self.table.borrow();
+        let id = &table.members.get(node)?.instance()?.id;
+        self.statements.borrow().for_peers(id).filter(PeerStatement::is_binding)
+    }
+
+    /// Adopts a statement that another node has passed on with a request.
+    pub fn adopt_statement(&self, stated: &PeerStatement) {
+        let change = self.statements.borrow_mut().adopt(stated, Instant::now());
+        self.log_statement(&stated.instance, change, Source::Peer);
+        self.apply_statement(change);
+    }
+
+    /// Learns a statement that a gate has passed on with the reply to a request that was sent at
+    /// `asked`.
+    pub fn learn_statement(&self, stated: &PeerStatement, asked: Instant) {
+        let change = self.statements.borrow_mut().learn(stated, asked, Instant::now());
+        self.log_statement(&stated.instance, change, Source::Peer);
+    }
+
+    /// Logs a change of a statement. Servers may state another limit with each answer.
     fn log_statement(&self, server: &Instance, change: Change, source: Source) {
-        let (id, source) = (server.id.as_str(), source.name());
-        let statements = self.statements.borrow();
-        let statement = statements.of(server);
-        if change.limit {
-            let limit = statement.and_then(|s| s.limit).map(|l| l.rate.to_string());
-            let limit = limit.as_deref().unwrap_or("none");
-            spdlog::info!("the backend server states another limit", kv: { id, limit, source });
-        }
-        if change.leaving {
-            spdlog::info!("the backend server states that it shuts down", kv: { id, source });
+        if !change.is_any() {
+            return;
         }
+        let statements = self.statements.borrow();
+        let limit = statements.limit(server).map(|l| l.rate.to_string());
+        let (limit, id) = (limit.as_deref().unwrap_or("none"), server.id.as_str());
+        let (leaving, source) = (change.leaving, source.name());
+        self.metrics.statement_log.write(|left_out| {
+            spdlog::info!("the backend server states something else", kv: { id, limit, leaving, source, left_out });
+        });
     }
 }
--- a/src/kelpwind/mesh/statements.rs
+++ b/src/kelpwind/mesh/statements.rs
@@ -86,8 +86,13 @@
     pub instance: Instance,
     /// The limit in force.
     pub limit: Option<RequestRate>,
-    /// Milliseconds since the server first said that it is about to shut down.
-    pub leaving_ms: Option<u64>,
+}
+
+impl PeerStatement {
+    /// Whether the statement restricts what is sent to the server.
+    pub fn is_binding(&self) -> bool {
+        self.limit.is_some()
+    }
 }
 
 /// What changed in a statement.
@@ -190,6 +195,32 @@
         Change { limit, leaving: state.leaving && statement.set_leaving(now) }
     }
 
+    /// Adopts what another node has passed on with a request, as far as this node has heard nothing
+    /// about it from the server itself.
+    pub fn adopt(&mut self, stated: &PeerStatement, now: Instant) -> Change {
+        let Some(statement) = self.entry(&stated.instance, now) else { return Change::default() };
+        let unknown = !statement.is_limit_known && stated.limit.is_some();
+        Change {
+            limit: unknown && statement.set_limit(stated.limit, Source::Peer, now),
+            leaving: false,
+        }
+    }
+
+    /// Learns what the gate beside the server has passed on with the reply to a request that was sent
+    /// at `asked`.
+    pub fn learn(&mut self, stated: &PeerStatement, asked: Instant, now: Instant) -> Change {
+        let Some(statement) = self.entry(&stated.instance, now) else { return Change::default() };
+        let limit = statement.update_limit(stated.limit, Source::Peer, asked, now);
+        Change { limit, leaving: false }
+    }
+
+    /// What other nodes are told of the server with this id; `None` if nothing was ever stated.
+    pub fn for_peers(&self, id: &str) -> Option<PeerStatement> {
+        let statement = self.by_id.get(id)?;
+        let instance = Instance { id: id.to_owned(), started_ms: statement.last_start };
+        Some(PeerStatement { instance, limit: statement.limit.map(|l| l.rate) })
+    }
+
     /// The statement on an instance, an empty one if there was none. `None` if a later instance under
     /// the same id is known.
     fn entry(&mut self, instance: &Instance, now: Instant) -> Option<&mut Statement> {
