Send nothing to a server that states in its answers that it leaves

Cause: only reports were read, and what they said was kept with the attachment of the server, which ends with the process.

A shutdown is a statement now, kept by the server's instance whatever its source: answers, reports, other nodes. It begins to count when it was first heard, also by another node, so a restarted gate grants no second period of grace. Entries choose no server that has said so, and carry it to the gate that a key leads them to. It counts for good, but not for a later start under the same id.

--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -15,7 +15,7 @@
 use super::platform_api::{KeyAssignment, ServerMessage, ServerReport};
 use super::reattach;
 use super::report_exchanges::ConnectionId;
-use super::statements::Change;
+use super::statements::{Change, Source};
 use crate::core::ids::Position;
 use crate::core::routes::{GrantMode, Route};
 use crate::gate::grant_time;
@@ -89,9 +89,11 @@
             self.reconnect(report);
             return false;
         }
-        let now = Instant::now();
+        if report.draining {
+            self.record_leaving(&report.instance, Source::Report);
+        }
         let since = before.as_ref().filter(|_| same).and_then(|b| b.leaving_since);
-        let leaving = since.or(report.draining.then_some(now));
+        let leaving = self.statements.borrow().leaving_since(&report.instance);
         let changed =
             !same || since != leaving || before.is_none_or(|b| b.report.slots != report.slots);
         if changed {
@@ -210,14 +212,8 @@
 
     /// Handles the announcement that the server with this id shuts down.
     fn handle_leaving(&self, id: &str) {
-        let mut server = self.server.borrow_mut();
-        let Some(attached) = server.as_mut().filter(|s| s.report.instance.id == id) else { return };
-        if attached.leaving_since.is_none() {
-            spdlog::info!("the backend server shuts down", kv: { id });
-            attached.leaving_since = Some(Instant::now());
-            self.announce_wake.notify_one();
-            self.grants_wake.notify_one();
-        }
+        let Some(server) = self.server_instance().filter(|s| s.id == id) else { return };
+        self.record_leaving(&server, Source::Report);
     }
 
     /// Time for which this node leaves its name to a later run; `None` if it may join, which it then
--- a/src/kelpwind/mesh/selection.rs
+++ b/src/kelpwind/mesh/selection.rs
@@ -92,7 +92,11 @@
         let allowed = |m: &Member| route.regions.is_empty() || route.regions.contains(&m.region);
         let eligible = |m: &&Member| {
             let name = &m.holder.node;
-            self.takes_work(m) && allowed(m) && !tried.contains(name) && !self.is_gate_leaving(name)
+            self.takes_work(m)
+                && allowed(m)
+                && !tried.contains(name)
+                && !self.is_gate_leaving(name)
+                && !self.has_server_left(m)
         };
         let members: Vec<&Member> = table.members_of(service).filter(eligible).collect();
         let mean = self.service_times.borrow().mean(&route.name);
--- a/src/kelpwind/mesh/server_state.rs
+++ b/src/kelpwind/mesh/server_state.rs
@@ -6,7 +6,7 @@
 use super::platform_api::{ServerState, StatedLimit};
 use super::statements::{Change, PeerStatement, Source};
 use crate::core::ids::NodeId;
-use crate::table::member::Instance;
+use crate::table::member::{Instance, Member};
 
 impl Node {
     /// Records what a server stated in the answer to a request that was sent at `asked`.
@@ -24,32 +24,67 @@
         self.apply_statement(change);
     }
 
-    /// Applies a changed statement of the attached server to its queue.
+    /// Applies a changed statement to the backend server beside this node, if it is about that one.
     pub fn apply_statement(&self, change: Change) {
         if change.limit {
-            let server = self.server_instance();
-            let limit = server.and_then(|instance| self.statements.borrow().limit(&instance));
-            let now = Instant::now();
-            let mut queue = self.queue.borrow_mut();
-            queue.set_rate_limit(limit.map(|l| l.rate), now);
-            let events = queue.dispatch(now);
-            drop(queue);
-            self.notify(events);
-            self.queue_wake.notify_one();
+            self.apply_limit();
+        }
+        if change.leaving {
+            self.apply_leaving();
+        }
+    }
+
+    fn apply_limit(&self) {
+        let server = self.server_instance();
+        let limit = server.and_then(|instance| self.statements.borrow().limit(&instance));
+        let now = Instant::now();
+        let mut queue = self.queue.borrow_mut();
+        queue.set_rate_limit(limit.map(|l| l.rate), now);
+        let events = queue.dispatch(now);
+        drop(queue);
+        self.notify(events);
+        self.queue_wake.notify_one();
+    }
+
+    fn apply_leaving(&self) {
+        let mut server = self.server.borrow_mut();
+        let Some(attached) = server.as_mut() else { return };
+        let since = self.statements.borrow().leaving_since(&attached.report.instance);
+        let began = attached.leaving_since.is_none() && since.is_some();
+        attached.leaving_since = attached.leaving_since.into_iter().chain(since).min();
+        if began {
+            self.announce_wake.notify_one();
+            self.grants_wake.notify_one();
         }
     }
 
+    /// Records that an instance of the backend server has said that it is about to shut down.
+    pub fn record_leaving(&self, server: &Instance, source: Source) {
+        let now = Instant::now();
+        let change = self.statements.borrow_mut().record_leaving(server, now, now);
+        self.log_statement(server, change, source);
+        self.apply_statement(change);
+    }
+
     /// What the backend server beside this node has stated of itself, for other nodes.
     pub fn server_statement(&self) -> Option<PeerStatement> {
         let server = self.server.borrow();
-        self.statements.borrow().for_peers(&server.as_ref()?.report.instance.id)
+        let id = &server.as_ref()?.report.instance.id;
+        self.statements.borrow().for_peers(id, Instant::now())
     }
 
     /// What is known that the backend server beside another node has stated of itself, if that binds.
     pub fn statement_for(&self, node: &NodeId) -> Option<PeerStatement> {
         let table = self.table.borrow();
         let id = &table.members.get(node)?.instance()?.id;
-        self.statements.borrow().for_peers(id).filter(PeerStatement::is_binding)
+        let stated = self.statements.borrow().for_peers(id, Instant::now());
+        stated.filter(PeerStatement::is_binding)
+    }
+
+    /// Whether the backend server beside a member has said that it is about to shut down.
+    pub fn has_server_left(&self, member: &Member) -> bool {
+        let statements = self.statements.borrow();
+        member.instance().is_some_and(|server| statements.leaving_since(server).is_some())
     }
 
     /// Adopts a statement that another node has passed on with a request.
--- a/src/kelpwind/mesh/statements.rs
+++ b/src/kelpwind/mesh/statements.rs
@@ -86,12 +86,19 @@
     pub instance: Instance,
     /// The limit in force.
     pub limit: Option<RequestRate>,
+    /// Milliseconds since the server first said that it is about to shut down.
+    pub leaving_ms: Option<u64>,
 }
 
 impl PeerStatement {
     /// Whether the statement restricts what is sent to the server.
     pub fn is_binding(&self) -> bool {
-        self.limit.is_some()
+        self.limit.is_some() || self.leaving_ms.is_some()
+    }
+
+    fn leaving_since(&self, now: Instant) -> Option<Instant> {
+        let age = Duration::from_millis(self.leaving_ms?);
+        Some(now.checked_sub(age).unwrap_or(now))
     }
 }
 
@@ -151,11 +158,8 @@
     }
 
     fn set_leaving(&mut self, since: Instant) -> bool {
-        let earlier = self.leaving_since.is_none_or(|known| since < known);
         let changed = self.leaving_since.is_none();
-        if earlier {
-            self.leaving_since = Some(since);
-        }
+        self.leaving_since = Some(self.leaving_since.map_or(since, |known| known.min(since)));
         changed
     }
 }
@@ -166,6 +170,17 @@
         self.by_id.get(&instance.id).filter(|s| instance.started_ms <= s.last_start)
     }
 
+    /// When an instance first said that it is about to shut down.
+    pub fn leaving_since(&self, instance: &Instance) -> Option<Instant> {
+        self.of(instance)?.leaving_since
+    }
+
+    /// Records that an instance said at `since` that it is about to shut down.
+    pub fn record_leaving(&mut self, instance: &Instance, since: Instant, now: Instant) -> Change {
+        let leaving = self.entry(instance, now).is_some_and(|s| s.set_leaving(since));
+        Change { limit: false, leaving }
+    }
+
     /// The limit of an instance.
     pub fn limit(&self, instance: &Instance) -> Option<Limit> {
         self.of(instance)?.limit
@@ -200,10 +215,9 @@
     pub fn adopt(&mut self, stated: &PeerStatement, now: Instant) -> Change {
         let Some(statement) = self.entry(&stated.instance, now) else { return Change::default() };
         let unknown = !statement.is_limit_known && stated.limit.is_some();
-        Change {
-            limit: unknown && statement.set_limit(stated.limit, Source::Peer, now),
-            leaving: false,
-        }
+        let limit = unknown && statement.set_limit(stated.limit, Source::Peer, now);
+        let since = stated.leaving_since(now);
+        Change { limit, leaving: since.is_some_and(|since| statement.set_leaving(since)) }
     }
 
     /// Learns what the gate beside the server has passed on with the reply to a request that was sent
@@ -211,14 +225,17 @@
     pub fn learn(&mut self, stated: &PeerStatement, asked: Instant, now: Instant) -> Change {
         let Some(statement) = self.entry(&stated.instance, now) else { return Change::default() };
         let limit = statement.update_limit(stated.limit, Source::Peer, asked, now);
-        Change { limit, leaving: false }
+        let since = stated.leaving_since(now);
+        Change { limit, leaving: since.is_some_and(|since| statement.set_leaving(since)) }
     }
 
     /// What other nodes are told of the server with this id; `None` if nothing was ever stated.
-    pub fn for_peers(&self, id: &str) -> Option<PeerStatement> {
+    pub fn for_peers(&self, id: &str, now: Instant) -> Option<PeerStatement> {
         let statement = self.by_id.get(id)?;
         let instance = Instance { id: id.to_owned(), started_ms: statement.last_start };
-        Some(PeerStatement { instance, limit: statement.limit.map(|l| l.rate) })
+        let age = |since: Instant| now.saturating_duration_since(since).as_millis() as u64;
+        let leaving_ms = statement.leaving_since.map(age);
+        Some(PeerStatement { instance, limit: statement.limit.map(|l| l.rate), leaving_ms })
     }
 
     /// The statement on an instance, an empty one if there was none. `None` if a later instance under
