Remember a server that leaves although it is not attached

Cause: the notice was compared with the attached server, and there was none yet, so it was dropped. A report that the server had sent before and that arrived late then attached it.

The notice is kept as a statement on the server's id now. It concerns the instance that is known under the id, the one whose start the notice states, or else all that have started before the notice arrived, and the report of such an instance attaches it as leaving.

--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -160,8 +160,17 @@
 pub enum ServerMessage {
     /// A liveness report.
     Report(ServerReport),
-    /// The server with this id shuts down and its registration ends.
-    Leaving(String),
+    /// A server shuts down and its registration ends.
+    Leaving(Departure),
+}
+
+/// The end of a backend server's registration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// Id of the server.
+    pub id: String,
+    /// Start of the instance that leaves, in milliseconds since the Unix epoch, if it is stated.
+    pub started_ms: Option<u64>,
 }
 
 /// A liveness report of a backend server.
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -5,14 +5,14 @@
 //! Only a newer report of the current instance, or one of a later instance, has an effect.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use tokio::time::{sleep, timeout};
 
 use super::datagram::TableUpdate;
 use super::metrics::ServerChange;
 use super::node::{BackendStatus, Node};
-use super::platform_api::{KeyAssignment, ServerMessage, ServerReport};
+use super::platform_api::{Departure, KeyAssignment, ServerMessage, ServerReport};
 use super::reattach;
 use super::report_exchanges::ConnectionId;
 use super::statements::{Change, Source};
@@ -20,7 +20,7 @@
 use crate::core::routes::{GrantMode, Route};
 use crate::gate::grant_time;
 use crate::table::WriteBatch;
-use crate::table::member::Member;
+use crate::table::member::{Instance, Member};
 
 /// Silence after which the backend server counts as gone. Reports come about every second, and may
 /// be seconds late.
@@ -53,8 +53,8 @@
     ) -> Option<KeyAssignment> {
         match message {
             ServerMessage::Report(report) => self.answer_report(report, conn).await,
-            ServerMessage::Leaving(id) => {
-                self.handle_leaving(&id);
+            ServerMessage::Leaving(departure) => {
+                self.handle_departure(departure);
                 None
             }
         }
@@ -210,10 +210,27 @@
         routes.and_then(|r| r.services.get(&service).map(|s| s.cold_rate)).unwrap_or(f64::INFINITY)
     }
 
-    /// Handles the announcement that the server with this id shuts down.
-    fn handle_leaving(&self, id: &str) {
-        let Some(server) = self.server_instance().filter(|s| s.id == id) else { return };
-        self.record_leaving(&server, Source::Report);
+    /// Handles the announcement that a server shuts down. It may be one that is not attached, because
+    /// this process has just started; a report that the server sent before may yet arrive.
+    fn handle_departure(&self, departure: Departure) {
+        let Departure { id, started_ms } = departure;
+        let known = || self.known_instance(&id).map(|instance| instance.started_ms);
+        let instance = match started_ms.or_else(known) {
+            Some(started_ms) => Instance { id, started_ms },
+            // An instance that leaves has started before.
+            None => Instance { id, started_ms: unix_ms() },
+        };
+        self.record_leaving(&instance, Source::Report);
+    }
+
+    /// The latest instance with this id that was the backend server beside this node.
+    fn known_instance(&self, id: &str) -> Option<Instance> {
+        let recorded = || {
+            let table = self.table.borrow();
+            table.members.get(&self.name()).and_then(|m| m.instance().cloned())
+        };
+        let last = self.last_instance.borrow().clone();
+        self.server_instance().or(last).or_else(recorded).filter(|known| known.id == id)
     }
 
     /// Time for which this node leaves its name to a later run; `None` if it may join, which it then
@@ -310,6 +327,12 @@
     }
 }
 
+/// The time of day, in milliseconds since the Unix epoch.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
 /// Detaches a backend server that has stopped reporting, and drops links to nodes that are gone.
 pub(crate) async fn watch_silence(node: Rc<Node>) {
     loop {
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -550,7 +550,8 @@
             "/healthz" => {
                 let waiting = *self.health_delay.lock();
                 tokio::time::sleep(waiting).await;
-                let mut healthy = reply(200);
+                let leaving = *self.draining.lock() || self.stated.lock().is_leaving();
+                let mut healthy = reply(if leaving { 503 } else { 200 });
                 let id = self.id.parse().expect("valid header value");
                 healthy.headers_mut().insert("x-instance-id", id);
                 healthy
--- a/tests/platform/stated.rs
+++ b/tests/platform/stated.rs
@@ -58,6 +58,10 @@
         self.leaving = true;
     }
 
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     pub fn record_arrival(&mut self, caller: &str) {
         self.arrivals.push((Moment::now(), caller.to_owned()));
     }
--- a/tests/testsuite/adapter.rs
+++ b/tests/testsuite/adapter.rs
@@ -9,7 +9,9 @@
 use kelpwind::core::codes::Code;
 use kelpwind::core::ids::{Offset, Token};
 use kelpwind::core::routes::GrantMode;
-use kelpwind::mesh::platform_api::{CallerRequest, KeyAssignment, OperatorOrder, ServerMessage};
+use kelpwind::mesh::platform_api::{
+    CallerRequest, Departure, KeyAssignment, OperatorOrder, ServerMessage,
+};
 use kelpwind::platform;
 use kelpwind::table::Record;
 use kelpwind::table::keys::Span;
@@ -141,7 +143,12 @@
     assert_eq!((report.number, report.slots.0, report.draining), (4, 12, false));
     assert_eq!(report.cold_left, Duration::from_millis(1500));
     let leaving = platform::decode_report(&Method::DELETE, "/-/instances/i-1", b"");
-    assert_eq!(leaving, Ok(ServerMessage::Leaving("i-1".to_owned())));
+    let departure = Departure { id: "i-1".to_owned(), started_ms: None };
+    assert_eq!(leaving, Ok(ServerMessage::Leaving(departure)));
+    let body = br#"{"born":1775712423428}"#;
+    let leaving = platform::decode_report(&Method::DELETE, "/-/instances/i-1", body);
+    let departure = Departure { id: "i-1".to_owned(), started_ms: Some(1_775_712_423_428) };
+    assert_eq!(leaving, Ok(ServerMessage::Leaving(departure)));
 }
 
 #[test]
