Ask a server for its state before a late report attaches it

A server that this run has never attached and that has reported to a former one (its report is not its first) is asked for its state before the report counts; one that says that it leaves gets no period of grace. It costs a health check for a restart whose server was not attached by the former run's record. Answers to health checks count as statements everywhere now.

--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -25,7 +25,7 @@
 /// Time for which a server that shuts down, or whose failure domain is drained, still takes
 /// requests, since entries learn of it only within tens of milliseconds. The limits for servers
 /// that shut down begin at 2 s.
-const DRAIN_GRACE: Duration = Duration::from_millis(1000);
+pub(crate) const DRAIN_GRACE: Duration = Duration::from_millis(1000);
 /// Time for which a node that stops still takes requests of entries that have not learned of it. It
 /// is shorter than [`DRAIN_GRACE`] because the node notifies each entry itself.
 const STOP_GRACE: Duration = Duration::from_millis(300);
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -120,6 +120,10 @@
     pub last_instance: RefCell<Option<Instance>>,
     /// The instance that was detached because it could not be connected to.
     pub unreachable_server: RefCell<Option<Instance>>,
+    /// The instance that was last asked for its state before a report attached it.
+    pub verified_server: RefCell<Option<Instance>>,
+    /// Whether an instance is being asked for its state.
+    pub verifying: Cell<bool>,
     /// Whether a check is in progress whether the backend server's listener is open.
     pub checking_listener: Cell<bool>,
     /// Wakes the task that writes this node's record.
--- a/src/kelpwind/mesh/reattach.rs
+++ b/src/kelpwind/mesh/reattach.rs
@@ -7,7 +7,7 @@
 //! higher tokens like those of any new run ([`crate::table::keys::KeyMap::replace_owner`]).
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::time::timeout;
 
@@ -52,6 +52,7 @@
             return;
         };
         let backend = &self.platform.backend;
+        let asked = Instant::now();
         let (health, session) = if self.is_keyed() && !self.grants_in_reports() {
             let answer = (backend.identify)(&spec.health_path, REATTACH_TIMEOUT).await;
             answer.map_or((None, None), |(health, session)| (Some(health), Some(session)))
@@ -60,6 +61,9 @@
         };
         let id = former.instance.id.as_str();
         let same = |id: &Option<String>| id.as_ref() == Some(&former.instance.id);
+        if let Some(health) = health.as_ref().filter(|h| same(&h.id)) {
+            self.record_server_state(&former.instance, &health.state, asked);
+        }
         let Some(health) = health.filter(|h| h.healthy && same(&h.id)) else {
             spdlog::info!("the former run's backend server is not healthy or was replaced", kv: { id });
             return;
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -89,6 +89,10 @@
             self.reconnect(report);
             return false;
         }
+        if before.is_none() && self.must_verify(&report) {
+            self.verify(report);
+            return false;
+        }
         if report.draining {
             self.record_leaving(&report.instance, Source::Report);
         }
@@ -143,6 +147,46 @@
         }
     }
 
+    /// Whether a server has to be asked for its state before a report attaches it: it has reported to
+    /// a former run of this node, which it may have told that it leaves, and this report may have been
+    /// sent before that.
+    fn must_verify(&self, report: &ServerReport) -> bool {
+        let instance = Some(&report.instance);
+        let starting = self.settings.borrow().bootstrap && self.started.elapsed() < START_TIME;
+        report.number > 1
+            && !report.draining
+            && !starting
+            && self.last_instance.borrow().as_ref() != instance
+            && self.verified_server.borrow().as_ref() != instance
+    }
+
+    /// Asks a server for its state, and applies its report then. Without an answer or without a known
+    /// path to ask at, the report counts.
+    fn verify(self: &Rc<Self>, report: ServerReport) {
+        if self.verifying.replace(true) {
+            return;
+        }
+        let node = self.clone();
+        tokio::task::spawn_local(async move {
+            let asked = Instant::now();
+            let health = match node.health_path() {
+                Some(path) => (node.platform.backend.health)(&path, HEALTH_TIMEOUT).await,
+                None => None,
+            };
+            let instance = report.instance.clone();
+            let same = health.filter(|h| h.id.as_ref() == Some(&instance.id));
+            if let Some(health) = same {
+                node.record_server_state(&instance, &health.state, asked);
+                if health.state.leaving {
+                    node.end_grace(&instance);
+                }
+            }
+            node.verified_server.replace(Some(instance));
+            node.verifying.set(false);
+            node.handle_report(report);
+        });
+    }
+
     /// Attaches a server that had closed its listener, and that goes on reporting, once it listens
     /// again.
     fn reconnect(self: &Rc<Self>, report: ServerReport) {
@@ -185,7 +229,8 @@
         let Some(spec) = self.routes().and_then(|r| r.services.get(&service).cloned()) else {
             return;
         };
-        let until = Instant::now() + spec.cold_time;
+        let asked = Instant::now();
+        let until = asked + spec.cold_time;
         self.queue.borrow_mut().cold_start.set_until(Some(until));
         let node = self.clone();
         tokio::task::spawn_local(async move {
@@ -196,6 +241,10 @@
                 );
                 return;
             };
+            let server = node.server_instance().filter(|s| health.id.as_ref() == Some(&s.id));
+            if let Some(server) = server {
+                node.record_server_state(&server, &health.state, asked);
+            }
             let cold = health.cold_left.filter(|c| !c.is_zero()).map(|c| Instant::now() + c);
             spdlog::info!("the backend server answered the health check", kv: { cold = cold.is_some() });
             node.queue.borrow_mut().cold_start.set_until(cold);
--- a/src/kelpwind/mesh/server_state.rs
+++ b/src/kelpwind/mesh/server_state.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use super::gate::DRAIN_GRACE;
 use super::node::Node;
 use super::platform_api::{ServerState, StatedLimit};
 use super::statements::{Change, PeerStatement, Source};
@@ -66,6 +67,14 @@
         self.apply_statement(change);
     }
 
+    /// Lets a server that shuts down take no more requests: when it said so first is not known.
+    pub fn end_grace(&self, server: &Instance) {
+        let now = Instant::now();
+        let since = now.checked_sub(DRAIN_GRACE).unwrap_or(now);
+        let change = self.statements.borrow_mut().record_leaving(server, since, now);
+        self.apply_statement(change);
+    }
+
     /// What the backend server beside this node has stated of itself, for other nodes.
     pub fn server_statement(&self) -> Option<PeerStatement> {
         let server = self.server.borrow();
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -120,6 +120,8 @@
         server: RefCell::new(None),
         last_instance: RefCell::new(None),
         unreachable_server: RefCell::new(None),
+        verified_server: RefCell::new(None),
+        verifying: Cell::new(false),
         checking_listener: Cell::new(false),
         announce_wake: Notify::new(),
         grants_wake: Notify::new(),
--- a/tests/mesh/server_statements.rs
+++ b/tests/mesh/server_statements.rs
@@ -159,3 +159,28 @@
     callers.iter().for_each(|c| c.abort());
     assert_no_violations(&fleet);
 }
+
+/// A server may have told the former run of its node that it leaves, which nobody may remember.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_report_attaches_a_server_that_told_the_former_run_that_it_leaves() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let host = host_of("maps");
+    let server = fleet.hosts[host].server.clone().unwrap();
+    fleet.store.set_down(true);
+    server.drain();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    server.stop_reports();
+    for host in 0..fleet.hosts.len() {
+        fleet.hosts[host].node = None;
+        fleet.start_node(host);
+    }
+    fleet.store.set_down(false);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let callers = fleet.spawn_callers(&["maps"], Duration::from_millis(5));
+    let from = Moment::now();
+    server.report_once().await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(server.stated.lock().arrivals_since(from), 0, "requests to a server that leaves");
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -248,9 +248,10 @@
         }
     }
 
-    /// Makes all later reports say that the server is draining.
+    /// Makes all later reports and answers say that the server is draining.
     pub fn drain(&self) {
         *self.draining.lock() = true;
+        self.stated.lock().set_leaving();
     }
 
     /// Changes the way in which it is granted keys from now on.
@@ -550,7 +551,7 @@
             "/healthz" => {
                 let waiting = *self.health_delay.lock();
                 tokio::time::sleep(waiting).await;
-                let leaving = *self.draining.lock() || self.stated.lock().is_leaving();
+                let leaving = self.stated.lock().is_leaving();
                 let mut healthy = reply(if leaving { 503 } else { 200 });
                 let id = self.id.parse().expect("valid header value");
                 healthy.headers_mut().insert("x-instance-id", id);
