Send less to a server that limits its requests while others have room

What callers saw (test): a server of a service without keys limits itself to 4 requests a second; callers waited for it, 373 answers in 3 s where 538 come without a limit, although two other servers had free slots. Cause: an entry chooses by the requests ahead and the service time, and a limited server has few requests ahead and is as fast as ever.

The cost of a limited target is what the limit lets a request wait: half an interval, and one for each request ahead. Like other reports it counts less with age, since only a request tells that the limit has ended.

--- a/benches/report/model.rs
+++ b/benches/report/model.rs
@@ -310,6 +310,7 @@
                         own: self.outstanding[job.entry][t],
                         slots: SLOTS,
                         service_time: Duration::from_secs_f64(service_time),
+                        interval: Duration::ZERO,
                         report_age: Duration::from_secs_f64((now - at).max(0.0)),
                         same_domain: true,
                         suspect: false,
--- a/src/kelpwind/mesh/selection.rs
+++ b/src/kelpwind/mesh/selection.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::frame::OwnerHint;
 use super::node::Node;
@@ -14,6 +14,8 @@
 
 /// Weight of the newest answer in the moving average of a class's service time.
 const MEAN_WEIGHT: f64 = 0.05;
+/// Longest time between two requests to a backend server that limits them.
+const INTERVAL_MAX: Duration = Duration::from_secs(4);
 /// Age that is assumed for the load report of a gate that has not sent one.
 const MISSING_REPORT_AGE: Duration = Duration::from_secs(1);
 
@@ -120,17 +122,21 @@
         let name = &member.holder.node;
         let service_time = self.service_times.borrow().at(class, name);
         let service_time = service_time.unwrap_or(Duration::from_secs_f64(mean));
+        let interval = self.limit_interval(member);
         if *name == self.holder.borrow().node {
             let report = self.load_report(class);
             let own = self.local_requests.get();
             let others = report.busy.saturating_sub(own);
             let (slots, report_age) = (report.slots, Duration::ZERO);
             let suspect = self.server.borrow().is_none();
+            let limited = self.queue.borrow().is_rate_limited(Instant::now());
+            let interval = if limited { interval } else { Duration::ZERO };
             return Candidate {
                 others,
                 own,
                 slots,
                 service_time,
+                interval,
                 report_age,
                 same_domain,
                 suspect,
@@ -142,6 +148,7 @@
             return Candidate {
                 slots,
                 service_time,
+                interval,
                 same_domain,
                 report_age: MISSING_REPORT_AGE,
                 ..Candidate::default()
@@ -156,12 +163,23 @@
             own,
             slots,
             service_time,
+            interval,
             report_age,
             same_domain,
             suspect: link.is_suspect(),
         }
     }
 
+    /// Time between two requests at the rate that a member's backend server limits them to; zero
+    /// without a limit.
+    fn limit_interval(&self, member: &Member) -> Duration {
+        let statements = self.statements.borrow();
+        let limit = member.instance().and_then(|server| statements.limit(server));
+        let Some(limit) = limit else { return Duration::ZERO };
+        let secs = 1.0 / limit.rate.per_second().max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(secs.min(INTERVAL_MAX.as_secs_f64()))
+    }
+
     /// The gate that another gate named as the owner of a key; `None` if it is not a known member.
     pub fn hinted_gate(&self, hint: &OwnerHint) -> Option<GateAddr> {
         self.table.borrow().members.get(&hint.node).map(GateAddr::of)
--- a/src/kelpwind/route/least_cost.rs
+++ b/src/kelpwind/route/least_cost.rs
@@ -4,7 +4,8 @@
 //! slow some of them for tenths of a second. The cost of a target is its expected response time:
 //! its distance, the requests ahead and its service time, as its gate last reported with an answer.
 //! Old reports decay towards the typical service time, so that a target that was slow once is tried
-//! again. A target in the same failure domain is preferred while the difference is small: traffic
+//! again. Requests ahead at a target whose backend server limits its requests cost as long as the limit
+//! lets them wait, so others get the rest before anything is refused. A target in the same failure domain is preferred while the difference is small: traffic
 //! between failure domains is billed, and a link within one is less likely to be cut. This
 //! module does no I/O.
 
@@ -27,6 +28,9 @@
     pub slots: u32,
     /// Service time of the request's class there.
     pub service_time: Duration,
+    /// Time between two requests at the rate that its backend server limits them to; zero without a
+    /// limit.
+    pub interval: Duration,
     /// Time since the last report of its gate.
     pub report_age: Duration,
     /// Whether it is in this node's failure domain.
@@ -47,7 +51,10 @@
     // full.
     let fullness = 0.2 * (busy / slots).min(1.0);
     let distance = if candidate.same_domain { 0.0 } else { REMOTE_COST.as_secs_f64() };
-    service_time * (1.0 + queued + fullness) + distance
+    // On average, half an interval is left until the next request may start. An old limit may have
+    // ended, which only a request can tell.
+    let limited = candidate.interval.as_secs_f64() * weight * (busy + 0.5);
+    service_time * (1.0 + queued + fullness) + limited + distance
 }
 
 /// Returns the index of the candidate with the lowest cost; `None` if there are none. A suspect one
--- a/tests/mesh/server_statements.rs
+++ b/tests/mesh/server_statements.rs
@@ -46,6 +46,34 @@
     assert_no_violations(&fleet);
 }
 
+/// What a limited server does not take goes to the others, and does not wait for it first.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_wait_for_a_limited_server_although_others_have_room() {
+    let fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_callers(&["maps"], Duration::from_millis(5));
+    let server = fleet.hosts[host_of("maps")].server.clone().unwrap();
+    let count = async || {
+        fleet.results.lock().clear();
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        fleet.results.lock().len()
+    };
+    let before = count().await;
+    server.stated.lock().set_limit(Some("4"));
+    let limited = count().await;
+    let statuses = fleet.statuses();
+    assert_eq!(statuses.keys().collect::<Vec<_>>(), [&200], "{statuses:?}");
+    // Two of three servers are left, with more slots than there are callers.
+    assert!(limited * 5 > before * 4, "{limited} answers, {before} without a limit");
+    server.stated.lock().set_limit(None);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let from = Moment::now();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let arrived = server.stated.lock().arrivals_since(from);
+    assert!(arrived > 40, "{arrived} requests in 1 s after the limit has ended");
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
+
 /// The limit must be known to the next run of the node beside the server before it sends anything.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_next_run_of_a_node_does_not_know_the_limit_of_its_server() {
--- a/tests/testsuite/placing.rs
+++ b/tests/testsuite/placing.rs
@@ -55,6 +55,16 @@
     assert_eq!(least_cost::choose(&[remote, candidate(0, 200)], 0.1, |_| 0), Some(0));
 }
 
+/// Load pattern: one of several servers takes few requests a second, for as long as it says so.
+#[test]
+fn a_target_with_a_limit_gets_what_others_have_no_room_for() {
+    let limited = Candidate { interval: Duration::from_millis(125), ..candidate(0, 100) };
+    assert_eq!(least_cost::choose(&[limited, candidate(8, 100)], 0.1, |_| 0), Some(1));
+    assert_eq!(least_cost::choose(&[limited, candidate(24, 100)], 0.1, |_| 0), Some(0));
+    let old = Candidate { report_age: Duration::from_secs(3), ..limited };
+    assert_eq!(least_cost::choose(&[old, candidate(4, 100)], 0.1, |_| 0), Some(0));
+}
+
 #[test]
 fn a_suspect_target_is_chosen_only_if_there_is_no_other() {
     let suspect = Candidate { suspect: true, ..candidate(0, 50) };
