--- a/tests/mesh/server_statements.rs
+++ b/tests/mesh/server_statements.rs
@@ -212,3 +212,35 @@
     callers.iter().for_each(|c| c.abort());
     assert_no_violations(&fleet);
 }
+
+/// Load pattern: the limits of two of four servers are a third of their load. Their keys move to the
+/// others, which have room.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_for_keys_of_limited_servers_go_on_being_refused() {
+    let mut fleet = Fleet::start(&[("books", 4)], Duration::from_millis(120)).await;
+    for host in 0..4 {
+        fleet.hosts[host].server.take().unwrap().crash();
+        fleet.hosts[host].server_config.slots = 12;
+        fleet.start_server(host).await;
+    }
+    until_all_served(&fleet, 1).await;
+    let callers: Vec<_> =
+        (0..12).flat_map(|_| fleet.spawn_callers(&["books"], Duration::from_millis(200))).collect();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let limited: Vec<_> =
+        fleet.hosts[..2].iter().map(|host| host.server.clone().unwrap()).collect();
+    limited.iter().for_each(|server| server.stated.lock().set_limit(Some("12")));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fleet.results.lock().clear();
+    tokio::time::sleep(WATCHED).await;
+    let statuses = fleet.statuses();
+    let refused = statuses.get(&503).copied().unwrap_or(0);
+    let all: u32 = statuses.values().sum();
+    assert!(refused * 10 < all, "{statuses:?}");
+    for server in &limited {
+        let excess = server.stated.lock().excess(&[]);
+        assert!(excess <= 0.0, "{excess} requests over the limit in 4 s");
+    }
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
