Soak servers that state limits and that they leave

Nodes are killed, paused and cut off from the store while servers state limits that rise, fall, end or are malformed, leave, crash and are replaced.

--- a/tests/platform/stated.rs
+++ b/tests/platform/stated.rs
@@ -108,19 +108,31 @@
         ends.fold(f64::NEG_INFINITY, f64::max)
     }
 
-    /// What the highest limit in a period allows; unlimited before it is to be kept.
+    /// What the limits in force in a period allow; unlimited before the first one is to be kept, and while
+    /// there is none. The first one counts for the time before it, too.
     fn allowed(&self, from: Moment, to: Moment) -> f64 {
-        let next = |i: usize| self.limits.get(i + 1).map_or(to, |(at, _)| *at);
-        let in_force =
-            self.limits.iter().enumerate().filter(|(i, (at, _))| *at <= to && next(*i) >= from);
-        let rates: Vec<Option<f64>> = in_force.map(|(_, (_, rate))| *rate).collect();
-        let first = self.limits.iter().find(|(_, rate)| rate.is_some());
-        let is_due = first.is_some_and(|(at, _)| to.since(*at) >= CONTACT_TIME);
-        if !is_due || rates.contains(&None) {
+        let Some(first) = self.limits.iter().position(|(_, rate)| rate.is_some()) else {
             return f64::INFINITY;
+        };
+        if to.since(self.limits[first].0) < CONTACT_TIME {
+            return f64::INFINITY;
+        }
+        let mut requests = 0.0;
+        for (i, (at, rate)) in self.limits.iter().enumerate().skip(first) {
+            let start = if i == first { from } else { (*at).max(from) };
+            let end = self.limits.get(i + 1).map_or(to, |(next, _)| (*next).min(to));
+            if end > start {
+                let secs = end.since(start).as_secs_f64();
+                requests += rate.map_or(f64::INFINITY, |rate| rate * secs);
+            }
         }
-        let rate = rates.into_iter().flatten().fold(0.0, f64::max);
-        LIMIT_FACTOR * rate * WINDOW.as_secs_f64() + LIMIT_SLACK
+        LIMIT_FACTOR * requests + LIMIT_SLACK
+    }
+
+    /// A restart, freeze or cut of a host excuses it until it passes on such an answer again.
+    pub fn excuse(&mut self, caller: &str) {
+        self.told_limit.remove(caller);
+        self.told_leaving.remove(caller);
     }
 
     /// Number of requests that arrived from hosts that should have sent nothing more to a server that
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,10 +12,14 @@
 //!
 //! In [`processes`] the backend servers are processes too; `KELPWIND_SOAK_PROCESS_SEEDS` names its
 //! seeds, and `KELPWIND_SOAK_HOSTS` the number of hosts.
+//!
+//! In [`statements`] servers state limits and that they leave; `KELPWIND_SOAK_STATEMENT_SEEDS` names its
+//! seeds.
 
 #[path = "../platform/mod.rs"]
 mod platform;
 mod processes;
+mod statements;
 
 use std::time::{Duration, Instant};
 
