--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -406,7 +406,8 @@
     pub send: SendFn,
     /// Returns the current session.
     pub session: Box<dyn Fn() -> BackendSession>,
-    /// Ends the current session, so that the next grant goes to the process that listens by then.
+    /// Ends the current session, so that the next grant and later requests go to the process that
+    /// listens by then.
     pub end_session: Box<dyn Fn()>,
     /// Checks the server's health at a path over the connection for grants, within a time limit.
     /// Also returns the session with the process that answered.
--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -146,6 +146,7 @@
     idle_until: Option<Instant>,
     limits: Limits,
     peer: Option<String>,
+    opened: Instant,
 }
 
 /// A response, which may be that of an earlier request.
@@ -185,6 +186,7 @@
                 memory: BodyMemory::default(),
             },
             peer: None,
+            opened: Instant::now(),
         })
     }
 
@@ -205,6 +207,11 @@
         self.limits.memory = memory;
     }
 
+    /// When the connection was opened.
+    pub fn opened(&self) -> Instant {
+        self.opened
+    }
+
     /// The id under which the process at the other end has identified itself; `None` if it has not.
     /// A connection leads to one process for as long as it is open.
     pub fn peer(&self) -> Option<&str> {
--- a/tests/mesh/server_statements.rs
+++ b/tests/mesh/server_statements.rs
@@ -6,6 +6,7 @@
 
 use super::platform::fleet::Fleet;
 use super::platform::history::Moment;
+use super::platform::server::Server;
 use super::{assert_no_violations, until_all_served};
 
 /// Processing time of a request at a backend server.
@@ -244,3 +245,30 @@
     callers.iter().for_each(|c| c.abort());
     assert_no_violations(&fleet);
 }
+
+/// What a process says of itself does not concern its successor under the same ID, although
+/// connections to it are still open.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_leaves_closes_its_successor_under_the_same_id() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers = fleet.spawn_reusing_callers(&["maps"], Duration::from_millis(5));
+    let host = host_of("maps");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let former = fleet.hosts[host].server.take().unwrap();
+    let id = former.id.clone();
+    former.close_listener();
+    former.stop_reports();
+    fleet.start_server_under(host, &id, Duration::ZERO).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    former.stated.lock().set_leaving();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let from = Moment::now();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let next = fleet.hosts[host].server.clone().unwrap();
+    let arrived = |server: &Server| server.stated.lock().arrivals_since(from);
+    assert_eq!(arrived(&former), 0, "requests to the former process");
+    assert!(arrived(&next) > 0, "no requests to the next process");
+    former.crash();
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
--- a/tests/platform/stated.rs
+++ b/tests/platform/stated.rs
@@ -43,10 +43,9 @@
     /// States a limit in all later answers, or none.
     pub fn set_limit(&mut self, limit: Option<&str>) {
         self.limit = limit.map(str::to_owned);
-        let rate = limit.map(str::parse::<f64>);
-        match rate {
-            Some(Err(_)) => {}
-            rate => self.limits.push((Moment::now(), rate.and_then(Result::ok))),
+        let rate = limit.and_then(valid_rate);
+        if limit.is_none() || rate.is_some() {
+            self.limits.push((Moment::now(), rate));
         }
         if limit.is_none() {
             self.told_limit.clear();
@@ -76,7 +75,7 @@
         };
         if let Some(limit) = &self.limit {
             headers.insert("server-limit", limit.parse().expect("valid header value"));
-            if limit.parse::<f64>().is_ok() {
+            if valid_rate(limit).is_some() {
                 tell(&mut self.told_limit);
             }
         }
@@ -145,3 +144,8 @@
         self.arrivals.iter().filter(|(at, caller)| late(*at, caller)).count()
     }
 }
+
+/// The rate that a limit names; `None` if it is malformed, so that the one before stays in force.
+fn valid_rate(limit: &str) -> Option<f64> {
+    limit.parse().ok().filter(|rate: &f64| rate.is_finite() && *rate >= 0.0)
+}
