--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod silent_connections;
 mod stale_configuration;
 mod state_machine;
+mod statements;
 mod store_client;
 mod support;
 mod table;
