Let an earlier departure that others pass on count at a gate that knows of it

A restarted gate that had learned from the server's first answer that it leaves gave it another period of grace, although entries passed on that it had left long before: only the first statement was applied. A statement that it began earlier, by more than a message takes, counts as a change now. The pure test failed before.

--- a/src/kelpwind/mesh/statements.rs
+++ b/src/kelpwind/mesh/statements.rs
@@ -28,6 +28,8 @@
 /// Time for which a statement is kept after it was last heard. Servers that shut down are gone by
 /// then.
 const RETENTION: Duration = Duration::from_secs(600);
+/// Error of an age that another node passes on: the time that the message took.
+const AGE_ERROR: Duration = Duration::from_millis(100);
 /// Number of statements above which old ones are dropped.
 const STATEMENTS_MAX: usize = 256;
 
@@ -157,9 +159,12 @@
         }
     }
 
+    /// Records when the server began to shut down, if that is not known or was earlier than known.
     fn set_leaving(&mut self, since: Instant) -> bool {
-        let changed = self.leaving_since.is_none();
-        self.leaving_since = Some(self.leaving_since.map_or(since, |known| known.min(since)));
+        let changed = self.leaving_since.is_none_or(|known| since + AGE_ERROR < known);
+        if changed {
+            self.leaving_since = Some(since);
+        }
         changed
     }
 }
--- a/tests/testsuite/statements.rs
+++ b/tests/testsuite/statements.rs
@@ -110,6 +110,10 @@
     assert!(change.limit && change.leaving);
     assert_eq!(rate_of(&unknowing, &server), Some(8.0));
     assert_eq!(unknowing.leaving_since(&server), Some(now - Duration::from_secs(5)));
+    let mut unaware = ServerStatements::default();
+    unaware.record(&server, &leaving(), now, now);
+    assert!(unaware.adopt(&passed, now).leaving, "it began to leave earlier than the gate knew");
+    assert_eq!(unaware.leaving_since(&server), Some(now - Duration::from_secs(5)));
     let mut knowing = ServerStatements::default();
     knowing.record(&server, &limit(Some(2.0)), now, now);
     knowing.record(&server, &limit(None), now + MS, now + 2 * MS);
