--- a/tests/mesh/explain_request.rs
+++ b/tests/mesh/explain_request.rs
@@ -34,6 +34,20 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rejection_under_a_limit_shows_the_limit() {
+    let fleet = Fleet::start(&[("books", 1)], Duration::from_millis(50)).await;
+    fleet.hosts[0].server.as_ref().unwrap().stated.lock().set_limit(Some("2"));
+    assert_eq!(fleet.call(0, "books", 0, false).await.status, 200);
+    let calls = (0..20).map(|i| fleet.call(0, "books", i, false));
+    let results = futures_util::future::join_all(calls).await;
+    let rejected: Vec<&CallResult> = results.iter().filter(|r| r.status == 503).collect();
+    let text = explain_first(&fleet, &rejected);
+    for part in ["entry: failed", "gate: not run", "code=213", "limit=2", "source=answer"] {
+        assert!(text.contains(part), "'{part}' is missing in:\n{text}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unknown_outcome_shows_the_lost_node() {
     let mut fleet = Fleet::start(&[("books", 3)], Duration::from_millis(500)).await;
