Tell two server processes under one id apart by the keys that they hold

Cause: a session of grants went on over a new connection if the process at its end told the server's id. A server that stops closes its listener before its work ends; a second process under the same id listens by then, tells the same id, gets the keys under the same token and confirms releases for the first one. Fix: only the session's process holds keys that were granted in the session, so that it runs a request for one shows that a connection leads to it; another process answers with 421. All connections opened between two such ones lead to it as well, since listeners at one address follow one another. Left: a node that restarts at that moment still confirms former grants by the id.

--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -160,7 +160,10 @@
         sent.set(true);
         let began = Instant::now();
         self.metrics.count_sent();
-        let result = (self.platform.backend.send)(&request.request, &server.id, deadline).await;
+        let granted = key.and_then(|key| self.held.borrow().session(key));
+        let granted = granted.filter(|_| !self.grants_in_reports());
+        let send = &self.platform.backend.send;
+        let result = send(&request.request, &server.id, granted, deadline).await;
         Ok(self.to_outcome(result, &server, key, &slot, began))
     }
 
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -67,6 +67,11 @@
         self.find(key).is_some()
     }
 
+    /// The session in which the server was granted a key; `None` if it was not.
+    pub fn session(&self, key: u16) -> Option<BackendSession> {
+        self.find(key)?.session
+    }
+
     /// Number of keys that the server certainly holds.
     pub fn active_keys(&self) -> u32 {
         let now = clock::now();
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -387,7 +387,8 @@
 }
 
 /// Sends a request to the server with the given id and tells it the deadline.
-pub type SendFn = Box<dyn Fn(&Request, &str, Instant) -> LocalFuture<SendOutcome>>;
+pub type SendFn =
+    Box<dyn Fn(&Request, &str, Option<BackendSession>, Instant) -> LocalFuture<SendOutcome>>;
 /// Checks the server's health at a path, within a time limit.
 pub type HealthFn = Box<dyn Fn(&str, Duration) -> LocalFuture<Option<Health>>>;
 
@@ -401,8 +402,9 @@
 
 /// The backend server beside the node.
 pub struct Backend {
-    /// Sends a request to the server with the given id, which is told to stop at the deadline.
-    /// Dropping the future cancels the server's work.
+    /// Sends a request to the server with the given id, which is told to stop at the deadline. If the
+    /// server was granted the key of the request by a call, the session of the grant is given: that it
+    /// runs the request shows that it is the process of that session. Dropping the future cancels the server's work.
     pub send: SendFn,
     /// Returns the current session.
     pub session: Box<dyn Fn() -> BackendSession>,
--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -173,6 +173,7 @@
         if let Some(local) = local.filter(|l| l.is_ipv4() == addr.is_ipv4()) {
             socket.bind(SocketAddr::new(local, 0))?;
         }
+        let opened = Instant::now();
         let stream = socket.connect(addr).await?;
         set_dead_peer_timeouts(&stream)?;
         Ok(Conn {
@@ -186,7 +187,7 @@
                 memory: BodyMemory::default(),
             },
             peer: None,
-            opened: Instant::now(),
+            opened,
         })
     }
 
@@ -207,7 +208,7 @@
         self.limits.memory = memory;
     }
 
-    /// When the connection was opened.
+    /// When the connection began to be opened.
     pub fn opened(&self) -> Instant {
         self.opened
     }
--- a/tests/testsuite/endless_answers.rs
+++ b/tests/testsuite/endless_answers.rs
@@ -371,7 +371,7 @@
         target: "/x".to_owned(),
         ..Request::default()
     };
-    (backend.send)(&request, "i-1", Instant::now() + CALL_LIMIT).await
+    (backend.send)(&request, "i-1", None, Instant::now() + CALL_LIMIT).await
 }
 
 #[tokio::test]
@@ -405,7 +405,7 @@
         ..Request::default()
     };
     let deadline = Instant::now() + Duration::from_secs(3);
-    let sends = (0..ANSWERS).map(|_| (backend.send)(&request, "i-1", deadline));
+    let sends = (0..ANSWERS).map(|_| (backend.send)(&request, "i-1", None, deadline));
     let outcomes = futures_util::future::join_all(sends).await;
     assert!(outcomes.iter().all(|o| matches!(o, SendOutcome::Unknown(..))), "{outcomes:?}");
     // Those that were still awaited at the deadline had arrived up to the last byte.
