Log keys that are owned and not granted, and panics

Its requests were refused with code 210, and it logged nothing. The table shows the expected records (three changes of witness sets, then the keys of the lost node), its witnesses went on hearing it, and the other owners held their leases. So either its lease was not valid, a grant was never answered, or the task that grants has ended. Logs cannot tell which; a panic goes to standard error, which tests and many installations do not keep. Change: once a second a node logs keys that it owns and its server does not hold, with what their next grant waits for; panics are logged with their place.

--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -285,6 +285,27 @@
         }
     }
 
+    /// Logs keys that this node owns and the backend server does not hold, with what their next grant
+    /// waits for.
+    pub fn log_ungranted_keys(&self) {
+        let now = clock::now();
+        let held = self.held.borrow();
+        let Some(range) = held.ungranted(now).filter(|_| self.server.borrow().is_some()) else {
+            return;
+        };
+        let ends = self.lease.borrow().as_ref().and_then(|l| l.expires_at());
+        let lease_ms = ends.map_or(0, |at| at.since(now).as_millis() as u64);
+        let witnesses = self.lease.borrow().as_ref().map_or(0, |l| l.set().len());
+        let session = self.grant_session();
+        let elsewhere = held.holds.until_elsewhere(range.span, session).since(now);
+        spdlog::info!("the backend server does not hold keys that this node owns", kv: {
+            first = range.span.first, last = range.span.last, token = range.token.0, lease_ms,
+            witnesses, session = session.0, granted = range.session.map_or(-1, |s| s.0 as i64),
+            sending = range.in_flight.is_some(), due_ms = range.due.since(now).as_millis() as u64,
+            held_ms = elsewhere.as_millis() as u64, changing = held.changing
+        });
+    }
+
     /// Counts and logs a change of the backend server, with the time for which a server beside this
     /// node may still hold keys.
     pub fn record_server_change(&self, change: ServerChange, instance: &Instance) {
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -79,6 +79,11 @@
         active.map(|r| r.span.width()).sum()
     }
 
+    /// A range that this node owns and keeps, and that the server does not certainly hold.
+    pub fn ungranted(&self, now: BootInstant) -> Option<&HeldRange> {
+        self.ranges.iter().find(|r| !r.leaving && !r.is_active(now))
+    }
+
     /// How long the server may still hold any keys that it was granted.
     pub fn remaining_hold(&self, now: BootInstant) -> Duration {
         self.holds.until_all().since(now)
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -382,7 +382,8 @@
     since.as_millis() as u64
 }
 
-/// Detaches a backend server that has stopped reporting, and drops links to nodes that are gone.
+/// Detaches a backend server that has stopped reporting, drops links to nodes that are gone, and logs
+/// keys that are not granted.
 pub(crate) async fn watch_silence(node: Rc<Node>) {
     loop {
         sleep(SILENCE_CHECK_INTERVAL).await;
@@ -394,6 +395,7 @@
             node.grants_wake.notify_one();
         }
         node.prune_links();
+        node.log_ungranted_keys();
     }
 }
 
--- a/src/kelpwind/util/logging.rs
+++ b/src/kelpwind/util/logging.rs
@@ -49,9 +49,20 @@
     let logger = Logger::builder().sink(queue).build().map_err(|e| init_error("", e))?;
     logger.set_level_filter(LevelFilter::MoreSevereEqual(level));
     spdlog::set_default_logger(Arc::new(logger));
+    log_panics();
     Ok(())
 }
 
+/// Logs panics: the runtime ends the task that has panicked and goes on with the others.
+fn log_panics() {
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let what = panic.to_string();
+        spdlog::critical!("a task has panicked", kv: { what = what.as_str() });
+        print(panic);
+    }));
+}
+
 fn init_error(level: &str, cause: spdlog::Error) -> Error {
     let context = format!("failed to set up logging at level '{level}'");
     Error::new(Code::BadSetting, context).caused_by(cause)
