Show the age and the source of a server's limit in the metrics

On call one could see a limit in force, but not since when it was last stated nor how the node knows of it; the source was kept and shown nowhere.

--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder,
+    Encoder, Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+    IntGauge, Opts, Registry, TextEncoder,
 };
 
 use super::node::Node;
@@ -71,6 +71,7 @@
     /// Limits log lines about these.
     pub statement_log: RateLimitedLog,
     limit: Gauge,
+    limit_age: GaugeVec,
     leaving: IntGauge,
     running: IntGauge,
     waiting: IntGauge,
@@ -259,6 +260,16 @@
                      it states no limit.",
                 ),
             ),
+            limit_age: register(
+                &registry,
+                GaugeVec::new(
+                    Opts::new(
+                        "kelpwind_server_limit_age_seconds",
+                        "Time since the limit in force was last stated, by how this node knows of it.",
+                    ),
+                    &["source"],
+                ),
+            ),
             leaving: gauge(
                 "kelpwind_server_leaving",
                 "Whether the backend server has said that it is about to shut down.",
@@ -377,8 +388,13 @@
         {
             let (statements, server) = (self.statements.borrow(), self.server_instance());
             let stated = server.as_ref().and_then(|instance| statements.of(instance));
-            let rate = stated.and_then(|s| s.limit).map(|limit| limit.rate.per_second());
-            metrics.limit.set(rate.unwrap_or(-1.0));
+            let limit = stated.and_then(|s| s.limit);
+            metrics.limit.set(limit.map_or(-1.0, |limit| limit.rate.per_second()));
+            metrics.limit_age.reset();
+            if let Some(limit) = limit {
+                let age = metrics.limit_age.with_label_values(&[limit.source.name()]);
+                age.set(limit.heard.elapsed().as_secs_f64());
+            }
             metrics.leaving.set(stated.is_some_and(|s| s.leaving_since.is_some()).into());
         }
         metrics.keys.set(self.held.borrow().active_keys().into());
