--- a/tests/mesh/server_statements.rs
+++ b/tests/mesh/server_statements.rs
@@ -98,6 +98,32 @@
     assert_no_violations(&fleet);
 }
 
+/// Requests that arrived meanwhile must not be sent at once: at the node beside the server, or at an
+/// entry.
+#[rstest]
+#[case::beside_the_server(3)]
+#[case::entry(1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_exceed_the_limit_of_a_server_after_a_node_was_paused(#[case] paused: usize) {
+    let mut fleet = Fleet::start(&[("books", 3), ("maps", 1)], SERVICE_TIME).await;
+    let callers: Vec<_> =
+        (0..5).flat_map(|_| fleet.spawn_callers(&["maps"], Duration::from_millis(20))).collect();
+    let server = fleet.hosts[host_of("maps")].server.clone().unwrap();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    server.stated.lock().set_limit(Some("8"));
+    tokio::time::sleep(Duration::from_millis(3500)).await;
+    for _ in 0..2 {
+        fleet.signal_node(paused, "STOP");
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        fleet.signal_node(paused, "CONT");
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+    }
+    let excess = server.stated.lock().excess(&[]);
+    assert!(excess <= 0.0, "{excess} requests over the limit in 4 s");
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
+
 /// A limit that is not a number changes nothing, neither one that is in force.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_malformed_limit_lifts_the_one_in_force() {
@@ -165,6 +191,26 @@
     assert_no_violations(&fleet);
 }
 
+/// Requests may wait at the node for as long as it is paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_reach_a_leaving_server_after_its_node_was_paused() {
+    let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
+    let callers: Vec<_> = (0..5)
+        .flat_map(|_| fleet.spawn_reusing_callers(&["maps"], Duration::from_millis(5)))
+        .collect();
+    let host = host_of("maps");
+    let server = fleet.hosts[host].server.clone().unwrap();
+    server.stated.lock().set_leaving();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.signal_node(host, "STOP");
+    tokio::time::sleep(Duration::from_millis(2200)).await;
+    fleet.signal_node(host, "CONT");
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(server.stated.lock().late_arrivals(&[]), 0, "requests to a server that leaves");
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
+
 /// A node that has just started has no server yet when the server's notice that it leaves arrives.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_report_attaches_a_server_that_has_deregistered() {
