Keep when a server said that it leaves in one place only

The gate, the plan and the node's record now ask the statements. No behaviour is meant to change; all tests of server_statements pass.

--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -221,7 +221,7 @@
             return Err(Outcome::not_run(Code::NoTarget, SERVER_RETRY_AFTER));
         };
         let drained = self.drained_domains.borrow().get(&settings.domain).copied();
-        let closed = [server.leaving_since, drained].into_iter().flatten();
+        let closed = [self.server_leaving_since(), drained].into_iter().flatten();
         let stopping = self.stopping_for();
         // Keys stay with this node until they are handed over, which may have to wait for the
         // store.
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -49,19 +49,6 @@
     pub report: ServerReport,
     /// When the last report arrived.
     pub received: Instant,
-    /// When the server first announced its shutdown.
-    pub leaving_since: Option<Instant>,
-}
-
-impl BackendStatus {
-    /// The server as this node's record in the table describes it.
-    pub fn server(&self) -> Server {
-        Server {
-            instance: self.report.instance.clone(),
-            slots: self.report.slots,
-            draining: self.leaving_since.is_some(),
-        }
-    }
 }
 
 /// The state of one node.
@@ -239,6 +226,21 @@
         self.server.borrow().as_ref().map(|s| s.report.instance.clone())
     }
 
+    /// When the backend server first said that it is about to shut down; `None` if it has not, or
+    /// there is none.
+    pub fn server_leaving_since(&self) -> Option<Instant> {
+        let server = self.server.borrow();
+        self.statements.borrow().leaving_since(&server.as_ref()?.report.instance)
+    }
+
+    /// The backend server as this node's record in the table describes it.
+    pub fn recorded_server(&self) -> Option<Server> {
+        let server = self.server.borrow();
+        let report = &server.as_ref()?.report;
+        let draining = self.server_leaving_since().is_some();
+        Some(Server { instance: report.instance.clone(), slots: report.slots, draining })
+    }
+
     /// Whether the backend server's keys are divided among the targets of its service.
     pub fn is_keyed(&self) -> bool {
         let service = self.service();
--- a/src/kelpwind/mesh/plan.rs
+++ b/src/kelpwind/mesh/plan.rs
@@ -163,12 +163,10 @@
     /// backend server leaves or has not reported in time.
     pub fn must_give_up_keys(&self) -> bool {
         let domain = self.settings.borrow().domain.clone();
-        match self.server.borrow().as_ref() {
-            Some(server) => {
-                self.is_stopping() || server.leaving_since.is_some() || self.is_drained(&domain)
-            }
-            None => self.started.elapsed() >= START_DELAY,
+        if self.server.borrow().is_none() {
+            return self.started.elapsed() >= START_DELAY;
         }
+        self.is_stopping() || self.server_leaving_since().is_some() || self.is_drained(&domain)
     }
 
     /// Keys that this node should move to targets without any, such as those that have just joined.
--- a/src/kelpwind/mesh/reattach.rs
+++ b/src/kelpwind/mesh/reattach.rs
@@ -86,7 +86,7 @@
             cold_left: cold,
             keys: None,
         };
-        self.apply_report(report, false, None);
+        self.apply_report(report, false);
         self.grants_wake.notify_one();
     }
 
--- a/src/kelpwind/mesh/report_grants.rs
+++ b/src/kelpwind/mesh/report_grants.rs
@@ -168,7 +168,7 @@
     /// When a report that arrived at `arrival` is to be answered: at once if the server is to hold
     /// other keys than it does.
     fn answer_time(self: &Rc<Self>, arrival: BootInstant) -> BootInstant {
-        let leaves = self.server.borrow().as_ref().is_none_or(|s| s.leaving_since.is_some());
+        let leaves = self.server.borrow().is_none() || self.server_leaving_since().is_some();
         if leaves || self.held.borrow().is_moving() {
             return arrival;
         }
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::datagram::TableUpdate;
+use super::gate::DRAIN_GRACE;
 use super::metrics::ServerChange;
 use super::node::{BackendStatus, Node};
 use super::platform_api::{Departure, KeyAssignment, ServerMessage, ServerReport};
@@ -93,16 +94,17 @@
             self.verify(report);
             return false;
         }
+        let is_leaving = || self.statements.borrow().leaving_since(&report.instance).is_some();
+        let was_leaving = is_leaving();
         if report.draining {
-            self.record_leaving(&report.instance, Source::Report);
+            self.record_leaving(&report.instance, Instant::now(), Source::Report);
         }
-        let since = before.as_ref().filter(|_| same).and_then(|b| b.leaving_since);
-        let leaving = self.statements.borrow().leaving_since(&report.instance);
-        let changed =
-            !same || since != leaving || before.is_none_or(|b| b.report.slots != report.slots);
+        let draining = is_leaving();
+        let changed = !same
+            || draining != was_leaving
+            || before.is_none_or(|b| b.report.slots != report.slots);
         if changed {
-            let (id, born, draining) =
-                (report.instance.id.as_str(), report.instance.started_ms, leaving.is_some());
+            let (id, born) = (report.instance.id.as_str(), report.instance.started_ms);
             spdlog::info!("the backend server's state changed", kv: {
                 id, born, draining, slots = report.slots.0, number = report.number
             });
@@ -112,7 +114,7 @@
             let change = if replaced { ServerChange::Replaced } else { ServerChange::Attached };
             self.record_server_change(change, &report.instance);
         }
-        self.apply_report(report, same, leaving);
+        self.apply_report(report, same);
         if changed {
             self.announce_wake.notify_one();
             self.grants_wake.notify_one();
@@ -122,7 +124,7 @@
 
     /// Stores the backend server's latest report, and applies its slots and its cold start to the
     /// queue. `same` says that the reporting instance is the current one.
-    pub fn apply_report(&self, report: ServerReport, same: bool, leaving: Option<Instant>) {
+    pub fn apply_report(&self, report: ServerReport, same: bool) {
         let received = Instant::now();
         let cold_until = (!report.cold_left.is_zero()).then(|| received + report.cold_left);
         let mut queue = self.queue.borrow_mut();
@@ -141,9 +143,9 @@
             (self.platform.backend.end_session)();
             self.report_exchanges.borrow_mut().begin_session();
         }
-        self.server.replace(Some(BackendStatus { report, received, leaving_since: leaving }));
+        self.server.replace(Some(BackendStatus { report, received }));
         if attached {
-            self.apply_statement(Change { limit: true, leaving: true });
+            self.apply_statement(Change::ALL);
         }
     }
 
@@ -178,7 +180,9 @@
             if let Some(health) = same {
                 node.record_server_state(&instance, &health.state, asked);
                 if health.state.leaving {
-                    node.end_grace(&instance);
+                    // When it said so first is not known, so it takes no more requests.
+                    let since = asked.checked_sub(DRAIN_GRACE).unwrap_or(asked);
+                    node.record_leaving(&instance, since, Source::Answer);
                 }
             }
             node.verified_server.replace(Some(instance));
@@ -269,7 +273,7 @@
             // An instance that leaves has started before.
             None => Instance { id, started_ms: unix_ms() },
         };
-        self.record_leaving(&instance, Source::Report);
+        self.record_leaving(&instance, Instant::now(), Source::Report);
     }
 
     /// The latest instance with this id that was the backend server beside this node.
@@ -338,7 +342,7 @@
             domain: settings.domain.clone(),
             region: settings.region(&settings.domain).to_owned(),
             service: settings.service.clone(),
-            server: self.server.borrow().as_ref().map(BackendStatus::server),
+            server: self.recorded_server(),
             stopping: self.is_stopping(),
             witnesses,
             version,
--- a/src/kelpwind/mesh/selection.rs
+++ b/src/kelpwind/mesh/selection.rs
@@ -98,7 +98,7 @@
                 && allowed(m)
                 && !tried.contains(name)
                 && !self.is_gate_leaving(name)
-                && !self.has_server_left(m)
+                && !self.is_server_leaving(m)
         };
         let members: Vec<&Member> = table.members_of(service).filter(eligible).collect();
         let mean = self.service_times.borrow().mean(&route.name);
--- a/src/kelpwind/mesh/server_state.rs
+++ b/src/kelpwind/mesh/server_state.rs
@@ -2,7 +2,6 @@
 
 use std::time::Instant;
 
-use super::gate::DRAIN_GRACE;
 use super::node::Node;
 use super::platform_api::{ServerState, StatedLimit};
 use super::statements::{Change, PeerStatement, Source};
@@ -31,7 +30,8 @@
             self.apply_limit();
         }
         if change.leaving {
-            self.apply_leaving();
+            self.announce_wake.notify_one();
+            self.grants_wake.notify_one();
         }
     }
 
@@ -47,31 +47,11 @@
         self.queue_wake.notify_one();
     }
 
-    fn apply_leaving(&self) {
-        let mut server = self.server.borrow_mut();
-        let Some(attached) = server.as_mut() else { return };
-        let since = self.statements.borrow().leaving_since(&attached.report.instance);
-        let began = attached.leaving_since.is_none() && since.is_some();
-        attached.leaving_since = attached.leaving_since.into_iter().chain(since).min();
-        if began {
-            self.announce_wake.notify_one();
-            self.grants_wake.notify_one();
-        }
-    }
-
-    /// Records that an instance of the backend server has said that it is about to shut down.
-    pub fn record_leaving(&self, server: &Instance, source: Source) {
+    /// Records that an instance of the backend server said at `since` that it is about to shut down.
+    pub fn record_leaving(&self, server: &Instance, since: Instant, source: Source) {
         let now = Instant::now();
-        let change = self.statements.borrow_mut().record_leaving(server, now, now);
-        self.log_statement(server, change, source);
-        self.apply_statement(change);
-    }
-
-    /// Lets a server that shuts down take no more requests: when it said so first is not known.
-    pub fn end_grace(&self, server: &Instance) {
-        let now = Instant::now();
-        let since = now.checked_sub(DRAIN_GRACE).unwrap_or(now);
         let change = self.statements.borrow_mut().record_leaving(server, since, now);
+        self.log_statement(server, change, source);
         self.apply_statement(change);
     }
 
@@ -91,7 +71,7 @@
     }
 
     /// Whether the backend server beside a member has said that it is about to shut down.
-    pub fn has_server_left(&self, member: &Member) -> bool {
+    pub fn is_server_leaving(&self, member: &Member) -> bool {
         let statements = self.statements.borrow();
         member.instance().is_some_and(|server| statements.leaving_since(server).is_some())
     }
--- a/src/kelpwind/mesh/statements.rs
+++ b/src/kelpwind/mesh/statements.rs
@@ -114,6 +114,9 @@
 }
 
 impl Change {
+    /// A change of everything.
+    pub const ALL: Change = Change { limit: true, leaving: true };
+
     /// Whether anything changed.
     pub fn is_any(self) -> bool {
         self.limit || self.leaving
