Test which connections continue a session of grants, without a deployment

A scripted server closes the connection after each grant: a second process under the same id gets no grant of the session and confirms no release of it; a session goes on as long as its process runs requests; a request of a former session continues no other one.

--- a/tests/testsuite/endless_answers.rs
+++ b/tests/testsuite/endless_answers.rs
@@ -274,7 +274,7 @@
 }
 
 /// Returns a client of the server, as the node uses it.
-fn open_backend(addr: SocketAddr) -> Backend {
+pub(crate) fn open_backend(addr: SocketAddr) -> Backend {
     let file = std::env::temp_dir().join(format!("kelpwind-endless-{}.conf", addr.port()));
     let settings = SETTINGS.replace("10.1.0.8:8301", &addr.to_string());
     std::fs::write(&file, settings.replace("10.1.0.8", "127.0.0.1")).unwrap();
@@ -303,7 +303,7 @@
 
 const CALL_LIMIT: Duration = Duration::from_millis(600);
 const CALL_SLACK: Duration = Duration::from_millis(300);
-const SPAN: Span = Span { first: 0, last: 9 };
+pub(crate) const SPAN: Span = Span { first: 0, last: 9 };
 
 /// Checks a call to a server for each answer without end: it ends in time, closes its connection,
 /// and has read few bytes.
@@ -321,7 +321,7 @@
     }
 }
 
-fn server_ref() -> Rc<ServerRef> {
+pub(crate) fn server_ref() -> Rc<ServerRef> {
     Rc::new(ServerRef { id: "i-1".to_owned(), health_path: "/healthz".to_owned() })
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod exclusive_servers;
 mod fault_sequences;
 mod freshness;
+mod grant_sessions;
 mod held_ranges;
 mod lease_model;
 mod malformed_input;
