Log which requests a backend server was at work on when its process ended

A gate now tracks the requests at its server (gate/server_runs.rs). Once connections were lost and nothing listens any more, or another instance reports, it logs one line with each request that was at work, or was given up within the last second, and the digest of what it asks for (core/digest.rs): method, host, path with query, cookies, authorization, body. Requests that this process has answered before are left out. Metric kelpwind_server_exits_total. No request is handled otherwise.

--- /dev/null
+++ b/src/kelpwind/core/digest.rs
@@ -0,0 +1,82 @@
+//! Digests by which requests are recognized when they come again.
+//!
+//! Each attempt of a caller has an id of its own, so the id does not tell whether two attempts ask for
+//! the same. What they ask for does: method, host, path with query, caller and body.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3::Xxh3;
+
+use super::ids::ParseError;
+
+/// What a request asks for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RequestParts<'a> {
+    /// HTTP method.
+    pub method: &'a str,
+    /// Host that the caller addressed.
+    pub host: &'a [u8],
+    /// Path and query.
+    pub target: &'a str,
+    /// What identifies the caller, such as a cookie.
+    pub caller: Vec<&'a [u8]>,
+    /// The whole body.
+    pub body: &'a [u8],
+}
+
+impl RequestParts<'_> {
+    /// Calls `update` with all fields, each after its length, so that different fields never give the
+    /// same bytes.
+    fn hash(&self, mut update: impl FnMut(&[u8])) {
+        let fixed = [self.method.as_bytes(), self.host, self.target.as_bytes(), self.body];
+        for field in fixed.iter().chain(&self.caller) {
+            update(&(field.len() as u64).to_le_bytes());
+            update(field);
+        }
+    }
+
+    /// A fast hash, which differs between seeds. Whoever does not know the seed cannot choose requests
+    /// with equal hashes.
+    pub fn fingerprint(&self, seed: u64) -> u64 {
+        let mut hasher = Xxh3::with_seed(seed);
+        self.hash(|bytes| hasher.update(bytes));
+        hasher.digest()
+    }
+}
+
+/// Digest of what a request asks for: the first half of its SHA-256. Nobody can choose a request with
+/// the digest of another one. The text form is 32 hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestDigest([u8; 16]);
+
+impl From<&RequestParts<'_>> for RequestDigest {
+    fn from(parts: &RequestParts<'_>) -> RequestDigest {
+        let mut hasher = Sha256::new();
+        parts.hash(|bytes| hasher.update(bytes));
+        let mut half = [0; 16];
+        half.copy_from_slice(&hasher.finalize()[..16]);
+        RequestDigest(half)
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
+impl FromStr for RequestDigest {
+    type Err = ParseError;
+    fn from_str(raw: &str) -> Result<Self, ParseError> {
+        let error = || ParseError::Number(raw.to_owned());
+        if raw.len() != 32 || !raw.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(error());
+        }
+        let number = u128::from_str_radix(raw, 16).map_err(|_| error())?;
+        Ok(RequestDigest(number.to_be_bytes()))
+    }
+}
--- a/src/kelpwind/core/mod.rs
+++ b/src/kelpwind/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod chart;
 pub mod codes;
 pub mod config;
+pub mod digest;
 pub mod freshness;
 pub mod ids;
 mod packed_slices;
--- a/src/kelpwind/gate/mod.rs
+++ b/src/kelpwind/gate/mod.rs
@@ -10,7 +10,8 @@
 //! outcomes of requests that must run at most once.
 //!
 //! On a platform ([`crate::mesh`]), admission is decided by [`queue`], [`cold_start`] and
-//! [`rate_limit`], and the duration of key grants by [`grant_time`].
+//! [`rate_limit`], and the duration of key grants by [`grant_time`]. [`server_runs`] tells which
+//! requests the server was at work on when its process ended.
 
 pub(crate) mod admission;
 pub(crate) mod backend;
@@ -22,3 +23,4 @@
 pub mod limiter;
 pub mod queue;
 pub mod rate_limit;
+pub mod server_runs;
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -17,6 +17,7 @@
 use super::frame::{GateRequest, LoadReport, Outcome, OwnerHint};
 use super::node::Node;
 use super::platform_api::SendOutcome;
+use super::server_exits::ServerRun;
 use crate::core::codes::Code;
 use crate::core::ids::{Position, ServiceName};
 use crate::gate::queue::{AdmitDecision, QueueEvent, SlotRequest, Ticket};
@@ -128,14 +129,15 @@
 
     async fn try_run(
         self: &Rc<Self>,
-        request: GateRequest,
+        mut request: GateRequest,
         sent: &Cell<bool>,
     ) -> Result<Outcome, Outcome> {
         let now = Instant::now();
         let deadline = now + Duration::from_millis(request.remaining_ms.into());
         let objective = now + Duration::from_millis(request.objective_ms.into());
         self.check_server(&request.service)?;
-        let key = request.request.key.filter(|_| self.is_keyed());
+        let call = Rc::new(std::mem::take(&mut request.request));
+        let key = call.key.filter(|_| self.is_keyed());
         if let Some(key) = key {
             if self.held.borrow().is_owned(key) {
                 self.demand.borrow_mut().record(key, now);
@@ -162,8 +164,9 @@
         self.metrics.count_sent();
         let granted = key.and_then(|key| self.held.borrow().session(key));
         let granted = granted.filter(|_| !self.grants_in_reports());
-        let send = &self.platform.backend.send;
-        let result = send(&request.request, &server.id, granted, deadline).await;
+        let run = ServerRun::begin(self, &server, &call);
+        let result = (self.platform.backend.send)(&call, &server.id, granted, deadline).await;
+        run.finish(&result);
         Ok(self.to_outcome(result, &server, key, &slot, began))
     }
 
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -70,6 +70,8 @@
     pub malformed_statements: IntCounter,
     /// Limits log lines about these.
     pub statement_log: RateLimitedLog,
+    /// Counts processes of the backend server that ended while they were at work on requests.
+    pub server_exits: IntCounter,
     limit: Gauge,
     limit_age: GaugeVec,
     leaving: IntGauge,
@@ -252,6 +254,13 @@
                 ),
             ),
             statement_log: RateLimitedLog::default(),
+            server_exits: register(
+                &registry,
+                IntCounter::new(
+                    "kelpwind_server_exits_total",
+                    "Processes of the backend server that ended while they were at work on requests.",
+                ),
+            ),
             limit: register(
                 &registry,
                 Gauge::new(
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -19,6 +19,7 @@
 //! * [`report_grants`] and [`report_exchanges`]: grants in the answers to the server's reports.
 //! * [`holds`]: until when a backend server here may hold keys, whoever owns them.
 //! * [`statements`] and [`server_state`]: what backend servers state of themselves in their answers.
+//! * [`server_exits`]: which requests backend servers were at work on when their processes ended.
 //! * [`selection`]: the choice among the targets of a service.
 //! * [`request_state`]: attempts and retries of one request at the entry.
 //! * [`frame`], [`send_queue`], [`serve`], [`datagram`] and [`udp`]: connections and datagrams
@@ -55,6 +56,7 @@
 pub(crate) mod selection;
 pub(crate) mod send_queue;
 pub(crate) mod serve;
+pub(crate) mod server_exits;
 pub(crate) mod server_state;
 pub(crate) mod start;
 pub mod statements;
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -18,7 +18,7 @@
 use super::link::Link;
 use super::metrics::Metrics;
 use super::orders::OrdersProgress;
-use super::platform_api::{NodeSettings, Platform, ServerReport};
+use super::platform_api::{NodeSettings, Platform, Request, ServerReport};
 use super::report_exchanges::{ConnectionId, ReportExchanges};
 use super::restoration::Restoration;
 use super::serve::Sessions;
@@ -28,7 +28,7 @@
 use crate::core::routes::Routes;
 use crate::gate::grant_time::TransitTimes;
 use crate::gate::queue::RequestQueue;
-
+use crate::gate::server_runs::ServerRuns;
 use crate::lease::clock::{self, BootInstant};
 use crate::lease::holder::Lease;
 use crate::lease::message::IncarnationId;
@@ -125,6 +125,12 @@
     pub held_changed: watch::Sender<u64>,
     /// What backend servers state of themselves.
     pub statements: RefCell<ServerStatements>,
+    /// Requests at the backend server.
+    pub server_runs: RefCell<ServerRuns<Rc<Request>>>,
+    /// Seed of the fingerprints by which they are compared.
+    pub fingerprint_seed: u64,
+    /// Whether a check is in progress whether the backend server's process has ended.
+    pub checking_exit: Cell<bool>,
     /// The queue in front of the backend server.
     pub queue: RefCell<RequestQueue>,
     /// Requests that wait in the queue.
--- a/src/kelpwind/mesh/reattach.rs
+++ b/src/kelpwind/mesh/reattach.rs
@@ -42,7 +42,7 @@
 
 impl Node {
     /// Asks the server for its health, and attaches it if it is healthy and has the same name.
-    async fn reattach_if_same(&self, former: Server) {
+    async fn reattach_if_same(self: &Rc<Self>, former: Server) {
         let mut known = self.configured.subscribe();
         // `wait_for` fails only if the sender is dropped, and `self` owns the sender.
         drop(known.wait_for(|known| *known).await);
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -124,7 +124,7 @@
 
     /// Stores the backend server's latest report, and applies its slots and its cold start to the
     /// queue. `same` says that the reporting instance is the current one.
-    pub fn apply_report(&self, report: ServerReport, same: bool) {
+    pub fn apply_report(self: &Rc<Self>, report: ServerReport, same: bool) {
         let received = Instant::now();
         let cold_until = (!report.cold_left.is_zero()).then(|| received + report.cold_left);
         let mut queue = self.queue.borrow_mut();
@@ -138,7 +138,8 @@
         let instance = report.instance.clone();
         let attached = !same;
         let last = self.last_instance.replace(Some(instance.clone()));
-        if last.is_some_and(|last| last != instance) {
+        if let Some(last) = last.filter(|last| *last != instance) {
+            self.record_server_exit(&last);
             // The connection for grants may lead to the former instance.
             (self.platform.backend.end_session)();
             self.report_exchanges.borrow_mut().begin_session();
