Reproduce: a request that crashes servers is sent to one after another

The test sends the same request from one host after another every 150 ms for 14 s; the simulated server ends 40 ms after it begins to run one, and is back 1.2 s later under another id. Later than 3 s after the third end three requests may reach servers.

--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -6,6 +6,7 @@
 //! load of the machine.
 
 mod configuration;
+mod crashing_requests;
 mod endless_answers;
 mod explain_request;
 mod http_limits;
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, JoinHandle};
 
+use super::crashes::Crashes;
 use super::history::{Conflict, HeldRange, History, Moment, Records, conflicts};
 use super::server::{self, GRANTED_REPORT_INTERVAL, REPORT_INTERVAL, Server, ServerConfig, Stop};
 use super::server_process::ServerProcess;
@@ -99,6 +100,8 @@
     pub hosts: Vec<Host>,
     /// What the servers that are tasks recorded.
     pub history: Arc<History>,
+    /// Requests that crash the servers that run them.
+    pub crashes: Arc<Crashes>,
     /// Results of the callers' requests.
     pub results: Arc<Mutex<Vec<CallResult>>>,
     /// Limits in the configurations published from now on; absent from them if `None`.
@@ -217,6 +220,7 @@
             store,
             hosts: Vec::new(),
             history: Arc::default(),
+            crashes: Arc::default(),
             results: Arc::default(),
             limits: None,
             proxy,
@@ -455,7 +459,8 @@
         let addr = |port| SocketAddr::new(host.ip.into(), port);
         let history = self.history.clone();
         let config = ServerConfig { report_delay: delay, ..host.server_config.clone() };
-        let server = Server::start(addr(8301), addr(8306), config, history).await;
+        let server =
+            Server::start(addr(8301), addr(8306), config, history, self.crashes.clone()).await;
         host.server = Some(server);
     }
 
@@ -465,7 +470,8 @@
         let addr = |port| SocketAddr::new(host.ip.into(), port);
         let id = id.to_owned();
         let config = ServerConfig { id, report_delay: delay, ..host.server_config.clone() };
-        let server = Server::start(addr(8301), addr(8306), config, self.history.clone()).await;
+        let (history, crashes) = (self.history.clone(), self.crashes.clone());
+        let server = Server::start(addr(8301), addr(8306), config, history, crashes).await;
         host.server = Some(server);
     }
 
@@ -553,6 +559,20 @@
         call(self.hosts[host].ip, service, key, false, &query).await
     }
 
+    /// Sends one request with this query string from a host, and records its result.
+    pub async fn call_with_query(
+        &self,
+        host: usize,
+        service: &str,
+        key: u16,
+        once: bool,
+        query: &str,
+    ) -> CallResult {
+        let result = call(self.hosts[host].ip, service, key, once, query).await;
+        self.results.lock().push(result.clone());
+        result
+    }
+
     /// Sends one request from a host in a new task; its result is not recorded.
     pub fn spawn_call(
         &self,
@@ -670,6 +690,7 @@
                 server.crash();
             }
         }
+        self.crashes.end_successors();
         if std::env::var_os("KELPWIND_KEEP_LOGS").is_some() {
             eprintln!("logs: {}", self.folder.display());
             return;
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -6,6 +6,7 @@
 
 #![allow(dead_code, reason = "not every test binary uses all of it")]
 
+pub mod crashes;
 pub mod fleet;
 pub mod history;
 pub mod server;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -15,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::crashes::{Crashes, RESTART_TIME, RUN_TIME};
 use super::history::{Event, HeldRange, History, Moment, Run};
 use super::stated::Stated;
 use super::{Endless, FullRequest, Reply, Serving, query_param, reply, serve};
@@ -136,12 +138,17 @@
     /// How it disturbs its exchanges with the node.
     report_faults: Mutex<ReportFaults>,
     history: Arc<History>,
+    /// Requests that crash the servers that run them.
+    crashes: Arc<Crashes>,
+    addr: SocketAddr,
     /// Highest fencing token seen, by key.
     tokens: Mutex<BTreeMap<u16, u64>>,
     running: Mutex<u32>,
     draining: Mutex<bool>,
     /// Whether it has crashed; from then on it takes no grants.
     crashed: Mutex<bool>,
+    /// Whether a request is about to crash it or has done so.
+    crash_begun: Mutex<bool>,
     stopping: Mutex<bool>,
     reports_stopped: Mutex<bool>,
     /// Number of answers given.
@@ -189,6 +196,7 @@
         node: SocketAddr,
         config: ServerConfig,
         history: Arc<History>,
+        crashes: Arc<Crashes>,
     ) -> Arc<Server> {
         let id = match config.id.as_str() {
             "" => format!("i-{:08x}", fastrand::u32(..)),
@@ -206,10 +214,13 @@
             freed: Mutex::default(),
             report_faults: Mutex::default(),
             history,
+            crashes,
+            addr,
             tokens: Mutex::default(),
             running: Mutex::new(0),
             draining: Mutex::new(false),
             crashed: Mutex::new(false),
+            crash_begun: Mutex::new(false),
             stopping: Mutex::new(false),
             reports_stopped: Mutex::new(false),
             read_delay: Mutex::default(),
@@ -248,6 +259,27 @@
         }
     }
 
+    /// Crashes under a request, and starts again later under another ID.
+    async fn crash_under(&self, request: &str) {
+        self.crashes.record_run(request);
+        tokio::time::sleep(RUN_TIME).await;
+        if !std::mem::replace(&mut *self.crash_begun.lock(), true) {
+            self.crashes.record_end(request);
+            self.crash_for(RESTART_TIME);
+        }
+        // The connection ends without an answer.
+        std::future::pending::<()>().await;
+    }
+
+    /// Crashes, and starts again after some time under another ID.
+    pub fn crash_for(&self, time: Duration) {
+        let (addr, node) = (self.addr, self.node);
+        let config = ServerConfig { id: String::new(), ..self.config.clone() };
+        let (history, crashes) = (self.history.clone(), self.crashes.clone());
+        tokio::spawn(restart(time, addr, node, config, history, crashes));
+        self.crash();
+    }
+
     /// Makes all later reports and answers say that the server is draining.
     pub fn drain(&self) {
         *self.draining.lock() = true;
@@ -685,6 +717,9 @@
         }
         let _running = RunningGuard::new(&self.running);
         self.history.add(Event::Runs(Run { id: id.clone(), server: self.id.clone() }));
+        if let Some(name) = query_param(&request, "crash") {
+            self.crash_under(name).await;
+        }
         tokio::time::sleep(self.config.service_time).await;
         // Work must not outlast the grant that was in force when it began.
         if self.config.keyed && held_until.is_some_and(|until| until < Moment::now()) {
@@ -721,6 +756,23 @@
     }
 }
 
+/// Starts the successor of a server that has crashed. Boxed, because it may crash and start a successor
+/// in turn.
+fn restart(
+    after: Duration,
+    addr: SocketAddr,
+    node: SocketAddr,
+    config: ServerConfig,
+    history: Arc<History>,
+    crashes: Arc<Crashes>,
+) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+    Box::pin(async move {
+        tokio::time::sleep(after).await;
+        let server = Server::start(addr, node, config, history, crashes.clone()).await;
+        crashes.add_successor(server);
+    })
+}
+
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since.as_millis() as u64
--- a/tests/platform/server_process.rs
+++ b/tests/platform/server_process.rs
@@ -132,7 +132,9 @@
     let mut stopping = signal(SignalKind::terminate()).expect("failed to handle SIGTERM");
     let history = Arc::new(History::of_process(&config.journal));
     tokio::spawn(tick(history.clone()));
-    let server = Server::start(config.addr, config.node, config.server, history.clone()).await;
+    let crashes = Arc::default();
+    let server =
+        Server::start(config.addr, config.node, config.server, history.clone(), crashes).await;
     let (id, life) = (server.id.clone(), server.life);
     history.add(Event::Listens { server: id, life, at: Moment::now() });
     stopping.recv().await;
