Odd numbers in what nodes read end no task any more

What callers saw, by the report of another operator: machines that read one odd entry ended again and again, or stopped following. Here it can't end the process, but it ended tasks: the request at hand, or for good the one that writes the node's record (an answer to the health check at a start is read there).

Cause: a Duration that can be represented, added to an Instant, may overflow, and that panics.

Records of members with port 0 or implausible times are skipped.

--- a/src/kelpwind/core/ids.rs
+++ b/src/kelpwind/core/ids.rs
@@ -253,7 +253,7 @@
 impl Offset {
     /// Offset of the record that follows.
     pub fn next(self) -> Offset {
-        Offset(self.0 + 1)
+        Offset(self.0.saturating_add(1))
     }
 }
 
--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -134,6 +134,9 @@
     /// Sets the slowdown that the server reports: 1 is normal, 2 means that work takes twice as
     /// long.
     pub fn set_slowdown(&mut self, slowdown: f64) {
+        if slowdown.is_nan() {
+            return;
+        }
         self.slowdown = slowdown.clamp(SLOWDOWN_BOUNDS.0, SLOWDOWN_BOUNDS.1);
     }
 
--- a/src/kelpwind/lease/clock.rs
+++ b/src/kelpwind/lease/clock.rs
@@ -38,17 +38,22 @@
 impl Add<Duration> for BootInstant {
     type Output = BootInstant;
     fn add(self, time: Duration) -> BootInstant {
-        BootInstant(self.0 + time.as_micros() as u64)
+        BootInstant(self.0.saturating_add(micros(time)))
     }
 }
 
 impl Sub<Duration> for BootInstant {
     type Output = BootInstant;
     fn sub(self, time: Duration) -> BootInstant {
-        BootInstant(self.0.saturating_sub(time.as_micros() as u64))
+        BootInstant(self.0.saturating_sub(micros(time)))
     }
 }
 
+/// Microseconds of a duration; the largest number if it has more.
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl fmt::Display for BootInstant {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{:06}s", self.0 / 1_000_000, self.0 % 1_000_000)
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -23,6 +23,8 @@
 use crate::table::WriteBatch;
 use crate::table::member::{Instance, Member};
 
+/// Longest time by which a server's clock may be ahead. A later start would outrank all that follow.
+const CLOCK_AHEAD_MAX: Duration = Duration::from_secs(3600);
 /// Silence after which the backend server counts as gone. Reports come about every second, and may
 /// be seconds late.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -73,6 +75,12 @@
             spdlog::warn!("ignored a report of another service or failure domain", kv: { id, told = reported });
             return false;
         }
+        let ahead = report.instance.started_ms.saturating_sub(unix_ms());
+        if ahead > CLOCK_AHEAD_MAX.as_millis() as u64 {
+            let (id, born) = (report.instance.id.as_str(), report.instance.started_ms);
+            spdlog::warn!("ignored a report of a server that starts in the future", kv: { id, born });
+            return false;
+        }
         let before = self.server.borrow().clone();
         let same = before.as_ref().is_some_and(|b| b.report.instance == report.instance);
         if let Some(before) = &before {
--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -343,12 +343,12 @@
 }
 
 /// Returns the end of the idle timeout that the other end announced, less one second, so that no
-/// request is sent while it closes the connection.
+/// request is sent while it closes the connection. One that no clock can measure is none.
 fn idle_until(head: &Head, now: Instant) -> Option<Instant> {
     let value = head.header("keep-alive")?;
     let secs = value.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
     let secs: u64 = secs.trim().parse().ok()?;
-    Some(now + Duration::from_secs(secs).saturating_sub(Duration::from_secs(1)))
+    now.checked_add(Duration::from_secs(secs.saturating_sub(1)))
 }
 
 fn has_connection_close(head: &Head) -> bool {
--- a/src/kelpwind/table/keys.rs
+++ b/src/kelpwind/table/keys.rs
@@ -162,7 +162,7 @@
     /// A token higher than that of every range.
     fn next_token(&self) -> Token {
         let highest = self.ranges.iter().map(|r| r.token).max().unwrap_or_default();
-        Token(highest.max(self.floor).0 + 1)
+        Token(highest.max(self.floor).0.saturating_add(1))
     }
 
     /// Whether a key of `ranges` has a higher token here. Tokens rise, so none should.
--- a/src/kelpwind/table/member.rs
+++ b/src/kelpwind/table/member.rs
@@ -72,7 +72,15 @@
     pub rank: u32,
 }
 
+/// Longest time for which a record may say that grants outlast a lease, in milliseconds.
+const EXCESS_MS_MAX: u64 = 60_000;
+
 impl Member {
+    /// Whether its address and its times can be those of a node.
+    pub(super) fn is_plausible(&self) -> bool {
+        self.addr.port() != 0 && self.excess_ms <= EXCESS_MS_MAX
+    }
+
     /// Whether its backend server may get new requests and keys according to this record.
     pub fn takes_work(&self) -> bool {
         !self.stopping && self.server.as_ref().is_some_and(|s| !s.draining)
--- a/src/kelpwind/table/mod.rs
+++ b/src/kelpwind/table/mod.rs
@@ -267,7 +267,7 @@
             self.outdated.remove(&name);
             return Some(());
         };
-        let member: Member = serde_json::from_slice(value).ok()?;
+        let member: Member = serde_json::from_slice(value).ok().filter(Member::is_plausible)?;
         let order = |m: &Member| (m.holder.inc, m.version);
         if self.members.get(&name).is_some_and(|known| order(&member) < order(known)) {
             self.outdated.insert(name);
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -12,6 +12,7 @@
 mod http_limits;
 mod malformed_messages;
 mod node_runs;
+mod odd_numbers;
 #[path = "../platform/mod.rs"]
 mod platform;
 mod repeated_requests;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -159,6 +159,8 @@
     health_delay: Mutex<Duration>,
     release_delay: Mutex<Duration>,
     closing: Mutex<Closing>,
+    /// Headers that replace those of all later answers.
+    pub headers: Mutex<Vec<(&'static str, &'static str)>>,
     /// What it states of itself in its answers.
     pub stated: Mutex<Stated>,
     /// Where it reports.
@@ -227,6 +229,7 @@
             health_delay: Mutex::default(),
             release_delay: Mutex::default(),
             closing: Mutex::default(),
+            headers: Mutex::default(),
             stated: Mutex::default(),
             answers: Mutex::default(),
             node,
@@ -259,6 +262,11 @@
         }
     }
 
+    /// Start of the server, in milliseconds since the Unix epoch.
+    pub fn born_ms(&self) -> u64 {
+        self.born_ms
+    }
+
     /// Its address.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -557,6 +565,9 @@
         }
         let mut answer = self.answer_open(request).await;
         self.stated.lock().state(answer.headers_mut(), caller.as_deref());
+        for (name, value) in self.headers.lock().iter() {
+            answer.headers_mut().insert(*name, http::HeaderValue::from_static(value));
+        }
         let closes = match *self.closing.lock() {
             Closing::None => false,
             Closing::Grants => is_grant,
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -200,7 +200,7 @@
         self.park_reads.store(park_reads, Ordering::Relaxed);
     }
 
-    fn append_one(&self, topic: &str, key: &str, value: Bytes) {
+    pub fn append_one(&self, topic: &str, key: &str, value: Bytes) {
         let mut topics = self.topics.lock();
         topics.entry(topic.to_owned()).or_default().push((key.to_owned(), value));
         drop(topics);
