--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod endless_answers;
 mod exclusive_servers;
 mod fault_sequences;
+mod faulty_answers;
 mod freshness;
 mod grant_sessions;
 mod held_ranges;
