Soak: a request that crashes servers under random faults

Nodes are killed, paused and cut off, servers crash by themselves up to three at a time, and one request crashes each server that runs it, sent from any host all the while. At the end all nodes are killed at once; after that the request may reach servers only as often as is left.

--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -591,8 +591,20 @@
         key: u16,
         once: bool,
     ) -> JoinHandle<CallResult> {
-        let (ip, service) = (self.hosts[host].ip, service.to_owned());
-        tokio::spawn(async move { call(ip, &service, key, once, "").await })
+        self.spawn_call_with_query(host, service, key, once, "")
+    }
+
+    /// Sends one request with this query string from a host in a new task; its result is not recorded.
+    pub fn spawn_call_with_query(
+        &self,
+        host: usize,
+        service: &str,
+        key: u16,
+        once: bool,
+        query: &str,
+    ) -> JoinHandle<CallResult> {
+        let (ip, service, query) = (self.hosts[host].ip, service.to_owned(), query.to_owned());
+        tokio::spawn(async move { call(ip, &service, key, once, &query).await })
     }
 
     /// Starts a caller per host and service. Each sends requests until its task is aborted, and
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -286,6 +286,9 @@
 
     /// Crashes, and starts again after some time under another ID.
     pub fn crash_for(&self, time: Duration) {
+        if *self.crashed.lock() {
+            return;
+        }
         let (addr, node) = (self.addr, self.node);
         let config = ServerConfig { id: String::new(), ..self.config.clone() };
         let (history, crashes) = (self.history.clone(), self.crashes.clone());
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,8 +14,9 @@
 //! seeds, and `KELPWIND_SOAK_HOSTS` the number of hosts.
 //!
 //! In [`statements`] servers state limits and that they leave; `KELPWIND_SOAK_STATEMENT_SEEDS` names its
-//! seeds.
+//! seeds. In [`crashes`] a request crashes servers; `KELPWIND_SOAK_CRASH_SEEDS` names its seeds.
 
+mod crashes;
 #[path = "../platform/mod.rs"]
 mod platform;
 mod processes;
