Look three times whether a server still listens after a connection was lost

A process that ends may close its listener after its connections. One look in between would find it alive, and its end would be found out only when its successor reports, seconds later.

--- a/src/kelpwind/mesh/server_exits.rs
+++ b/src/kelpwind/mesh/server_exits.rs
@@ -7,9 +7,10 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::header::{AUTHORIZATION, COOKIE, HOST, HeaderName};
+use tokio::time::sleep;
 
 use super::node::Node;
 use super::platform_api::{Request, SendOutcome};
@@ -18,6 +19,10 @@
 use crate::gate::server_runs::{RunEnd, RunId, Suspect};
 use crate::table::member::Instance;
 
+/// Pauses before each check whether something listens at the server's address. A process that ends may
+/// close its listener some time after its connections.
+const CHECK_PAUSES: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(20), Duration::from_millis(150)];
 /// Most suspects that one log line lists.
 const LISTED_MAX: usize = 24;
 
@@ -85,8 +90,12 @@
         }
         let (node, instance) = (self.clone(), instance.clone());
         tokio::task::spawn_local(async move {
-            if !(node.platform.backend.is_listening)().await {
-                node.record_server_exit(&instance);
+            for pause in CHECK_PAUSES {
+                sleep(pause).await;
+                if !(node.platform.backend.is_listening)().await {
+                    node.record_server_exit(&instance);
+                    break;
+                }
             }
             node.checking_exit.set(false);
         });
