Start a node's loops again when they panic

What does a panic do to the process? The runtime ended the task and went on: a node without its loop for grants or for the table looked alive, and nobody noticed but a log line. Ending the process would repeat itself at each start if what it reads makes it panic, as other operators saw. The loop alone starts again after a second, with a line and the metric kelpwind_task_restarts_total.

Test: a task that panics twice runs a third time (supervise.rs).

--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -70,6 +70,8 @@
     pub malformed_statements: IntCounter,
     /// Limits log lines about these.
     pub statement_log: RateLimitedLog,
+    /// Counts tasks of the node that have panicked and were started again.
+    pub task_restarts: IntCounter,
     /// Counts processes of the backend server that ended while they were at work on requests.
     pub server_exits: IntCounter,
     suspects: IntGauge,
@@ -258,6 +260,13 @@
                 ),
             ),
             statement_log: RateLimitedLog::default(),
+            task_restarts: register(
+                &registry,
+                IntCounter::new(
+                    "kelpwind_task_restarts_total",
+                    "Tasks of the node that have panicked and were started again; must be 0.",
+                ),
+            ),
             server_exits: register(
                 &registry,
                 IntCounter::new(
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -29,6 +29,7 @@
 use crate::net::listen;
 use crate::table::WriteBatch;
 use crate::util::error::{Error, Result};
+use crate::util::supervise::supervise;
 
 /// Slots that are assumed until the backend server reports its own.
 const DEFAULT_SLOTS: u32 = 1;
@@ -165,21 +166,32 @@
 }
 
 fn spawn_loops(node: &Rc<Node>, hangup: Signal) {
-    let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
-    spawn(Box::pin(store_watch::watch_topic(node.clone(), Topic::Orders)));
-    spawn(Box::pin(store_watch::watch_topic(node.clone(), Topic::Table)));
-    spawn(Box::pin(reports::announce(node.clone())));
-    spawn(Box::pin(reports::watch_silence(node.clone())));
-    spawn(Box::pin(gate::dispatch_queued(node.clone())));
-    spawn(Box::pin(grants::maintain_grants(node.clone())));
-    spawn(Box::pin(plan::maintain_ownership(node.clone())));
-    spawn(Box::pin(balance::rebalance(node.clone())));
-    spawn(Box::pin(lease::renew(node.clone())));
-    spawn(Box::pin(udp::receive(node.clone())));
-    spawn(Box::pin(takeover::watch_holders(node.clone())));
-    spawn(Box::pin(lease::maintain_witnesses(node.clone())));
-    spawn(Box::pin(quarantine::maintain_suspects(node.clone())));
-    spawn(Box::pin(reload(node.clone(), hangup)));
+    fn run<F: Future<Output = ()> + 'static>(
+        node: &Rc<Node>,
+        name: &'static str,
+        task: impl Fn(Rc<Node>) -> F + 'static,
+    ) {
+        let (of_task, of_panics) = (node.clone(), node.clone());
+        supervise(
+            name,
+            move || task(of_task.clone()),
+            move || of_panics.metrics.task_restarts.inc(),
+        );
+    }
+    run(node, "orders", |node| store_watch::watch_topic(node, Topic::Orders));
+    run(node, "table", |node| store_watch::watch_topic(node, Topic::Table));
+    run(node, "announce", reports::announce);
+    run(node, "silence", reports::watch_silence);
+    run(node, "queue", gate::dispatch_queued);
+    run(node, "grants", grants::maintain_grants);
+    run(node, "ownership", plan::maintain_ownership);
+    run(node, "balance", balance::rebalance);
+    run(node, "lease", lease::renew);
+    run(node, "datagrams", udp::receive);
+    run(node, "takeovers", takeover::watch_holders);
+    run(node, "witnesses", lease::maintain_witnesses);
+    run(node, "suspects", quarantine::maintain_suspects);
+    tokio::task::spawn_local(reload(node.clone(), hangup));
 }
 
 fn spawn_listeners(node: &Rc<Node>, closing: &watch::Receiver<bool>, listeners: [TcpListener; 4]) {
--- a/src/kelpwind/util/mod.rs
+++ b/src/kelpwind/util/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod registry;
 pub(crate) mod serde_duration;
 pub mod suggest;
+pub mod supervise;
 pub mod text_table;
 pub(crate) mod timer;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod state_machine;
 mod statements;
 mod store_client;
+mod supervise;
 mod support;
 mod table;
 mod table_eras;
