--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -542,9 +542,7 @@
 
     /// Sends one request from a host, and records its result.
     pub async fn call(&self, host: usize, service: &str, key: u16, once: bool) -> CallResult {
-        let result = call(self.hosts[host].ip, service, key, once, "").await;
-        self.results.lock().push(result.clone());
-        result
+        self.call_with_query(host, service, key, once, "").await
     }
 
     /// Sends one request that is answered with a body of `size` bytes; its result is not recorded.
