--- a/src/kelpwind/core/ids.rs
+++ b/src/kelpwind/core/ids.rs
@@ -180,6 +180,10 @@
     /// Number of concurrent requests or connections.
     Count, u32
 }
+number_type! {
+    /// Size in bytes.
+    ByteCount, usize
+}
 
 impl Era {
     /// Tokens that are assigned in this era are above this one, and so above those of all former eras:
--- a/src/kelpwind/core/routes.rs
+++ b/src/kelpwind/core/routes.rs
@@ -47,6 +47,9 @@
     pub services: Vec<WeightedService>,
     /// Regions in which requests may be handled; empty if there is no restriction.
     pub regions: Vec<String>,
+    /// Whether its answers are large and less urgent than others.
+    #[serde(default)]
+    pub bulk: bool,
 }
 
 impl Route {
@@ -155,6 +158,11 @@
         routes.iter().find(|r| path.starts_with(&r.prefix))
     }
 
+    /// Whether some routes have large answers, so that requests of unequal cost share servers and links.
+    pub fn has_bulk(&self) -> bool {
+        self.all().any(|r| r.bulk)
+    }
+
     /// Iterates over all routes, in no particular order.
     pub fn all(&self) -> impl Iterator<Item = &std::rc::Rc<Route>> {
         self.by_host.values().flatten()
--- a/src/kelpwind/net/mod.rs
+++ b/src/kelpwind/net/mod.rs
@@ -6,4 +6,5 @@
 pub mod datagram;
 pub mod http1;
 pub(crate) mod listen;
+pub mod memory;
 pub mod pool;
--- a/tests/testsuite/adapter.rs
+++ b/tests/testsuite/adapter.rs
@@ -109,6 +109,21 @@
     assert!(!routes.is_keyed(&"maps".parse().unwrap()));
 }
 
+/// Downloads that count as requests that may run once are not repeated after a failure, and their
+/// servers go on with them after their callers have left.
+#[test]
+fn downloads_may_be_repeated_and_are_bulk() {
+    let config = CONFIG.replace(r#""safe",1.2"#, r#""download",1.2"#);
+    let Ok(OperatorOrder::Routes(routes)) =
+        platform::decode_order(&record("config", Some(&config)))
+    else {
+        panic!("the configuration was not decoded");
+    };
+    let route = routes.find("a.example", "/x/1").unwrap();
+    assert!(route.is_idempotent() && route.bulk && routes.has_bulk());
+    assert!(!routes.find("a.example", "/x/y/1").unwrap().bulk);
+}
+
 #[test]
 fn a_failure_domain_is_drained_and_undrained() {
     let decode = |value| platform::decode_order(&record("evacuate/zone-a", value));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod held_ranges;
 mod lease_model;
 mod malformed_input;
+mod memory;
 mod ownership;
 mod placing;
 mod pool;
