--- a/src/kelpwind/mesh/commit.rs
+++ b/src/kelpwind/mesh/commit.rs
@@ -8,6 +8,7 @@
 use super::datagram::TableUpdate;
 use super::node::Node;
 use super::platform_api::StoreError;
+use super::table_updates::MISSING_RECORDS_WAIT;
 use crate::core::ids::Position;
 use crate::table::{Table, WriteBatch};
 
@@ -82,10 +83,17 @@
                     let next = Position { offset: next, ..at };
                     let update = TableUpdate { next, batch };
                     self.apply_table_update(&update);
+                    if self.informs_all_members() {
+                        self.notify_members(&update).await;
+                    }
                     return Some(update);
                 }
                 Err(StoreError::Conflict) => {
-                    self.request_table_read();
+                    // The author of the records usually passes them on.
+                    let told = timeout(MISSING_RECORDS_WAIT, self.wait_for_table(at.next()));
+                    if !self.informs_all_members() || told.await.is_err() {
+                        self.request_table_read();
+                    }
                     // On a timeout the next attempt conflicts again, which is harmless.
                     let _ = timeout(CONFLICT_READ_TIMEOUT, self.wait_for_table(at.next())).await;
                     let pause = CONFLICT_PAUSE.max(CONFLICT_PAUSE_EACH * self.member_count());
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -139,6 +139,8 @@
         queue: RefCell::new(RequestQueue::new(DEFAULT_SLOTS)),
         tickets: RefCell::default(),
         queue_wake: Notify::new(),
+        pending_batches: RefCell::default(),
+        awaiting_records: Cell::new(false),
         held: RefCell::new(held),
         grant_excess: Cell::new(None),
         transit_times: RefCell::default(),
