--- a/src/kelpwind/mesh/table_updates.rs
+++ b/src/kelpwind/mesh/table_updates.rs
@@ -25,7 +25,7 @@
 /// Time to wait for records that are missing between the end of the table and those that another node
 /// has passed on, before the store is read. A node that is limited to a tenth of a core may be late by
 /// most of a tenth of a second with its own datagrams.
-pub(super) const MISSING_RECORDS_WAIT: Duration = Duration::from_millis(80);
+const MISSING_RECORDS_WAIT: Duration = Duration::from_millis(80);
 /// Maximum size of the records in a datagram, which leaves room for its other fields.
 const RECORDS_BYTES_MAX: usize = DATAGRAM_BYTES_MAX - 256;
 
