--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -114,6 +114,8 @@
     version: u32,
     /// Whether the servers of the keyed service are granted keys in the answers to their reports.
     reports_keys: bool,
+    /// Further lines of the nodes' settings files.
+    extra_settings: String,
 }
 
 impl Fleet {
@@ -149,19 +151,37 @@
         Fleet::start_granted(services, service_time, Some(interval), EraHeader::Number).await
     }
 
+    /// Like [`Fleet::start`], with further lines in the nodes' settings files.
+    pub async fn start_with_settings(
+        services: &[(&str, u32)],
+        service_time: Duration,
+        extra_settings: &str,
+    ) -> Fleet {
+        let extra = extra_settings.to_owned();
+        let number = EraHeader::Number;
+        let fleet = Fleet::start_nodes(services, service_time, None, number, extra).await;
+        fleet.start_servers(services).await
+    }
+
     async fn start_granted(
         services: &[(&str, u32)],
         service_time: Duration,
         reports_keys: Option<Duration>,
         eras: EraHeader,
     ) -> Fleet {
-        let mut fleet = Fleet::start_nodes(services, service_time, reports_keys, eras).await;
-        for host in 0..fleet.hosts.len() {
-            fleet.start_server(host).await;
+        let extra = String::new();
+        let fleet = Fleet::start_nodes(services, service_time, reports_keys, eras, extra).await;
+        fleet.start_servers(services).await
+    }
+
+    /// Starts the backend servers and waits until the deployment serves.
+    async fn start_servers(mut self, services: &[(&str, u32)]) -> Fleet {
+        for host in 0..self.hosts.len() {
+            self.start_server(host).await;
         }
-        fleet.wait_until_served(services).await;
-        fleet.bootstrap = false;
-        fleet
+        self.wait_until_served(services).await;
+        self.bootstrap = false;
+        self
     }
 
     /// Like [`Fleet::start`], with servers that are processes of their own. `configure` changes what
@@ -191,8 +211,8 @@
         reports_keys: Option<Duration>,
         mut configure: impl FnMut(usize, &mut ServerConfig),
     ) -> Fleet {
-        let mut fleet =
-            Fleet::start_nodes(services, service_time, reports_keys, EraHeader::Number).await;
+        let (eras, extra) = (EraHeader::Number, String::new());
+        let mut fleet = Fleet::start_nodes(services, service_time, reports_keys, eras, extra).await;
         for host in 0..fleet.hosts.len() {
             fleet.start_server_process(host, |config| configure(host, config));
         }
@@ -206,6 +226,7 @@
         service_time: Duration,
         reports_keys: Option<Duration>,
         eras: EraHeader,
+        extra_settings: String,
     ) -> Fleet {
         let reported = reports_keys.is_some();
         let number = FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
@@ -228,6 +249,7 @@
             bootstrap: true,
             version: 1,
             reports_keys: reported,
+            extra_settings,
         };
         fleet.publish(services, "");
         let all = services.iter().flat_map(|(name, count)| (0..*count).map(move |_| *name));
@@ -345,7 +367,7 @@
     /// Starts the node of a host.
     pub fn start_node(&mut self, host: usize) {
         let host = &mut self.hosts[host];
-        host.write_settings(self.reports_keys, self.bootstrap);
+        host.write_settings(self.reports_keys, self.bootstrap, &self.extra_settings);
         let log = std::fs::File::options().create(true).append(true).open(&host.log_file);
         let log = Stdio::from(log.expect("failed to open the log file"));
         host.node = Some(spawn(host, log));
@@ -426,7 +448,7 @@
     /// Restarts the node of a host with a pipe as standard output that is never read.
     pub fn start_node_unread(&mut self, host: usize) {
         let host = &mut self.hosts[host];
-        host.write_settings(self.reports_keys, self.bootstrap);
+        host.write_settings(self.reports_keys, self.bootstrap, &self.extra_settings);
         host.node = None;
         host.node = Some(spawn(host, Stdio::piped()));
     }
@@ -747,9 +769,9 @@
 }
 
 impl Host {
-    fn write_settings(&self, reported: bool, bootstrap: bool) {
+    fn write_settings(&self, reported: bool, bootstrap: bool, extra: &str) {
         let settings = settings(&self.name, self.ip, &self.server_config, reported, bootstrap);
-        std::fs::write(&self.settings_file, settings).expect("failed to write settings");
+        std::fs::write(&self.settings_file, settings + extra).expect("failed to write settings");
     }
 }
 
