--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -5,7 +5,7 @@
 
 use prometheus::{
     Encoder, Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
-    IntGauge, Opts, Registry, TextEncoder,
+    IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use super::node::Node;
@@ -14,6 +14,7 @@
 use crate::core::codes::Code;
 use crate::core::ids::ServiceName;
 use crate::lease::clock;
+use crate::net::memory::Place;
 use crate::util::registry::register;
 
 /// Upper bounds of the latency histogram's buckets.
@@ -105,6 +106,46 @@
     /// Counts records of the table that name a lower token for a key than those before.
     pub lower_tokens: IntCounter,
     era: IntGauge,
+    memory_held: IntGaugeVec,
+    memory_limit: IntGauge,
+    memory_refusals: IntCounterVec,
+    /// Limits log lines about these refusals.
+    pub memory_log: RateLimitedLog,
+}
+
+/// Why a request or a connection of a caller was refused for the sake of the process; the value of a
+/// metric's label and a log key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(dead_code, reason = "the refusals follow in the next commit")]
+pub(crate) enum MemoryRefusal {
+    /// The account had no room for a body.
+    BodyNoRoom,
+    /// A body made no progress while another one needed room.
+    BodyStalled,
+    /// The account had no room when a request was to be run.
+    RequestNoRoom,
+    /// An answer was not read at all.
+    AnswerStalled,
+    /// An answer was read slowly while memory was needed.
+    AnswerSlow,
+    /// The account had no room for a connection or a head.
+    ConnectionNoRoom,
+    /// The connection had waited longest when there were too many.
+    ConnectionLimit,
+}
+
+impl MemoryRefusal {
+    pub fn label(self) -> &'static str {
+        match self {
+            MemoryRefusal::BodyNoRoom => "body_no_room",
+            MemoryRefusal::BodyStalled => "body_stalled",
+            MemoryRefusal::RequestNoRoom => "request_no_room",
+            MemoryRefusal::AnswerStalled => "answer_stalled",
+            MemoryRefusal::AnswerSlow => "answer_slow",
+            MemoryRefusal::ConnectionNoRoom => "connection_no_room",
+            MemoryRefusal::ConnectionLimit => "connection_limit",
+        }
+    }
 }
 
 /// Why the era of an answer of the store cannot be used; the value of a metric's label.
@@ -340,6 +381,27 @@
                 ),
             ),
             era: gauge("kelpwind_store_era", "Era of the store; 0 if it states none."),
+            memory_held: register(
+                &registry,
+                IntGaugeVec::new(
+                    Opts::new(
+                        "kelpwind_memory_held_bytes",
+                        "Bytes held for callers, servers and other nodes, by what they are held for.",
+                    ),
+                    &["place"],
+                ),
+            ),
+            memory_limit: gauge(
+                "kelpwind_memory_limit_bytes",
+                "Limit of the bytes held for callers, servers and other nodes.",
+            ),
+            memory_refusals: counters(
+                "kelpwind_memory_refusals_total",
+                "Requests and connections of callers that were refused for want of memory, progress or \
+                 file descriptors, by reason.",
+                &["reason"],
+            ),
+            memory_log: RateLimitedLog::default(),
             registry,
         }
     }
@@ -396,6 +458,17 @@
         self.era_faults.with_label_values(&[fault.label()]).inc();
     }
 
+    /// Counts a request or connection that was refused, and logs it.
+    #[allow(dead_code, reason = "the refusals follow in the next commit")]
+    pub fn count_memory_refusal(&self, reason: MemoryRefusal) {
+        self.memory_refusals.with_label_values(&[reason.label()]).inc();
+        self.memory_log.write(|left_out| {
+            spdlog::info!("a request or connection of a caller is refused", kv: {
+                why = reason.label(), left_out
+            });
+        });
+    }
+
     /// Counts a request that the gate sends to the backend server.
     pub fn count_sent(&self) {
         self.sent.inc();
@@ -442,6 +515,11 @@
         metrics.orders_end.set(orders.freshness.end().0 as i64);
         metrics.offset.set(self.table.borrow().next.0 as i64);
         metrics.era.set(self.store_era.known().map_or(0, |era| era.0 as i64));
+        for place in Place::ALL {
+            let held = metrics.memory_held.with_label_values(&[place.to_string().as_str()]);
+            held.set(self.memory.held(place) as i64);
+        }
+        metrics.memory_limit.set(self.settings.borrow().limits.body_memory.0 as i64);
         let mut text = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&metrics.registry.gather(), &mut text) {
             spdlog::error!("failed to encode the metrics: {e}");
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -35,6 +35,7 @@
 use crate::lease::message::IncarnationId;
 use crate::lease::takeover::Takeover;
 use crate::lease::witness::Witness;
+use crate::net::memory::MemoryAccount;
 use crate::place::relief::Demand;
 use crate::route::budget::Budget;
 use crate::route::quarantine::Quarantine;
@@ -190,6 +191,8 @@
     pub last_connection: Cell<u64>,
     /// Callers' requests in progress.
     pub inflight: Cell<u32>,
+    /// Memory for bodies and answers.
+    pub memory: MemoryAccount,
     /// Counters and histograms.
     pub metrics: Metrics,
 }
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -15,7 +15,9 @@
 
 use crate::core::codes::Code;
 use crate::core::digest::RequestDigest;
-use crate::core::ids::{Count, DomainName, Era, Offset, RequestRate, ServiceName, Token};
+use crate::core::ids::{
+    ByteCount, Count, DomainName, Era, Offset, RequestRate, ServiceName, Token,
+};
 use crate::core::routes::Routes;
 use crate::lease::clock::BootInstant;
 use crate::table::keys::Span;
@@ -458,6 +460,19 @@
     pub retry_window: Duration,
 }
 
+/// What the process may hold for callers. Fixed while a node runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProcessLimits {
+    /// Memory for bodies and answers.
+    pub body_memory: ByteCount,
+    /// Time without progress after which a body loses its memory to another one that needs it.
+    pub body_stall: Duration,
+    /// Time without progress after which the connection of an answer is closed.
+    pub answer_stall: Duration,
+    /// Most connections of callers.
+    pub connections: usize,
+}
+
 /// Settings of a node, read at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NodeSettings {
@@ -477,6 +492,8 @@
     pub report_interval: Duration,
     /// Limits that a reload may change.
     pub bounds: Bounds,
+    /// What the process may hold for callers.
+    pub limits: ProcessLimits,
 }
 
 impl NodeSettings {
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -27,6 +27,7 @@
 use crate::lease::message::IncarnationId;
 use crate::lease::witness::Witness;
 use crate::net::listen;
+use crate::net::memory::MemoryAccount;
 use crate::table::WriteBatch;
 use crate::util::error::{Error, Result};
 use crate::util::supervise::supervise;
@@ -93,6 +94,7 @@
     let witness = Witness::new(IncarnationId::from(holder.inc), now);
     let mut held = held_ranges::HeldRanges::default();
     held.assume_former_grants(now, grant_time::EXCESS_MAX);
+    let memory = MemoryAccount::new(settings.limits.body_memory);
     Node {
         settings: RefCell::new(settings),
         platform,
@@ -161,6 +163,7 @@
         stop_began: Cell::new(None),
         last_connection: Cell::new(0),
         inflight: Cell::new(0),
+        memory,
         metrics: Metrics::default(),
     }
 }
--- a/src/kelpwind/net/memory.rs
+++ b/src/kelpwind/net/memory.rs
@@ -13,6 +13,9 @@
 
 /// Size up to which a body counts as small, in bytes. Most bodies are far smaller.
 pub const SMALL_BYTES: usize = 256 << 10;
+/// Bytes for which a caller's connection is counted, whether it is used or not: 600 connections with
+/// parts of heads took 30 KB of resident memory each.
+pub const CONNECTION_BYTES: usize = 32 << 10;
 /// Part of the account that only small bodies may use.
 const SMALL_SHARE: f64 = 0.125;
 
@@ -27,11 +30,14 @@
     Link,
     /// reply
     Reply,
+    /// connection
+    Connection,
 }
 
 impl Place {
     /// All places.
-    pub const ALL: [Place; 4] = [Place::RequestBody, Place::Answer, Place::Link, Place::Reply];
+    pub const ALL: [Place; 5] =
+        [Place::RequestBody, Place::Answer, Place::Link, Place::Reply, Place::Connection];
 }
 
 #[derive(Debug)]
