mesh: send messages between nodes in chunks, keep replies until acknowledged

One message was one frame: a 90 KB answer delayed everything behind it, a body that took over a second made the sender take the link for dead, bodies were copied into the frame and the send queue, and replies were kept without a bound for idle entries.

--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -11,18 +11,21 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
 use tokio::io::AsyncRead;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
-use super::frame::{self, EntryFrame, GateFrame, GateRequest, LoadReport, Outcome};
+use super::frame::{
+    self, EntryFrame, Events, GateFrame, GateRequest, LoadReport, Message, Outcome, Receiver,
+};
+use super::send_order::{CHUNK_BYTES, Removed};
 use super::send_queue::SendQueue;
 use super::statements::PeerStatement;
 use crate::core::codes::Code;
 use crate::core::ids::NodeId;
 use crate::net::http1::set_dead_peer_timeouts;
+use crate::net::memory::{MemoryAccount, Place};
 use crate::route::availability::Availability;
 
 /// Longest time to open a connection.
@@ -46,13 +49,18 @@
 /// Time after which other requests to an unreachable gate end. It is longer because their answers
 /// may still be fetched over a new connection.
 const UNREACHABLE_TIMEOUT_ONCE: Duration = Duration::from_millis(1500);
+/// Retry-after of a request for which there is no memory.
+pub(super) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time after which small replies are acknowledged. An own message for each would double the number of
+/// messages; with the next request they cost little. The gate keeps them for 2.5 s anyway.
+const ACKNOWLEDGE_AFTER: Duration = Duration::from_secs(1);
+/// Number of replies after which they are acknowledged.
+const ACKNOWLEDGE_COUNT: usize = 256;
 
 /// An unanswered request.
 struct Pending {
-    frame: Bytes,
+    message: Rc<Message>,
     idempotent: bool,
-    /// Whether it was written to a connection, so that the gate may have it.
-    sent: bool,
     since: Instant,
     done: oneshot::Sender<GateReply>,
 }
@@ -82,8 +90,13 @@
     connections: Cell<u32>,
     pending: RefCell<BTreeMap<u64, Pending>>,
     next_number: Cell<u64>,
-    /// The highest number sent so far.
-    last_sent: Cell<u64>,
+    /// Numbers of requests whose replies have arrived and are not acknowledged.
+    unacknowledged: RefCell<Vec<u64>>,
+    /// When the first of these replies arrived.
+    unacknowledged_since: Cell<Option<Instant>>,
+    /// The receiving side of the current connection.
+    receiver: RefCell<Receiver>,
+    account: MemoryAccount,
     queue: RefCell<Option<Rc<SendQueue>>>,
     /// When the last bytes arrived.
     last_received: Cell<Instant>,
@@ -109,11 +122,13 @@
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
-        if self.link.pending.borrow_mut().remove(&self.number).is_some()
-            && let Some(queue) = self.link.queue.borrow().as_ref()
-        {
-            queue.push(&frame::encode(&EntryFrame::Cancel(self.number)));
+        let Some(pending) = self.link.pending.borrow_mut().remove(&self.number) else { return };
+        self.link.receiver.borrow_mut().forget(self.number);
+        let Some(queue) = self.link.queue.borrow().clone() else { return };
+        if queue.remove(self.number) == Removed::Unsent && !pending.message.was_sent() {
+            return;
         }
+        queue.push_control(&Message::control(&EntryFrame::Cancel(self.number)));
     }
 }
 
@@ -121,7 +136,7 @@
     /// Creates a link that connects with the first request. Each link has a session of its own: its
     /// request numbers start at 1, so it must not get the answers that the gate keeps for a
     /// previous link.
-    pub fn new(node: NodeId, addr: SocketAddr) -> Rc<Link> {
+    pub fn new(node: NodeId, addr: SocketAddr, account: MemoryAccount) -> Rc<Link> {
         let link = Rc::new(Link {
             node,
             addr,
@@ -129,7 +144,10 @@
             connections: Cell::new(0),
             pending: RefCell::default(),
             next_number: Cell::new(1),
-            last_sent: Cell::new(0),
+            unacknowledged: RefCell::default(),
+            unacknowledged_since: Cell::new(None),
+            receiver: RefCell::default(),
+            account,
             queue: RefCell::default(),
             last_received: Cell::new(Instant::now()),
             lost_since: Cell::new(None),
@@ -178,16 +196,16 @@
         self.next_number.set(number + 1);
         request.number = number;
         let idempotent = request.idempotent;
-        let frame = frame::encode(&EntryFrame::Request(Box::new(request)));
+        let Some(message) = Message::request(request, &self.account) else {
+            return Outcome::not_run(Code::MemoryFull, MEMORY_RETRY_AFTER).into();
+        };
         let (done, answer) = oneshot::channel();
-        let queue = self.queue.borrow().clone();
-        let sent = queue.is_some();
-        if let Some(queue) = queue {
-            queue.push(&frame);
-            self.last_sent.set(number);
-        }
-        let pending = Pending { frame, idempotent, sent, since: Instant::now(), done };
+        let pending = Pending { message: message.clone(), idempotent, since: Instant::now(), done };
         self.pending.borrow_mut().insert(number, pending);
+        if let Some(queue) = self.queue.borrow().as_ref() {
+            self.acknowledge(queue);
+            queue.push(&message);
+        }
         let _cancel = CancelOnDrop { link: self, number };
         self.wake.notify_one();
         match answer.await {
@@ -252,7 +270,7 @@
     fn expire_pending(&self) {
         let Some(lost) = self.lost_since.get() else { return };
         self.complete(|p| {
-            let limit = if p.idempotent || !p.sent {
+            let limit = if p.idempotent || !p.message.was_sent() {
                 UNREACHABLE_TIMEOUT
             } else {
                 UNREACHABLE_TIMEOUT_ONCE
@@ -267,7 +285,7 @@
         let numbers: Vec<u64> = pending.iter().filter(|(_, p)| which(p)).map(|(n, _)| *n).collect();
         for number in numbers {
             let Some(pending) = pending.remove(&number) else { continue };
-            let outcome = match pending.sent {
+            let outcome = match pending.message.was_sent() {
                 true => Outcome::Unknown(Code::ConnectionLost),
                 false => not_sent(),
             };
@@ -276,12 +294,40 @@
         }
     }
 
-    /// The encoded first frame of the next connection.
-    fn hello(&self) -> Bytes {
+    /// Lowest number of an unanswered request, or the next number.
+    fn oldest(&self) -> u64 {
+        self.pending.borrow().keys().next().copied().unwrap_or(self.next_number.get())
+    }
+
+    /// The first message of the next connection.
+    fn hello(&self) -> Rc<Message> {
         let connection = self.connections.get() + 1;
         self.connections.set(connection);
-        let (session, sent) = (self.session, self.last_sent.get());
-        frame::encode(&EntryFrame::Hello { session, to: self.node.to_string(), connection, sent })
+        let pending = self.pending.borrow();
+        let sent = pending.iter().rev().find(|(_, p)| p.message.was_sent()).map_or(0, |(n, _)| *n);
+        let (session, to, oldest) = (self.session, self.node.to_string(), self.oldest());
+        Message::control(&EntryFrame::Hello { session, to, connection, sent, oldest })
+    }
+
+    /// Tells the gate which replies have arrived since it was last told.
+    fn acknowledge(&self, queue: &SendQueue) {
+        if self.unacknowledged_since.take().is_none() {
+            return;
+        }
+        let numbers = self.unacknowledged.take();
+        let frame = EntryFrame::Acknowledge { numbers, oldest: self.oldest() };
+        queue.push_control(&Message::control(&frame));
+    }
+
+    /// Notes that a reply has arrived. Large ones are acknowledged at once.
+    fn note_arrived(&self, number: u64, large: bool, queue: &SendQueue) {
+        self.unacknowledged.borrow_mut().push(number);
+        if self.unacknowledged_since.get().is_none() {
+            self.unacknowledged_since.set(Some(Instant::now()));
+        }
+        if large || self.unacknowledged.borrow().len() >= ACKNOWLEDGE_COUNT {
+            self.acknowledge(queue);
+        }
     }
 
     /// Exchanges frames over a connection until it ends.
@@ -294,21 +340,22 @@
         }
         let (mut reader, writer) = stream.into_split();
         let queue = Rc::new(SendQueue::default());
-        queue.push(&self.hello());
+        queue.push_control(&self.hello());
         let sender = queue.clone();
         let writing = tokio::task::spawn_local(async move { sender.write_to(writer).await });
-        let mut buffer = BytesMut::new();
-        match timeout(DEAD_AFTER, frame::read_next(&mut reader, &mut buffer, || {})).await {
-            Ok(Some(GateFrame::Hello { run_id })) => {
+        self.receiver.replace(Receiver::default());
+        match timeout(DEAD_AFTER, self.read_hello(&mut reader)).await {
+            Ok(Some(run_id)) => {
                 self.resume(run_id, &queue);
                 tokio::select! {
-                    () = self.read_frames(&mut reader, &mut buffer) => {}
+                    () = self.read_frames(&mut reader, &queue) => {}
                     () = self.watch_silence(&queue) => {}
                 }
             }
             _ => self.mark_unreachable(false),
         }
         self.queue.replace(None);
+        self.receiver.replace(Receiver::default());
         queue.close();
         writing.abort();
         // Only a request opens the next connection. A gate that still stops says so again there.
@@ -319,34 +366,52 @@
     /// process of the gate had, whose outcome is unknown.
     fn resume(&self, run_id: u64, queue: &Rc<SendQueue>) {
         if self.gate_run.replace(Some(run_id)).is_some_and(|before| before != run_id) {
-            self.complete(|p| p.sent);
+            self.complete(|p| p.message.was_sent());
         }
         if self.lost_since.take().is_some() {
             spdlog::info!("regained contact with a node", kv: { node = self.node.as_str() });
         }
         self.last_received.set(Instant::now());
-        for (number, pending) in self.pending.borrow_mut().iter_mut() {
-            pending.sent = true;
-            queue.push(&pending.frame);
-            self.last_sent.set(self.last_sent.get().max(*number));
-        }
+        self.pending.borrow().values().for_each(|pending| queue.push(&pending.message));
         self.queue.replace(Some(queue.clone()));
     }
 
-    async fn read_frames(&self, reader: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut) {
-        // A large frame takes long over a slow link, so any bytes show that the gate is alive.
+    /// Reads the first message of a connection, which has the run id of the gate's process.
+    async fn read_hello(&self, reader: &mut (impl AsyncRead + Unpin)) -> Option<u64> {
+        let mut events = Events { reserve: |_, _| None, on_bytes: || {}, confirm: |_| {} };
+        match frame::read_next(reader, &self.receiver, &mut events).await?.frame {
+            GateFrame::Hello { run_id } => Some(run_id),
+            _ => None,
+        }
+    }
+
+    async fn read_frames(&self, reader: &mut (impl AsyncRead + Unpin), queue: &SendQueue) {
+        // The rest of a reply to a request that was cancelled is ignored. Other replies must be kept,
+        // whether there is room for them or not: their requests have run.
+        let reserve = |number, size| {
+            let wanted = self.pending.borrow().contains_key(&number);
+            wanted.then(|| self.account.take(Place::Link, size))
+        };
+        // A large reply takes long over a slow link, so any bytes show that the gate is alive.
         let on_bytes = || self.last_received.set(Instant::now());
-        while let Some(frame) = frame::read_next(reader, buffer, on_bytes).await {
-            match frame {
+        let confirm = |chunks| {
+            queue.push_control(&Message::control(&EntryFrame::Received(chunks)));
+        };
+        let mut events = Events { reserve, on_bytes, confirm };
+        while let Some(received) = frame::read_next(reader, &self.receiver, &mut events).await {
+            match received.frame {
                 GateFrame::Reply { number, outcome, report, stated } => {
                     self.last_report.set((report, Some(Instant::now())));
                     self.update_availability(&outcome);
-                    let pending = self.pending.borrow_mut().remove(&number);
-                    if let Some(pending) = pending {
-                        // An error means that the sender no longer waits.
-                        let _ = pending.done.send(GateReply { outcome, stated });
-                    }
+                    let Some(pending) = self.pending.borrow_mut().remove(&number) else { continue };
+                    // The gate may refuse a request before all of it is sent.
+                    queue.remove(number);
+                    let large = received.hold.is_some_and(|h| h.bytes() > CHUNK_BYTES);
+                    self.note_arrived(number, large, queue);
+                    // An error means that the sender no longer waits.
+                    let _ = pending.done.send(GateReply { outcome, stated });
                 }
+                GateFrame::Received(chunks) => queue.confirm(chunks),
                 GateFrame::Leaving => self.leaving.set(true),
                 GateFrame::Pong | GateFrame::Hello { .. } => {}
             }
@@ -366,10 +431,14 @@
 
     /// Pings a silent gate, and returns when the connection counts as dead or the link is retired.
     async fn watch_silence(&self, queue: &SendQueue) {
-        let ping = frame::encode(&EntryFrame::Ping);
+        let ping = Message::control(&EntryFrame::Ping);
         let mut pinged = false;
         loop {
-            if self.pending.borrow().is_empty() {
+            let since = self.unacknowledged_since.get();
+            if since.is_some_and(|at| at.elapsed() >= ACKNOWLEDGE_AFTER) {
+                self.acknowledge(queue);
+            }
+            if self.pending.borrow().is_empty() && self.unacknowledged_since.get().is_none() {
                 if self.retired.get() {
                     return;
                 }
@@ -383,7 +452,7 @@
                 return;
             }
             if silence >= PING_AFTER && !pinged {
-                queue.push(&ping);
+                queue.push_control(&ping);
             }
             pinged = silence >= PING_AFTER;
         }
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -25,6 +25,8 @@
 //! * [`request_state`]: attempts and retries of one request at the entry.
 //! * [`frame`], [`send_queue`], [`serve`], [`datagram`] and [`udp`]: connections and datagrams
 //!   between nodes.
+//! * [`send_order`] and [`kept_replies`]: what a connection sends next, and which replies are dropped
+//!   when memory is short. They do no I/O.
 //! * [`http`], [`connection`] and [`metrics`]: the node's HTTP servers and its metrics.
 //! * [`start`]: start, reload and graceful shutdown.
 
@@ -39,6 +41,7 @@
 pub mod held_ranges;
 pub mod holds;
 pub(crate) mod http;
+pub mod kept_replies;
 pub(crate) mod lease;
 pub(crate) mod link;
 pub(crate) mod metrics;
@@ -56,6 +59,7 @@
 pub(crate) mod request_state;
 pub(crate) mod restoration;
 pub(crate) mod selection;
+pub mod send_order;
 pub(crate) mod send_queue;
 pub(crate) mod serve;
 pub(crate) mod server_exits;
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -35,6 +35,7 @@
 use crate::lease::message::IncarnationId;
 use crate::lease::takeover::Takeover;
 use crate::lease::witness::Witness;
+use crate::net::memory::MemoryAccount;
 use crate::place::relief::Demand;
 use crate::route::budget::Budget;
 use crate::route::quarantine::Quarantine;
@@ -160,6 +161,8 @@
     pub load_query: RefCell<LoadQuery>,
     /// Capacity reserved for overloaded owners that have asked for this owner's load.
     pub reservations: RefCell<Reservations>,
+    /// Memory for bodies and answers.
+    pub memory: MemoryAccount,
     /// Connections to the gates of other nodes.
     pub links: RefCell<HashMap<NodeId, Rc<Link>>>,
     /// Sessions of other nodes' entries with this gate.
@@ -297,7 +300,7 @@
             }
             link.retire();
         }
-        let link = Link::new(node.clone(), addr);
+        let link = Link::new(node.clone(), addr, self.memory.clone());
         links.insert(node.clone(), link.clone());
         link
     }
--- a/src/kelpwind/mesh/send_queue.rs
+++ b/src/kelpwind/mesh/send_queue.rs
@@ -1,26 +1,54 @@
-//! Frames to be written to one connection.
+//! Messages to be written to one connection.
 //!
-//! Frames are appended without waiting. One task per connection writes all queued frames with a
-//! single call, so a peer that does not read never blocks the reading side.
+//! Messages are appended without waiting. One task per connection writes them in the order of
+//! [`super::send_order`], several small ones with a single call, so a peer that does not read never
+//! blocks the reading side.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 
 use bytes::BytesMut;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::Notify;
 
-/// The encoded frames that a connection has yet to send.
+use super::frame::Message;
+use super::send_order::{CHUNK_BYTES, Removed, SendOrder};
+
+/// Bytes that are written with one call, beyond which no further message is added.
+const WRITE_BYTES: usize = 2 * CHUNK_BYTES;
+/// Buffer that an idle connection keeps, in bytes. A node may have thousands of connections.
+const IDLE_BYTES: usize = 4 << 10;
+
+/// The messages that a connection has yet to send.
 #[derive(Debug, Default)]
 pub(crate) struct SendQueue {
-    buffer: RefCell<BytesMut>,
+    order: RefCell<SendOrder<Rc<Message>>>,
     wake: Notify,
     closed: Cell<bool>,
 }
 
 impl SendQueue {
-    /// Appends an encoded frame.
-    pub fn push(&self, frame: &[u8]) {
-        self.buffer.borrow_mut().extend_from_slice(frame);
+    /// Appends a message with a number.
+    pub fn push(&self, message: &Rc<Message>) {
+        let (number, priority) = (message.number, message.priority);
+        self.order.borrow_mut().push(number, priority, message.size(), message.clone());
+        self.wake.notify_one();
+    }
+
+    /// Appends a control message.
+    pub fn push_control(&self, message: &Rc<Message>) {
+        self.order.borrow_mut().push_control(message.clone());
+        self.wake.notify_one();
+    }
+
+    /// Drops what is left of the message with this number.
+    pub fn remove(&self, number: u64) -> Removed {
+        self.order.borrow_mut().remove(number)
+    }
+
+    /// Records how many chunks the peer has received.
+    pub fn confirm(&self, received: u64) {
+        self.order.borrow_mut().confirm(received);
         self.wake.notify_one();
     }
 
@@ -30,12 +58,20 @@
         self.wake.notify_one();
     }
 
-    /// Writes queued frames until the queue is closed or the connection fails.
+    /// Drops all messages and ends the writing task.
+    pub fn discard(&self) {
+        self.order.replace(SendOrder::default());
+        self.close();
+    }
+
+    /// Writes messages until the queue is closed or the connection fails.
     pub async fn write_to(&self, mut writer: impl AsyncWrite + Unpin) {
+        let mut buffer = BytesMut::new();
         loop {
-            let ready = self.buffer.take();
-            if !ready.is_empty() {
-                if let Err(e) = writer.write_all(&ready).await {
+            buffer.clear();
+            self.fill(&mut buffer);
+            if !buffer.is_empty() {
+                if let Err(e) = writer.write_all(&buffer).await {
                     spdlog::debug!("failed to write to the connection to another node: {e}");
                     return;
                 }
@@ -44,7 +80,20 @@
             if self.closed.get() {
                 return;
             }
+            if buffer.capacity() > IDLE_BYTES {
+                buffer = BytesMut::new();
+            }
             self.wake.notified().await;
         }
     }
+
+    /// Appends the next messages to a buffer, as much as is written with one call.
+    fn fill(&self, buffer: &mut BytesMut) {
+        let mut order = self.order.borrow_mut();
+        while buffer.len() < WRITE_BYTES
+            && let Some(piece) = order.next()
+        {
+            piece.item.append_piece(piece.start, piece.end, piece.last, buffer);
+        }
+    }
 }
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -20,13 +20,14 @@
     store_watch, takeover, udp,
 };
 use crate::core::codes::Code;
-use crate::core::ids::{Holder, Incarnation};
+use crate::core::ids::{ByteCount, Holder, Incarnation};
 use crate::gate::grant_time;
 use crate::gate::queue::RequestQueue;
 use crate::lease::clock;
 use crate::lease::message::IncarnationId;
 use crate::lease::witness::Witness;
 use crate::net::listen;
+use crate::net::memory::MemoryAccount;
 use crate::table::WriteBatch;
 use crate::util::error::{Error, Result};
 use crate::util::supervise::supervise;
@@ -44,6 +45,9 @@
 const FIRST_INCARNATION_MAX: u64 = 1 << 62;
 /// Interval at which the settings file is read again, which may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+/// Memory for bodies and answers. Large bodies may use seven eighths of it, and one of 64 MiB must
+/// pass.
+const BODY_MEMORY_BYTES: usize = 80 << 20;
 
 /// Runs a node until SIGTERM, then shuts it down gracefully.
 ///
@@ -146,6 +150,7 @@
         demand: RefCell::default(),
         load_query: RefCell::default(),
         reservations: RefCell::default(),
+        memory: MemoryAccount::new(ByteCount(BODY_MEMORY_BYTES)),
         links: RefCell::new(HashMap::new()),
         sessions: RefCell::default(),
         local_requests: Cell::new(0),
