--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -10,6 +10,7 @@
 mod endless_answers;
 mod explain_request;
 mod http_limits;
+mod large_messages;
 mod malformed_messages;
 mod node_runs;
 mod odd_numbers;
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -520,6 +520,13 @@
         self.store.replace_in_matching(&ip.to_string(), &from, &to);
     }
 
+    /// Sets the faults of the proxy that [`Fleet::divert_peers`] has put before a node.
+    pub fn set_peer_faults(&self, host: usize, faults: Faults) {
+        let [a, b, c, d] = self.hosts[host].ip.octets();
+        let link = Ipv4Addr::new(a, b, c, 100 + d).to_string();
+        assert!(self.proxy.set_faults(LinkFaults { link, faults }), "no proxy before host {host}");
+    }
+
     async fn wait_until_served(&self, services: &[(&str, u32)]) {
         let timeout = START_TIMEOUT * (1 + self.hosts.len() as u32 / 10);
         let until = Instant::now() + timeout;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -19,6 +19,8 @@
 use super::crashes::{Crashes, RESTART_TIME, RUN_TIME};
 use super::history::{Event, HeldRange, History, Moment, Run};
 use super::stated::Stated;
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::{Endless, FullRequest, Reply, Serving, query_param, reply, serve};
 
 /// Interval between liveness reports of a server that is granted keys by calls.
@@ -752,7 +754,10 @@
         }
         let mut answer = Reply::new(Full::new(Bytes::from(body)));
         let headers = answer.headers_mut();
-        for (name, value) in [("x-request-id", &id), ("x-server-signature", &self.id)] {
+        let digest = xxh3_64(request.body()).to_string();
+        let fields =
+            [("x-request-id", &id), ("x-server-signature", &self.id), ("x-body-digest", &digest)];
+        for (name, value) in fields {
             headers.insert(name, value.parse().expect("valid header value"));
         }
         answer
