--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -166,6 +166,8 @@
     pub load_query: RefCell<LoadQuery>,
     /// Capacity reserved for overloaded owners that have asked for this owner's load.
     pub reservations: RefCell<Reservations>,
+    /// Memory for bodies and answers.
+    pub memory: MemoryAccount,
     /// Connections to the gates of other nodes.
     pub links: RefCell<HashMap<NodeId, Rc<Link>>>,
     /// Sessions of other nodes' entries with this gate.
@@ -196,8 +198,6 @@
     pub last_connection: Cell<u64>,
     /// Callers' requests in progress.
     pub inflight: Cell<u32>,
-    /// Memory for bodies and answers.
-    pub memory: MemoryAccount,
     /// Counters and histograms.
     pub metrics: Metrics,
 }
@@ -305,7 +305,7 @@
             }
             link.retire();
         }
-        let link = Link::new(node.clone(), addr);
+        let link = Link::new(node.clone(), addr, self.memory.clone());
         links.insert(node.clone(), link.clone());
         link
     }
