Pace large messages by the host's link, admit downloads by it

Change: one pacer a node for parts of large messages (net/pacing.rs), and downloads are admitted only if their answer can have left in time (gate/bulk.rs, code 216). In force with bulk routes and a stated link.

--- a/src/kelpwind/core/codes.rs
+++ b/src/kelpwind/core/codes.rs
@@ -76,6 +76,7 @@
     Limited = 213, NotRun, 503, "the backend server limits its requests, and this one exceeds the limit";
     Quarantined = 214, NotRun, 503, "backend servers have ended while they were at work on the same request";
     MemoryFull = 215, NotRun, 503, "the node has no memory left for the request";
+    LinkBusy = 216, NotRun, 503, "the link of the target's host has no room for the answer in time";
     ConnectionLost = 300, Unknown, 502, "the connection failed after the request was sent";
     Expired = 301, Unknown, 504, "the deadline passed while the backend server worked";
     Truncated = 302, Unknown, 502, "the answer ended before it was whole";
--- a/src/kelpwind/core/ids.rs
+++ b/src/kelpwind/core/ids.rs
@@ -180,6 +180,10 @@
     /// Number of concurrent requests or connections.
     Count, u32
 }
+number_type! {
+    /// Rate in bytes per second.
+    ByteRate, u64
+}
 number_type! {
     /// Size in bytes.
     ByteCount, usize
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -134,6 +134,8 @@
     pub class: String,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Whether its answer is large.
+    pub bulk: bool,
     /// Priority; 0 is the highest.
     pub priority: u8,
     /// Milliseconds until the latency objective is missed. Sent at the end of the message.
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -20,6 +20,7 @@
 use super::server_exits::ServerRun;
 use crate::core::codes::Code;
 use crate::core::ids::{Position, ServiceName};
+use crate::gate::bulk;
 use crate::gate::queue::{AdmitDecision, QueueEvent, SlotRequest, Ticket};
 use crate::table::member::Instance;
 
@@ -86,6 +87,18 @@
     }
 }
 
+/// A request with a large answer. Dropping it records its end.
+struct BulkRequest<'a> {
+    node: &'a Node,
+    answer_bytes: Cell<Option<usize>>,
+}
+
+impl Drop for BulkRequest<'_> {
+    fn drop(&mut self) {
+        self.node.bulk_answers.borrow_mut().end(self.answer_bytes.get());
+    }
+}
+
 /// Longest time that a request waits for the end of a move of its key, by the time left until its
 /// deadline.
 pub(crate) fn move_wait(left: Duration) -> Duration {
@@ -152,6 +165,7 @@
             objective,
             deadline,
         };
+        let bulk = request.bulk.then(|| self.admit_bulk(deadline)).transpose()?;
         let slot = self.acquire_slot(slot_request).await?;
         // The request may have waited, so the earlier checks may no longer hold.
         let server = self.check_server(&request.service)?;
@@ -170,6 +184,9 @@
         let result = (self.platform.backend.send)(&call, &server.id, granted, deadline).await;
         run.finish(&result);
         if let SendOutcome::Ran(answer, _) = &result {
+            if let Some(bulk) = &bulk {
+                bulk.answer_bytes.set(Some(answer.body.len()));
+            }
             self.clear_if_answered(&call, answer.status);
         }
         Ok(self.to_outcome(result, &server, key, &slot, began))
@@ -288,6 +305,20 @@
         (node != self.name()).then_some(OwnerHint { node, table_position })
     }
 
+    /// Admits a request with a large answer if the host's link can carry it in time.
+    fn admit_bulk(&self, deadline: Instant) -> Result<BulkRequest<'_>, Outcome> {
+        let now = Instant::now();
+        let answers = *self.bulk_answers.borrow();
+        let queued = answers.expected_bytes() + self.queued_bytes();
+        let sent_in = self.pacer.time_to_send(answers.mean_bytes(), queued, now);
+        let left = deadline.saturating_duration_since(now);
+        if let Some(delay) = bulk::retry_after(sent_in, left) {
+            return Err(Outcome::not_run(Code::LinkBusy, delay));
+        }
+        self.bulk_answers.borrow_mut().begin();
+        Ok(BulkRequest { node: self, answer_bytes: Cell::new(None) })
+    }
+
     /// Waits in the queue for a slot of the server.
     async fn acquire_slot(&self, slot_request: SlotRequest) -> Result<Slot<'_>, Outcome> {
         let (class, deadline) = (slot_request.class.clone(), slot_request.deadline);
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -26,6 +26,7 @@
 use crate::core::ids::NodeId;
 use crate::net::http1::set_dead_peer_timeouts;
 use crate::net::memory::{MemoryAccount, Place};
+use crate::net::pacing::Pacer;
 use crate::route::availability::Availability;
 
 /// Longest time to open a connection.
@@ -97,6 +98,7 @@
     /// The receiving side of the current connection.
     receiver: RefCell<Receiver>,
     account: MemoryAccount,
+    pacer: Rc<Pacer>,
     queue: RefCell<Option<Rc<SendQueue>>>,
     /// When the last bytes arrived.
     last_received: Cell<Instant>,
@@ -136,7 +138,12 @@
     /// Creates a link that connects with the first request. Each link has a session of its own: its
     /// request numbers start at 1, so it must not get the answers that the gate keeps for a
     /// previous link.
-    pub fn new(node: NodeId, addr: SocketAddr, account: MemoryAccount) -> Rc<Link> {
+    pub fn new(
+        node: NodeId,
+        addr: SocketAddr,
+        account: MemoryAccount,
+        pacer: Rc<Pacer>,
+    ) -> Rc<Link> {
         let link = Rc::new(Link {
             node,
             addr,
@@ -148,6 +155,7 @@
             unacknowledged_since: Cell::new(None),
             receiver: RefCell::default(),
             account,
+            pacer,
             queue: RefCell::default(),
             last_received: Cell::new(Instant::now()),
             lost_since: Cell::new(None),
@@ -339,7 +347,7 @@
             );
         }
         let (mut reader, writer) = stream.into_split();
-        let queue = Rc::new(SendQueue::default());
+        let queue = Rc::new(SendQueue::new(self.pacer.clone()));
         queue.push_control(&self.hello());
         let sender = queue.clone();
         let writing = tokio::task::spawn_local(async move { sender.write_to(writer).await });
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -27,6 +27,7 @@
 use super::store_era::StoreEra;
 use crate::core::ids::{DomainName, Era, Holder, Incarnation, NodeId, Position, ServiceName};
 use crate::core::routes::Routes;
+use crate::gate::bulk::BulkAnswers;
 use crate::gate::grant_time::TransitTimes;
 use crate::gate::queue::RequestQueue;
 use crate::gate::server_runs::ServerRuns;
@@ -36,6 +37,7 @@
 use crate::lease::takeover::Takeover;
 use crate::lease::witness::Witness;
 use crate::net::memory::MemoryAccount;
+use crate::net::pacing::Pacer;
 use crate::place::relief::Demand;
 use crate::route::budget::Budget;
 use crate::route::quarantine::Quarantine;
@@ -168,6 +170,10 @@
     pub reservations: RefCell<Reservations>,
     /// Memory for bodies and answers.
     pub memory: MemoryAccount,
+    /// Pacing of large messages to other nodes.
+    pub pacer: Rc<Pacer>,
+    /// Large answers of the backend server.
+    pub bulk_answers: RefCell<BulkAnswers>,
     /// Connections to the gates of other nodes.
     pub links: RefCell<HashMap<NodeId, Rc<Link>>>,
     /// Sessions of other nodes' entries with this gate.
@@ -305,7 +311,7 @@
             }
             link.retire();
         }
-        let link = Link::new(node.clone(), addr, self.memory.clone());
+        let link = Link::new(node.clone(), addr, self.memory.clone(), self.pacer.clone());
         links.insert(node.clone(), link.clone());
         link
     }
--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -192,6 +192,8 @@
         }
         let (version, count) = (routes.version.0, routes.all().count());
         spdlog::info!("a configuration is in force", kv: { version, routes = count });
+        let link_rate = self.settings.borrow().limits.link_rate.filter(|_| routes.has_bulk());
+        self.pacer.set_rate(link_rate);
         self.routes.replace(Some(Rc::new(routes)));
         self.configured.send_replace(true);
         let rate = self.cold_rate();
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -16,7 +16,7 @@
 use crate::core::codes::Code;
 use crate::core::digest::RequestDigest;
 use crate::core::ids::{
-    ByteCount, Count, DomainName, Era, Offset, RequestRate, ServiceName, Token,
+    ByteCount, ByteRate, Count, DomainName, Era, Offset, RequestRate, ServiceName, Token,
 };
 use crate::core::routes::Routes;
 use crate::lease::clock::BootInstant;
@@ -471,6 +471,8 @@
     pub answer_stall: Duration,
     /// Most connections of callers.
     pub connections: usize,
+    /// Rate of the host's link; `None` if it is not stated.
+    pub link_rate: Option<ByteRate>,
 }
 
 /// Settings of a node, read at its start.
--- a/src/kelpwind/mesh/request_state.rs
+++ b/src/kelpwind/mesh/request_state.rs
@@ -75,6 +75,7 @@
             service: self.service.clone(),
             class: self.route.name.clone(),
             idempotent: self.route.is_idempotent(),
+            bulk: self.route.bulk,
             priority: self.route.priority,
             objective_ms: self.objective.saturating_duration_since(now).as_millis() as u32,
             remaining_ms: self.deadline.saturating_duration_since(now).as_millis() as u32,
--- a/src/kelpwind/mesh/send_order.rs
+++ b/src/kelpwind/mesh/send_order.rs
@@ -138,16 +138,36 @@
         self.confirmed = self.confirmed.max(received.min(self.chunks_sent));
     }
 
+    /// Number of bytes left of large messages.
+    pub fn large_bytes(&self) -> usize {
+        let large = self.lanes[PRIORITIES..].iter().flat_map(|lane| &lane.messages);
+        large.map(|m| m.size - m.sent).sum()
+    }
+
+    /// Size of the next part of a large message that the window allows; `None` if there is none.
+    pub fn next_chunk(&self) -> Option<usize> {
+        if self.chunks_sent - self.confirmed >= WINDOW_CHUNKS {
+            return None;
+        }
+        let mut large = self.lanes[PRIORITIES..].iter().filter_map(|lane| lane.messages.front());
+        large.next().map(|m| (m.size - m.sent).min(CHUNK_BYTES))
+    }
+
     /// Removes the next part to send; `None` if there is none, or only chunks that the window does
     /// not allow.
     pub fn next(&mut self) -> Option<Piece<T>> {
+        self.next_of(true)
+    }
+
+    /// The same, without chunks unless `chunks` is set.
+    pub fn next_of(&mut self, chunks: bool) -> Option<Piece<T>> {
         if let Some(item) = self.control.pop_front() {
             return Some(Piece { item, start: 0, end: 0, last: true });
         }
         if self.queued == 0 {
             return None;
         }
-        let index = self.next_lane()?;
+        let index = self.next_lane(chunks)?;
         let lane = &mut self.lanes[index];
         let mut message = lane.messages.pop_front()?;
         let start = message.sent;
@@ -171,8 +191,8 @@
 
     /// The lane whose turn it is: the one that was passed over for longest if that is too long,
     /// otherwise the first.
-    fn next_lane(&self) -> Option<usize> {
-        let open = self.chunks_sent - self.confirmed < WINDOW_CHUNKS;
+    fn next_lane(&self, chunks: bool) -> Option<usize> {
+        let open = chunks && self.chunks_sent - self.confirmed < WINDOW_CHUNKS;
         let allowed = if open { self.lanes.len() } else { PRIORITIES };
         let waiting =
             || (0..allowed).map(|i| (i, &self.lanes[i])).filter(|(_, l)| !l.messages.is_empty());
--- a/src/kelpwind/mesh/send_queue.rs
+++ b/src/kelpwind/mesh/send_queue.rs
@@ -6,13 +6,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::BytesMut;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::Notify;
+use tokio::time::sleep_until;
 
 use super::frame::Message;
-use super::send_order::{CHUNK_BYTES, Removed, SendOrder};
+use super::send_order::{CHUNK_BYTES, Removed, SendOrder, is_chunk};
+use crate::net::pacing::Pacer;
 
 /// Bytes that are written with one call, beyond which no further message is added.
 const WRITE_BYTES: usize = 2 * CHUNK_BYTES;
@@ -20,14 +23,31 @@
 const IDLE_BYTES: usize = 4 << 10;
 
 /// The messages that a connection has yet to send.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct SendQueue {
     order: RefCell<SendOrder<Rc<Message>>>,
+    /// Shared by all connections of the node.
+    pacer: Rc<Pacer>,
     wake: Notify,
     closed: Cell<bool>,
 }
 
 impl SendQueue {
+    /// Creates an empty queue.
+    pub fn new(pacer: Rc<Pacer>) -> SendQueue {
+        SendQueue {
+            order: RefCell::default(),
+            pacer,
+            wake: Notify::new(),
+            closed: Cell::new(false),
+        }
+    }
+
+    /// Number of bytes left of large messages.
+    pub fn large_bytes(&self) -> usize {
+        self.order.borrow().large_bytes()
+    }
+
     /// Appends a message with a number.
     pub fn push(&self, message: &Rc<Message>) {
         let (number, priority) = (message.number, message.priority);
@@ -67,9 +87,15 @@
     /// Writes messages until the queue is closed or the connection fails.
     pub async fn write_to(&self, mut writer: impl AsyncWrite + Unpin) {
         let mut buffer = BytesMut::new();
+        // When the next chunk may be sent.
+        let mut turn: Option<Instant> = None;
         loop {
             buffer.clear();
-            self.fill(&mut buffer);
+            if self.pacer.is_active() {
+                self.fill_paced(&mut buffer, &mut turn);
+            } else {
+                self.fill(&mut buffer);
+            }
             if !buffer.is_empty() {
                 if let Err(e) = writer.write_all(&buffer).await {
                     spdlog::debug!("failed to write to the connection to another node: {e}");
@@ -83,7 +109,35 @@
             if buffer.capacity() > IDLE_BYTES {
                 buffer = BytesMut::new();
             }
-            self.wake.notified().await;
+            match turn {
+                None => self.wake.notified().await,
+                Some(turn) => tokio::select! {
+                    () = sleep_until(turn.into()) => {}
+                    () = self.wake.notified() => {}
+                },
+            }
+        }
+    }
+
+    /// Appends the next messages to a buffer, of large ones only the chunk whose turn it is. Reserves a
+    /// turn for the next chunk.
+    fn fill_paced(&self, buffer: &mut BytesMut, turn: &mut Option<Instant>) {
+        let now = Instant::now();
+        let mut order = self.order.borrow_mut();
+        loop {
+            if turn.is_none() {
+                *turn = order.next_chunk().map(|bytes| self.pacer.reserve(bytes, now));
+            }
+            if buffer.len() >= WRITE_BYTES {
+                return;
+            }
+            let Some(piece) = order.next_of(turn.is_some_and(|at| at <= now)) else { return };
+            if is_chunk(piece.start, piece.last) {
+                *turn = None;
+            } else {
+                self.pacer.record_sent(piece.end - piece.start, now);
+            }
+            piece.item.append_piece(piece.start, piece.end, piece.last, buffer);
         }
     }
 
--- a/src/kelpwind/mesh/serve.rs
+++ b/src/kelpwind/mesh/serve.rs
@@ -96,7 +96,7 @@
         spdlog::warn!("failed to set the socket options of a connection of another node: {e}");
     }
     let (mut reader, writer) = stream.into_split();
-    let queue = Rc::new(SendQueue::default());
+    let queue = Rc::new(SendQueue::new(node.pacer.clone()));
     let connection = Rc::new(Connection { queue: queue.clone(), receiver: RefCell::default() });
     let Ok(Some(hello)) = timeout(HELLO_TIMEOUT, read_hello(&mut reader, &connection)).await else {
         return;
@@ -199,6 +199,14 @@
         }
     }
 
+    /// Bytes of large replies that are yet to be sent to other nodes.
+    pub fn queued_bytes(&self) -> usize {
+        let queued = |session: &Rc<Session>| {
+            session.current.borrow().as_ref().map_or(0, |connection| connection.queue.large_bytes())
+        };
+        self.sessions.borrow().values().map(queued).sum()
+    }
+
     /// Takes the memory for a request that arrives in parts. `None` if it is not needed, or there is
     /// none: then the request is refused.
     fn reserve(&self, session: &Session, number: u64, size: usize) -> Option<Hold> {
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -166,6 +166,8 @@
         last_connection: Cell::new(0),
         inflight: Cell::new(0),
         memory,
+        pacer: Rc::default(),
+        bulk_answers: RefCell::default(),
         metrics: Metrics::default(),
     }
 }
--- a/src/kelpwind/net/mod.rs
+++ b/src/kelpwind/net/mod.rs
@@ -7,4 +7,5 @@
 pub mod http1;
 pub(crate) mod listen;
 pub mod memory;
+pub mod pacing;
 pub mod pool;
