queue: accept up to the deadline while kinds of unequal cost share a server

Cause: an overloaded service refuses each request whose predicted answer misses its objective; its callers return and are refused again, and urgent requests lose to bulk ones.

Change: with a configuration that has bulk routes, requests are accepted while their deadline can be met. Each class keeps a quarter of the service level of all; then priority, then the objective decide. Requests whose deadline cannot be met never start. Refused callers are told times of their own.

--- a/src/kelpwind/gate/mod.rs
+++ b/src/kelpwind/gate/mod.rs
@@ -24,3 +24,4 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod server_runs;
+pub mod share;
--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -16,6 +16,18 @@
 //! A rate limit that the server states ([`super::rate_limit`]) counts as less capacity: requests whose
 //! turn would come too late are refused as soon as that is known, not when their turn comes.
 //!
+//! Where kinds of requests of unequal cost share the server ([`RequestQueue::set_sharing`]), the load
+//! pattern is 1.2 to 2.5 times the capacity for seconds, and a refused caller returns to the same
+//! overload. A late answer is worth something and a refusal nothing, so a request is then accepted if
+//! its deadline can be met behind what starts before it. The order of starts is:
+//! 1. classes that get less than their guaranteed share ([`super::share`]);
+//! 2. by priority; within one, requests that can still meet their objective before late ones; among
+//!    these, the least time left first. Nested calls state little time, so they go before requests
+//!    of callers of the same priority.
+//!
+//! Requests whose deadline cannot be met any more are refused and never start. If the queue is full,
+//! a late request of the lowest priority is evicted, and of these the one with the least time left.
+//!
 //! Pure: the time is an argument, and the requests to start are returned as values.
 
 use std::collections::HashMap;
@@ -23,6 +35,7 @@
 
 use super::cold_start::ColdStart;
 use super::rate_limit::RateLimit;
+use super::share::{ReturnTimes, Shares};
 use crate::core::ids::RequestRate;
 
 /// Weight of the newest sample in the service time estimates: about ten answers count.
@@ -44,6 +57,16 @@
 /// Bounds to which a reported slowdown is clamped; values outside are not plausible.
 const SLOWDOWN_BOUNDS: (f64, f64) = (0.3, 8.0);
 
+/// Time that a request needs until its deadline to be worth a start, as a multiple of the mean time.
+const DEADLINE_MARGIN: f64 = 1.5;
+/// Time that a request needs until its objective to count as in time, as a multiple of the mean time:
+/// service times vary, and one with just the mean left is late in a third of the cases.
+const OBJECTIVE_MARGIN: f64 = 3.0;
+/// Largest fraction of the time from arrival to objective that this margin takes.
+const ALLOWANCE_FRACTION: f64 = 0.6;
+/// Most queued work, as the time in which all slots together do it.
+const BACKLOG_MAX: Duration = Duration::from_secs(6);
+
 /// A request for a slot of the backend server.
 #[derive(Clone, Debug)]
 pub struct SlotRequest {
@@ -85,8 +108,21 @@
 struct Queued {
     ticket: Ticket,
     request: SlotRequest,
+    arrived: Instant,
+}
+
+/// State of a queue whose server several kinds of requests of unequal cost share.
+#[derive(Clone, Debug, Default)]
+struct Sharing {
+    shares: Shares,
+    returns: ReturnTimes,
+    /// Requests that were evicted for others on their arrival; the next dispatch reports them.
+    evicted: Vec<QueueEvent>,
 }
 
+/// Sort key of queued requests while kinds share the server: the lowest starts next.
+type SharedOrder = (u8, u8, u8, i64, Ticket);
+
 /// The admission queue of one backend server.
 #[derive(Clone, Debug)]
 pub struct RequestQueue {
@@ -104,6 +140,7 @@
     /// Limit on request starts while the server is cold.
     pub cold_start: ColdStart,
     rate_limit: RateLimit,
+    sharing: Option<Sharing>,
 }
 
 impl RequestQueue {
@@ -123,6 +160,7 @@
             load_updated: None,
             cold_start: ColdStart::default(),
             rate_limit: RateLimit::default(),
+            sharing: None,
         }
     }
 
@@ -131,6 +169,14 @@
         self.slots = slots.max(1);
     }
 
+    /// Sets whether kinds of requests of unequal cost share the server. If they do, requests are
+    /// accepted up to their deadlines; see the module's documentation.
+    pub fn set_sharing(&mut self, sharing: bool) {
+        if sharing != self.sharing.is_some() {
+            self.sharing = sharing.then(Sharing::default);
+        }
+    }
+
     /// Sets the slowdown that the server reports: 1 is normal, 2 means that work takes twice as
     /// long.
     pub fn set_slowdown(&mut self, slowdown: f64) {
@@ -194,6 +240,9 @@
     /// Starts, queues or refuses an arriving request.
     pub fn admit(&mut self, request: SlotRequest, now: Instant) -> AdmitDecision {
         self.record_offered_load(&request, now);
+        if self.sharing.is_some() {
+            return self.admit_shared(request, now);
+        }
         if self.running < self.slots && self.waiting.is_empty() && self.may_start(now) {
             self.start(now);
             return AdmitDecision::Run;
@@ -218,7 +267,7 @@
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        self.waiting.push(Queued { ticket, request });
+        self.waiting.push(Queued { ticket, request, arrived: now });
         AdmitDecision::Wait(ticket)
     }
 
@@ -240,10 +289,13 @@
     /// Starts the queued requests that may start now. One whose turn comes too late to meet its
     /// deadline is refused instead.
     pub fn dispatch(&mut self, now: Instant) -> Vec<QueueEvent> {
+        if self.sharing.is_some() {
+            return self.dispatch_shared(now);
+        }
         let mut events = Vec::new();
         while self.running < self.slots && !self.waiting.is_empty() {
             let Some(first) = self.next_index(now) else { break };
-            let Queued { ticket, request } = &self.waiting[first];
+            let Queued { ticket, request, .. } = &self.waiting[first];
             let (ticket, own) = (*ticket, self.expected_secs(request));
             // The estimate is a mean, and a short request may take only half of it.
             let too_late = now + Duration::from_secs_f64(own / 2.0) >= request.deadline;
@@ -272,7 +324,7 @@
         order.sort_by_key(|i| self.start_order(&self.waiting[*i], now));
         let mut ahead = 0;
         let mut hopeless = Vec::new();
-        for Queued { ticket, request } in order.into_iter().map(|i| &self.waiting[i]) {
+        for Queued { ticket, request, .. } in order.into_iter().map(|i| &self.waiting[i]) {
             let start = now + self.rate_limit.wait(now, ahead);
             if start + Duration::from_secs_f64(self.expected_secs(request) / 2.0)
                 >= request.deadline
@@ -296,6 +348,9 @@
     /// When [`dispatch`](Self::dispatch) must run next even if no request finishes, since at most the
     /// cold start and the rate limit hold requests back; `None` if a slot must become free first.
     pub fn next_dispatch(&self, now: Instant) -> Option<Instant> {
+        if self.sharing.as_ref().is_some_and(|s| !s.evicted.is_empty()) {
+            return Some(now);
+        }
         if self.waiting.is_empty() || self.running >= self.slots {
             return None;
         }
@@ -303,6 +358,132 @@
         Some(next.unwrap_or(now))
     }
 
+    /// Starts or queues an arriving request unless its deadline cannot be met, and evicts others for
+    /// it if the queue is full.
+    fn admit_shared(&mut self, request: SlotRequest, now: Instant) -> AdmitDecision {
+        let own = self.expected_secs(&request);
+        if let Some(sharing) = &mut self.sharing {
+            sharing.shares.record_offered(&request.class, own, now);
+        }
+        if self.running < self.slots && self.waiting.is_empty() && self.may_start(now) {
+            self.start_shared(&request.class, own, now);
+            return AdmitDecision::Run;
+        }
+        let queued = Queued { ticket: Ticket(self.next_ticket), request, arrived: now };
+        let order = self.shared_order(&queued, now);
+        let (mut ahead, mut ahead_secs) = (0, 0.0);
+        for other in self.waiting.iter().filter(|w| self.shared_order(w, now) < order) {
+            ahead += 1;
+            ahead_secs += self.expected_secs(&other.request);
+        }
+        let wait = self.secs_until_free()
+            + ahead_secs / f64::from(self.slots)
+            + self.cold_start.wait_secs(now, ahead);
+        let wait = wait.max(self.rate_limit.wait(now, ahead).as_secs_f64());
+        let end = now + Duration::from_secs_f64(wait + own * DEADLINE_MARGIN);
+        if end > queued.request.deadline {
+            return AdmitDecision::Refuse(self.return_delay(now));
+        }
+        let ticket = queued.ticket;
+        self.next_ticket += 1;
+        self.waiting.push(queued);
+        while self.waiting_secs() > BACKLOG_MAX.as_secs_f64() * f64::from(self.slots) {
+            let Some(last) = self.last_index(now) else { break };
+            let evicted = self.waiting.swap_remove(last).ticket;
+            let delay = self.return_delay(now);
+            if evicted == ticket {
+                return AdmitDecision::Refuse(delay);
+            }
+            if let Some(sharing) = &mut self.sharing {
+                sharing.evicted.push(QueueEvent::Refuse(evicted, delay));
+            }
+        }
+        AdmitDecision::Wait(ticket)
+    }
+
+    /// Refuses the queued requests whose deadlines cannot be met any more, and starts others.
+    fn dispatch_shared(&mut self, now: Instant) -> Vec<QueueEvent> {
+        let evicted = self.sharing.as_mut().map(|s| std::mem::take(&mut s.evicted));
+        let mut events = evicted.unwrap_or_default();
+        let hopeless: Vec<Ticket> =
+            self.waiting.iter().filter(|w| self.is_hopeless(w, now)).map(|w| w.ticket).collect();
+        self.waiting.retain(|w| !hopeless.contains(&w.ticket));
+        for ticket in hopeless {
+            events.push(QueueEvent::Refuse(ticket, self.return_delay(now)));
+        }
+        while self.running < self.slots && self.may_start(now) {
+            let first =
+                (0..self.waiting.len()).min_by_key(|i| self.shared_order(&self.waiting[*i], now));
+            let Some(first) = first else { break };
+            let Queued { ticket, request, .. } = self.waiting.swap_remove(first);
+            let own = self.expected_secs(&request);
+            self.start_shared(&request.class, own, now);
+            events.push(QueueEvent::Start(ticket));
+        }
+        self.refuse_hopeless(now, &mut events);
+        events
+    }
+
+    fn start_shared(&mut self, class: &str, own: f64, now: Instant) {
+        self.start(now);
+        if let Some(sharing) = &mut self.sharing {
+            sharing.shares.record_started(class, own, now);
+        }
+    }
+
+    /// Whether a request that started now would probably miss its deadline.
+    fn is_hopeless(&self, queued: &Queued, now: Instant) -> bool {
+        let own = Duration::from_secs_f64(self.expected_secs(&queued.request) * DEADLINE_MARGIN);
+        now + own > queued.request.deadline
+    }
+
+    /// Whether a request that started now would probably miss its latency objective.
+    fn is_late(&self, queued: &Queued, now: Instant) -> bool {
+        let request = &queued.request;
+        let own = self.expected_secs(request);
+        // A class whose usual time is close to its objective would be late on arrival.
+        let allowance = request.objective.saturating_duration_since(queued.arrived).as_secs_f64();
+        let margin = (own * OBJECTIVE_MARGIN).min((allowance * ALLOWANCE_FRACTION).max(own));
+        now + Duration::from_secs_f64(margin) > request.objective
+    }
+
+    /// When a queued request starts, relative to others.
+    fn shared_order(&self, queued: &Queued, now: Instant) -> SharedOrder {
+        let request = &queued.request;
+        let owed = self.sharing.as_ref().is_some_and(|s| s.shares.is_owed(&request.class));
+        let late = self.is_late(queued, now);
+        let until = if late { request.deadline } else { request.objective };
+        let at = until.saturating_duration_since(now).as_micros() as i64;
+        (u8::from(!owed), request.priority, u8::from(late), at, queued.ticket)
+    }
+
+    /// Index of the queued request that is evicted first: of the lowest priority, the one with the
+    /// least time left.
+    fn last_index(&self, now: Instant) -> Option<usize> {
+        (0..self.waiting.len()).max_by_key(|i| {
+            let queued = &self.waiting[*i];
+            let late = self.is_late(queued, now);
+            (late, queued.request.priority, std::cmp::Reverse(queued.request.deadline))
+        })
+    }
+
+    /// Expected work of all queued requests, in seconds of one slot.
+    fn waiting_secs(&self) -> f64 {
+        self.waiting.iter().map(|w| self.expected_secs(&w.request)).sum()
+    }
+
+    /// Time after which a refused caller should return: when the queued work is done, and the callers
+    /// refused before it have returned.
+    fn return_delay(&mut self, now: Instant) -> Duration {
+        let slots = f64::from(self.slots);
+        let free_after = self.secs_until_free() + self.waiting_secs() / slots;
+        let interval = self.mean_time * self.slowdown / slots;
+        let limited = self.rate_limit.record_refusal(now);
+        let Some(sharing) = &mut self.sharing else { return limited };
+        let free_after = Duration::from_secs_f64(free_after).max(RETRY_DELAY_MIN);
+        sharing.returns.assign(free_after, Duration::from_secs_f64(interval), now).max(limited)
+    }
+
     /// Whether the limits on request starts let one more start.
     fn may_start(&self, now: Instant) -> bool {
         self.cold_start.may_start(now) && self.rate_limit.may_start(now)
--- /dev/null
+++ b/src/kelpwind/gate/share.rs
@@ -0,0 +1,108 @@
+//! Shares of a backend server among the classes of requests that it serves, and the times at which
+//! refused callers should return.
+//!
+//! Load pattern: for seconds, the classes of one service together offer 1.2 to 2.5 times the work
+//! that its slots do. Priority alone would then leave nothing for the lowest one, so each class keeps
+//! a guaranteed fraction of the service level that all classes have together. What it does not use
+//! goes to the others.
+//!
+//! Pure: the time is an argument.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Fraction of the service level of all classes that each class keeps.
+const GUARANTEED_LEVEL: f64 = 0.25;
+/// Time constant of the moving averages of offered and started work. It is a few service times, so
+/// that a lent share returns soon.
+const PERIOD: Duration = Duration::from_secs(1);
+/// Most classes that are kept; routes are few, so the bound matters only if names are invalid.
+const CLASSES_MAX: usize = 256;
+/// Offered work, in slot-seconds, below which the level of a class says nothing.
+const OFFERED_MIN: f64 = 0.02;
+
+/// Work of one class or of all, in slot-seconds; older work counts less.
+#[derive(Clone, Copy, Debug, Default)]
+struct Work {
+    offered: f64,
+    started: f64,
+    updated: Option<Instant>,
+}
+
+impl Work {
+    fn decay(&mut self, now: Instant) {
+        let passed = self.updated.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let factor = (-passed.as_secs_f64() / PERIOD.as_secs_f64()).exp();
+        self.offered *= factor;
+        self.started *= factor;
+        self.updated = Some(now);
+    }
+
+    /// Started work as a fraction of the offered.
+    fn level(&self) -> f64 {
+        if self.offered < OFFERED_MIN { 1.0 } else { self.started / self.offered }
+    }
+}
+
+/// Offered and started work by class.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    classes: HashMap<String, Work>,
+    total: Work,
+}
+
+impl Shares {
+    /// Records `work`, in slot-seconds, of a request that arrives.
+    pub fn record_offered(&mut self, class: &str, work: f64, now: Instant) {
+        self.total.decay(now);
+        self.total.offered += work;
+        if let Some(entry) = self.entry(class) {
+            entry.decay(now);
+            entry.offered += work;
+        }
+    }
+
+    /// Records `work`, in slot-seconds, of a request that starts.
+    pub fn record_started(&mut self, class: &str, work: f64, now: Instant) {
+        self.total.decay(now);
+        self.total.started += work;
+        if let Some(entry) = self.entry(class) {
+            entry.decay(now);
+            entry.started += work;
+        }
+    }
+
+    /// Whether a class gets less than its guaranteed share.
+    pub fn is_owed(&self, class: &str) -> bool {
+        // Both averages decay alike, so levels need no update.
+        let Some(work) = self.classes.get(class) else { return false };
+        work.level() < GUARANTEED_LEVEL * self.total.level().min(1.0)
+    }
+
+    fn entry(&mut self, class: &str) -> Option<&mut Work> {
+        if !self.classes.contains_key(class) {
+            if self.classes.len() >= CLASSES_MAX {
+                return None;
+            }
+            self.classes.insert(class.to_owned(), Work::default());
+        }
+        self.classes.get_mut(class)
+    }
+}
+
+/// Spreads the returns of refused callers: each is told a time of its own.
+#[derive(Clone, Debug, Default)]
+pub struct ReturnTimes {
+    next: Option<Instant>,
+}
+
+impl ReturnTimes {
+    /// Time after which a refused caller should return. Capacity is free after `free_after`, unless
+    /// callers that were refused before return by then, of which one is served per `interval`.
+    pub fn assign(&mut self, free_after: Duration, interval: Duration, now: Instant) -> Duration {
+        let free = now + free_after;
+        let at = self.next.map_or(free, |next| next.max(free));
+        self.next = Some(at + interval);
+        at.saturating_duration_since(now)
+    }
+}
--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -192,7 +192,9 @@
         }
         let (version, count) = (routes.version.0, routes.all().count());
         spdlog::info!("a configuration is in force", kv: { version, routes = count });
+        let sharing = routes.has_bulk();
         self.routes.replace(Some(Rc::new(routes)));
+        self.queue.borrow_mut().set_sharing(sharing);
         self.configured.send_replace(true);
         let rate = self.cold_rate();
         self.queue.borrow_mut().cold_start.set_rate(rate);
