queue: number classes, bound margins by the time a request arrives with; true refusals at the entry

Cause: each decision looked up the classes of all queued requests by name. A request that only waited in this node's own queue when its time ended was answered with 504, and one whose body did not arrive in time too, although neither reached a server. Retry-After was cut to a third of the time left, so callers returned to the same overload.

Change: classes have numbers, and the state that the order depends on is taken once per decision. With sharing, the two cases are answered with 503, and the delay that a gate assigns is passed on whole.

--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -30,12 +30,13 @@
 //!
 //! Pure: the time is an argument, and the requests to start are returned as values.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use super::cold_start::ColdStart;
 use super::rate_limit::RateLimit;
-use super::share::{ReturnTimes, Shares};
+use super::share::{ClassIndex, ReturnTimes, Shares};
 use crate::core::ids::RequestRate;
 
 /// Weight of the newest sample in the service time estimates: about ten answers count.
@@ -59,10 +60,12 @@
 
 /// Time that a request needs until its deadline to be worth a start, as a multiple of the mean time.
 const DEADLINE_MARGIN: f64 = 1.5;
+/// Least such time, for a request that arrives with little time: a short one may take half the mean.
+const LEAST_FRACTION: f64 = 0.5;
 /// Time that a request needs until its objective to count as in time, as a multiple of the mean time:
 /// service times vary, and one with just the mean left is late in a third of the cases.
 const OBJECTIVE_MARGIN: f64 = 3.0;
-/// Largest fraction of the time from arrival to objective that this margin takes.
+/// Largest fraction of the time from arrival to objective or deadline that these margins take.
 const ALLOWANCE_FRACTION: f64 = 0.6;
 /// Most queued work, as the time in which all slots together do it.
 const BACKLOG_MAX: Duration = Duration::from_secs(6);
@@ -109,6 +112,10 @@
     ticket: Ticket,
     request: SlotRequest,
     arrived: Instant,
+    /// Number of the class, if kinds share the server.
+    class: ClassIndex,
+    /// Service time expected on arrival, in seconds at the usual speed of the server.
+    expected: f64,
 }
 
 /// State of a queue whose server several kinds of requests of unequal cost share.
@@ -116,12 +123,61 @@
 struct Sharing {
     shares: Shares,
     returns: ReturnTimes,
-    /// Requests that were evicted for others on their arrival; the next dispatch reports them.
-    evicted: Vec<QueueEvent>,
+}
+
+/// What the order of queued requests depends on while kinds share the server. It is taken once per
+/// decision, since hundreds of requests may be queued.
+struct SharedView {
+    now: Instant,
+    /// Whether a class gets less than its guaranteed share, by its number.
+    owed: Vec<bool>,
+    slowdown: f64,
 }
 
 /// Sort key of queued requests while kinds share the server: the lowest starts next.
-type SharedOrder = (u8, u8, u8, i64, Ticket);
+type SharedOrder = (bool, u8, bool, Instant, Ticket);
+
+impl SharedView {
+    /// Expected service time of a queued request, in seconds.
+    fn expected(&self, queued: &Queued) -> f64 {
+        queued.expected * self.slowdown
+    }
+
+    /// Whether a request that starts now would probably miss its deadline.
+    fn is_hopeless(&self, queued: &Queued) -> bool {
+        let own = self.expected(queued);
+        // A request with little time on arrival is tried if half of the usual time is left.
+        let allowance = queued.request.deadline.saturating_duration_since(queued.arrived);
+        let most = (allowance.as_secs_f64() * ALLOWANCE_FRACTION).max(own * LEAST_FRACTION);
+        let needed = Duration::from_secs_f64((own * DEADLINE_MARGIN).min(most));
+        self.now + needed > queued.request.deadline
+    }
+
+    /// Whether a request that starts now would probably miss its latency objective.
+    fn is_late(&self, queued: &Queued) -> bool {
+        let own = self.expected(queued);
+        // A class whose usual time is close to its objective would else be late on arrival.
+        let allowance = queued.request.objective.saturating_duration_since(queued.arrived);
+        let most = (allowance.as_secs_f64() * ALLOWANCE_FRACTION).max(own);
+        let margin = Duration::from_secs_f64((own * OBJECTIVE_MARGIN).min(most));
+        self.now + margin > queued.request.objective
+    }
+
+    /// When a request starts, relative to others.
+    fn order(&self, queued: &Queued) -> SharedOrder {
+        let request = &queued.request;
+        let owed = self.owed.get(queued.class).is_some_and(|owed| *owed);
+        let late = self.is_late(queued);
+        let until = if late { request.deadline } else { request.objective };
+        (!owed, request.priority, late, until, queued.ticket)
+    }
+
+    /// Sort key of queued requests by when they are evicted: the highest is first.
+    fn eviction_order(&self, queued: &Queued) -> (bool, u8, Reverse<Instant>, Ticket) {
+        let request = &queued.request;
+        (self.is_late(queued), request.priority, Reverse(request.deadline), queued.ticket)
+    }
+}
 
 /// The admission queue of one backend server.
 #[derive(Clone, Debug)]
@@ -141,6 +197,8 @@
     pub cold_start: ColdStart,
     rate_limit: RateLimit,
     sharing: Option<Sharing>,
+    /// Refusals of requests that were evicted on the arrival of others; the next dispatch returns them.
+    evicted: Vec<QueueEvent>,
 }
 
 impl RequestQueue {
@@ -161,6 +219,7 @@
             cold_start: ColdStart::default(),
             rate_limit: RateLimit::default(),
             sharing: None,
+            evicted: Vec::new(),
         }
     }
 
@@ -177,6 +236,11 @@
         }
     }
 
+    /// Whether kinds of requests of unequal cost share the server.
+    pub fn is_sharing(&self) -> bool {
+        self.sharing.is_some()
+    }
+
     /// Sets the slowdown that the server reports: 1 is normal, 2 means that work takes twice as
     /// long.
     pub fn set_slowdown(&mut self, slowdown: f64) {
@@ -267,7 +331,7 @@
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        self.waiting.push(Queued { ticket, request, arrived: now });
+        self.waiting.push(Queued { ticket, request, arrived: now, class: 0, expected: own });
         AdmitDecision::Wait(ticket)
     }
 
@@ -292,7 +356,7 @@
         if self.sharing.is_some() {
             return self.dispatch_shared(now);
         }
-        let mut events = Vec::new();
+        let mut events = std::mem::take(&mut self.evicted);
         while self.running < self.slots && !self.waiting.is_empty() {
             let Some(first) = self.next_index(now) else { break };
             let Queued { ticket, request, .. } = &self.waiting[first];
@@ -348,7 +412,7 @@
     /// When [`dispatch`](Self::dispatch) must run next even if no request finishes, since at most the
     /// cold start and the rate limit hold requests back; `None` if a slot must become free first.
     pub fn next_dispatch(&self, now: Instant) -> Option<Instant> {
-        if self.sharing.as_ref().is_some_and(|s| !s.evicted.is_empty()) {
+        if !self.evicted.is_empty() {
             return Some(now);
         }
         if self.waiting.is_empty() || self.running >= self.slots {
@@ -362,121 +426,104 @@
     /// it if the queue is full.
     fn admit_shared(&mut self, request: SlotRequest, now: Instant) -> AdmitDecision {
         let own = self.expected_secs(&request);
-        if let Some(sharing) = &mut self.sharing {
-            sharing.shares.record_offered(&request.class, own, now);
+        let class = self.sharing.as_mut().map_or(0, |sharing| {
+            let class = sharing.shares.index(&request.class);
+            sharing.shares.record_offered(class, own, now);
+            class
+        });
+        let least = Duration::from_secs_f64(own * LEAST_FRACTION);
+        if now + least > request.deadline {
+            return AdmitDecision::Refuse(self.return_delay(0.0, now));
         }
         if self.running < self.slots && self.waiting.is_empty() && self.may_start(now) {
-            self.start_shared(&request.class, own, now);
+            self.start_shared(class, own, now);
             return AdmitDecision::Run;
         }
-        let queued = Queued { ticket: Ticket(self.next_ticket), request, arrived: now };
-        let order = self.shared_order(&queued, now);
-        let (mut ahead, mut ahead_secs) = (0, 0.0);
-        for other in self.waiting.iter().filter(|w| self.shared_order(w, now) < order) {
-            ahead += 1;
-            ahead_secs += self.expected_secs(&other.request);
+        let ticket = Ticket(self.next_ticket);
+        let expected = own / self.slowdown;
+        let queued = Queued { ticket, request, arrived: now, class, expected };
+        let view = self.view(now);
+        let order = view.order(&queued);
+        let (mut ahead, mut ahead_secs, mut all_secs) = (0, 0.0, own);
+        for other in &self.waiting {
+            let secs = view.expected(other);
+            all_secs += secs;
+            if view.order(other) < order {
+                ahead += 1;
+                ahead_secs += secs;
+            }
         }
-        let wait = self.secs_until_free()
-            + ahead_secs / f64::from(self.slots)
-            + self.cold_start.wait_secs(now, ahead);
+        let slots = f64::from(self.slots);
+        let wait =
+            self.secs_until_free() + ahead_secs / slots + self.cold_start.wait_secs(now, ahead);
         let wait = wait.max(self.rate_limit.wait(now, ahead).as_secs_f64());
-        let end = now + Duration::from_secs_f64(wait + own * DEADLINE_MARGIN);
-        if end > queued.request.deadline {
-            return AdmitDecision::Refuse(self.return_delay(now));
+        let start = SharedView { now: now + Duration::from_secs_f64(wait), ..self.view(now) };
+        if start.is_hopeless(&queued) {
+            return AdmitDecision::Refuse(self.return_delay(all_secs - own, now));
         }
-        let ticket = queued.ticket;
         self.next_ticket += 1;
         self.waiting.push(queued);
-        while self.waiting_secs() > BACKLOG_MAX.as_secs_f64() * f64::from(self.slots) {
-            let Some(last) = self.last_index(now) else { break };
-            let evicted = self.waiting.swap_remove(last).ticket;
-            let delay = self.return_delay(now);
-            if evicted == ticket {
+        while all_secs > BACKLOG_MAX.as_secs_f64() * slots {
+            let last =
+                (0..self.waiting.len()).max_by_key(|i| view.eviction_order(&self.waiting[*i]));
+            let Some(last) = last else { break };
+            let evicted = self.waiting.swap_remove(last);
+            all_secs -= view.expected(&evicted);
+            let delay = self.return_delay(all_secs, now);
+            if evicted.ticket == ticket {
                 return AdmitDecision::Refuse(delay);
             }
-            if let Some(sharing) = &mut self.sharing {
-                sharing.evicted.push(QueueEvent::Refuse(evicted, delay));
-            }
+            self.evicted.push(QueueEvent::Refuse(evicted.ticket, delay));
         }
         AdmitDecision::Wait(ticket)
     }
 
     /// Refuses the queued requests whose deadlines cannot be met any more, and starts others.
     fn dispatch_shared(&mut self, now: Instant) -> Vec<QueueEvent> {
-        let evicted = self.sharing.as_mut().map(|s| std::mem::take(&mut s.evicted));
-        let mut events = evicted.unwrap_or_default();
-        let hopeless: Vec<Ticket> =
-            self.waiting.iter().filter(|w| self.is_hopeless(w, now)).map(|w| w.ticket).collect();
-        self.waiting.retain(|w| !hopeless.contains(&w.ticket));
-        for ticket in hopeless {
-            events.push(QueueEvent::Refuse(ticket, self.return_delay(now)));
+        let mut events = std::mem::take(&mut self.evicted);
+        let mut view = self.view(now);
+        let waiting = std::mem::take(&mut self.waiting);
+        let (hopeless, waiting): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|w| view.is_hopeless(w));
+        self.waiting = waiting;
+        let all_secs: f64 = self.waiting.iter().map(|w| view.expected(w)).sum();
+        for queued in hopeless {
+            let delay = self.return_delay(all_secs, now);
+            events.push(QueueEvent::Refuse(queued.ticket, delay));
         }
         while self.running < self.slots && self.may_start(now) {
-            let first =
-                (0..self.waiting.len()).min_by_key(|i| self.shared_order(&self.waiting[*i], now));
+            let first = (0..self.waiting.len()).min_by_key(|i| view.order(&self.waiting[*i]));
             let Some(first) = first else { break };
-            let Queued { ticket, request, .. } = self.waiting.swap_remove(first);
-            let own = self.expected_secs(&request);
-            self.start_shared(&request.class, own, now);
+            let Queued { ticket, class, .. } = self.waiting[first];
+            let own = view.expected(&self.waiting[first]);
+            self.waiting.swap_remove(first);
+            self.start_shared(class, own, now);
             events.push(QueueEvent::Start(ticket));
+            // The start may have paid what the class was owed.
+            view = self.view(now);
         }
         self.refuse_hopeless(now, &mut events);
         events
     }
 
-    fn start_shared(&mut self, class: &str, own: f64, now: Instant) {
+    fn start_shared(&mut self, class: ClassIndex, own: f64, now: Instant) {
         self.start(now);
         if let Some(sharing) = &mut self.sharing {
             sharing.shares.record_started(class, own, now);
         }
     }
 
-    /// Whether a request that started now would probably miss its deadline.
-    fn is_hopeless(&self, queued: &Queued, now: Instant) -> bool {
-        let own = Duration::from_secs_f64(self.expected_secs(&queued.request) * DEADLINE_MARGIN);
-        now + own > queued.request.deadline
-    }
-
-    /// Whether a request that started now would probably miss its latency objective.
-    fn is_late(&self, queued: &Queued, now: Instant) -> bool {
-        let request = &queued.request;
-        let own = self.expected_secs(request);
-        // A class whose usual time is close to its objective would be late on arrival.
-        let allowance = request.objective.saturating_duration_since(queued.arrived).as_secs_f64();
-        let margin = (own * OBJECTIVE_MARGIN).min((allowance * ALLOWANCE_FRACTION).max(own));
-        now + Duration::from_secs_f64(margin) > request.objective
-    }
-
-    /// When a queued request starts, relative to others.
-    fn shared_order(&self, queued: &Queued, now: Instant) -> SharedOrder {
-        let request = &queued.request;
-        let owed = self.sharing.as_ref().is_some_and(|s| s.shares.is_owed(&request.class));
-        let late = self.is_late(queued, now);
-        let until = if late { request.deadline } else { request.objective };
-        let at = until.saturating_duration_since(now).as_micros() as i64;
-        (u8::from(!owed), request.priority, u8::from(late), at, queued.ticket)
-    }
-
-    /// Index of the queued request that is evicted first: of the lowest priority, the one with the
-    /// least time left.
-    fn last_index(&self, now: Instant) -> Option<usize> {
-        (0..self.waiting.len()).max_by_key(|i| {
-            let queued = &self.waiting[*i];
-            let late = self.is_late(queued, now);
-            (late, queued.request.priority, std::cmp::Reverse(queued.request.deadline))
-        })
-    }
-
-    /// Expected work of all queued requests, in seconds of one slot.
-    fn waiting_secs(&self) -> f64 {
-        self.waiting.iter().map(|w| self.expected_secs(&w.request)).sum()
+    /// The state of the classes that the order of queued requests depends on.
+    fn view(&self, now: Instant) -> SharedView {
+        let owed = self.sharing.as_ref().map(|s| s.shares.owed()).unwrap_or_default();
+        SharedView { now, owed, slowdown: self.slowdown }
     }
 
     /// Time after which a refused caller should return: when the queued work is done, and the callers
-    /// refused before it have returned.
-    fn return_delay(&mut self, now: Instant) -> Duration {
+    /// refused before it have returned. `queued_secs` is the work of the requests that stay queued.
+    fn return_delay(&mut self, queued_secs: f64, now: Instant) -> Duration {
         let slots = f64::from(self.slots);
-        let free_after = self.secs_until_free() + self.waiting_secs() / slots;
+        let free_after = self.secs_until_free() + queued_secs / slots;
         let interval = self.mean_time * self.slowdown / slots;
         let limited = self.rate_limit.record_refusal(now);
         let Some(sharing) = &mut self.sharing else { return limited };
--- a/src/kelpwind/gate/share.rs
+++ b/src/kelpwind/gate/share.rs
@@ -44,49 +44,56 @@
     }
 }
 
+/// Number of a class within [`Shares`].
+pub type ClassIndex = usize;
+
 /// Offered and started work by class.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
-    classes: HashMap<String, Work>,
+    names: HashMap<String, ClassIndex>,
+    classes: Vec<Work>,
     total: Work,
 }
 
 impl Shares {
+    /// The number of a class. Numbers are consecutive, and the last one stands for all classes beyond
+    /// [`CLASSES_MAX`].
+    pub fn index(&mut self, class: &str) -> ClassIndex {
+        if let Some(index) = self.names.get(class) {
+            return *index;
+        }
+        if self.classes.len() > CLASSES_MAX {
+            return CLASSES_MAX;
+        }
+        let index = self.classes.len();
+        self.classes.push(Work::default());
+        if index < CLASSES_MAX {
+            self.names.insert(class.to_owned(), index);
+        }
+        index
+    }
+
     /// Records `work`, in slot-seconds, of a request that arrives.
-    pub fn record_offered(&mut self, class: &str, work: f64, now: Instant) {
-        self.total.decay(now);
-        self.total.offered += work;
-        if let Some(entry) = self.entry(class) {
+    pub fn record_offered(&mut self, class: ClassIndex, work: f64, now: Instant) {
+        for entry in [Some(&mut self.total), self.classes.get_mut(class)].into_iter().flatten() {
             entry.decay(now);
             entry.offered += work;
         }
     }
 
     /// Records `work`, in slot-seconds, of a request that starts.
-    pub fn record_started(&mut self, class: &str, work: f64, now: Instant) {
-        self.total.decay(now);
-        self.total.started += work;
-        if let Some(entry) = self.entry(class) {
+    pub fn record_started(&mut self, class: ClassIndex, work: f64, now: Instant) {
+        for entry in [Some(&mut self.total), self.classes.get_mut(class)].into_iter().flatten() {
             entry.decay(now);
             entry.started += work;
         }
     }
 
-    /// Whether a class gets less than its guaranteed share.
-    pub fn is_owed(&self, class: &str) -> bool {
-        // Both averages decay alike, so levels need no update.
-        let Some(work) = self.classes.get(class) else { return false };
-        work.level() < GUARANTEED_LEVEL * self.total.level().min(1.0)
-    }
-
-    fn entry(&mut self, class: &str) -> Option<&mut Work> {
-        if !self.classes.contains_key(class) {
-            if self.classes.len() >= CLASSES_MAX {
-                return None;
-            }
-            self.classes.insert(class.to_owned(), Work::default());
-        }
-        self.classes.get_mut(class)
+    /// Whether a class gets less than its guaranteed share, for each class.
+    pub fn owed(&self) -> Vec<bool> {
+        // Offered and started work decay alike, so their quotient needs no update.
+        let least = GUARANTEED_LEVEL * self.total.level().min(1.0);
+        self.classes.iter().map(|work| work.level() < least).collect()
     }
 }
 
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -6,6 +6,7 @@
 //! The status that the caller gets is reliable: 429 and 503 promise that the request has not run,
 //! 502 and 504 say that this is unknown.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -62,7 +63,9 @@
         let ended = timeout(left, self.try_gates(&mut state)).await;
         let result = match ended {
             Ok(result) => result,
-            Err(_) if state.in_flight => Err(Failure { code: Code::Expired, retry_after: None }),
+            Err(_) if state.may_be_running() => {
+                Err(Failure { code: Code::Expired, retry_after: None })
+            }
             Err(_) => {
                 state.fail(Failure { code: Code::DeadlinePast, retry_after: Some(Duration::ZERO) })
             }
@@ -173,6 +176,8 @@
             owner_hint: None,
             uncertain: None,
             suspicion: Suspicion::default(),
+            sharing: self.queue.borrow().is_sharing(),
+            attempt_sent: Cell::new(false),
         }
     }
 
@@ -285,10 +290,11 @@
         let request = state.gate_request(self.table.borrow().position(), stated);
         let (outcome, service_ms) = if *gate == self.holder.borrow().node {
             let _counted = LocalRequest::start(self);
-            let sent = std::cell::Cell::new(false);
-            let (outcome, report) = self.run_request(request, &sent).await;
+            state.attempt_sent.set(false);
+            let (outcome, report) = self.run_request(request, &state.attempt_sent).await;
             (outcome, report.service_ms)
         } else {
+            state.attempt_sent.set(true);
             let link = self.link(&chosen.node, chosen.addr);
             let asked = Instant::now();
             let reply = link.send(request).await;
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -294,7 +294,11 @@
         let verdict = self.queue.borrow_mut().admit(slot_request, Instant::now());
         match verdict {
             AdmitDecision::Run => {}
-            AdmitDecision::Refuse(delay) => return Err(Outcome::not_run(self.busy_code(), delay)),
+            AdmitDecision::Refuse(delay) => {
+                // Others may have been evicted for it.
+                self.queue_wake.notify_one();
+                return Err(Outcome::not_run(self.busy_code(), delay));
+            }
             AdmitDecision::Wait(ticket) => {
                 let (sender, start) = oneshot::channel();
                 self.tickets.borrow_mut().insert(ticket, sender);
--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -147,7 +147,9 @@
             return reject_unrouted(&node, &call, failure);
         }
         Err(_) => {
-            let failure = Failure { code: Code::DeadlinePast, retry_after: None };
+            // Nothing was sent on, so with sharing the caller is told that the request has not run.
+            let retry_after = node.queue.borrow().is_sharing().then_some(Duration::ZERO);
+            let failure = Failure { code: Code::DeadlinePast, retry_after };
             return reject_unrouted(&node, &call, failure);
         }
     }
--- a/src/kelpwind/mesh/request_state.rs
+++ b/src/kelpwind/mesh/request_state.rs
@@ -1,5 +1,6 @@
 //! The state of one request at the entry: its attempts, and whether another may follow.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -53,6 +54,10 @@
     /// What is known of requests that ask for the same. If a backend server has ended under one before,
     /// another attempt might end one more.
     pub suspicion: Suspicion,
+    /// Whether gates assign each refused caller a time to return.
+    pub sharing: bool,
+    /// Whether the attempt in progress may have reached a server.
+    pub attempt_sent: Cell<bool>,
 }
 
 impl RequestState {
@@ -61,6 +66,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Whether a server may be at work on the request. With sharing, an attempt that only waits in this
+    /// node's own queue does not count: nothing of it has been sent.
+    pub fn may_be_running(&self) -> bool {
+        self.in_flight && (!self.sharing || self.attempt_sent.get())
+    }
+
     /// The request as it is sent to a gate; the link assigns its number. `stated` is what is known that
     /// the backend server there has stated of itself.
     pub fn gate_request(
@@ -118,7 +129,12 @@
                 };
                 self.owner_hint = owner.filter(newer);
                 let retry_after = Duration::from_millis(retry_after_ms.into());
-                let failure = not_run(code, retry_after, Some(self.remaining()), fastrand::f64());
+                let mut failure =
+                    not_run(code, retry_after, Some(self.remaining()), fastrand::f64());
+                if self.sharing && code == Code::Busy && !reached_server {
+                    let delay = retry_after::assigned(retry_after, fastrand::f64());
+                    failure.retry_after = Some(delay);
+                }
                 self.last_refusal = Some(failure);
                 if reached_server {
                     self.servers_reached += 1;
