gate: nested calls first, and fewer parents while their calls fail

Cause: nested calls have a tenth of the time of callers' requests and share a queue with them, so under overload most are refused, and the requests that made them end with an error after using a slot.

Change: routes with at most a quarter of the longest time-out of their service go first; only the configuration counts. A gate counts error answers that follow failed requests of its own host's entry while they ran, and refuses a share of such requests as not run until the errors end. Refusals for lack of capacity are counted by class and reason.

Ruled out: telling nested calls from callers on the same host by their times of arrival. At usual loads the server is hardly ever idle, so thousands of arrivals would be needed.

--- a/src/kelpwind/gate/mod.rs
+++ b/src/kelpwind/gate/mod.rs
@@ -10,11 +10,13 @@
 //! outcomes of requests that must run at most once.
 //!
 //! On a platform ([`crate::mesh`]), admission is decided by [`queue`], [`cold_start`] and
-//! [`rate_limit`], and the duration of key grants by [`grant_time`]. [`server_runs`] tells which
+//! [`rate_limit`], where kinds of requests of unequal cost share the server also by [`share`] and
+//! [`call_tree`], and the duration of key grants by [`grant_time`]. [`server_runs`] tells which
 //! requests the server was at work on when its process ended.
 
 pub(crate) mod admission;
 pub(crate) mod backend;
+pub mod call_tree;
 pub mod cold_start;
 pub(crate) mod dedup;
 pub mod grant_time;
--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -21,9 +21,10 @@
 //! overload. A late answer is worth something and a refusal nothing, so a request is then accepted if
 //! its deadline can be met behind what starts before it. The order of starts is:
 //! 1. classes that get less than their guaranteed share ([`super::share`]);
-//! 2. by priority; within one, requests that can still meet their objective before late ones; among
-//!    these, the least time left first. Nested calls state little time, so they go before requests
-//!    of callers of the same priority.
+//! 2. classes with little time by configuration, which are nested calls: each keeps the slot of
+//!    another request waiting. They are refused only if their deadline cannot be met;
+//! 3. by priority; within one, requests that can still meet their objective before late ones; among
+//!    these, the least time left first.
 //!
 //! Requests whose deadline cannot be met any more are refused and never start. If the queue is full,
 //! a late request of the lowest priority is evicted, and of these the one with the least time left.
@@ -31,7 +32,7 @@
 //! Pure: the time is an argument, and the requests to start are returned as values.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use super::cold_start::ColdStart;
@@ -114,6 +115,8 @@
     arrived: Instant,
     /// Number of the class, if kinds share the server.
     class: ClassIndex,
+    /// Whether the class goes before others, if kinds share the server.
+    short: bool,
     /// Service time expected on arrival, in seconds at the usual speed of the server.
     expected: f64,
 }
@@ -123,6 +126,8 @@
 struct Sharing {
     shares: Shares,
     returns: ReturnTimes,
+    /// Classes whose requests go before those of all others that get their share.
+    short: HashSet<String>,
 }
 
 /// What the order of queued requests depends on while kinds share the server. It is taken once per
@@ -135,7 +140,7 @@
 }
 
 /// Sort key of queued requests while kinds share the server: the lowest starts next.
-type SharedOrder = (bool, u8, bool, Instant, Ticket);
+type SharedOrder = (bool, bool, u8, bool, Instant, Ticket);
 
 impl SharedView {
     /// Expected service time of a queued request, in seconds.
@@ -169,13 +174,14 @@
         let owed = self.owed.get(queued.class).is_some_and(|owed| *owed);
         let late = self.is_late(queued);
         let until = if late { request.deadline } else { request.objective };
-        (!owed, request.priority, late, until, queued.ticket)
+        (!owed, !queued.short, request.priority, late, until, queued.ticket)
     }
 
     /// Sort key of queued requests by when they are evicted: the highest is first.
-    fn eviction_order(&self, queued: &Queued) -> (bool, u8, Reverse<Instant>, Ticket) {
+    fn eviction_order(&self, queued: &Queued) -> (bool, bool, u8, Reverse<Instant>, Ticket) {
         let request = &queued.request;
-        (self.is_late(queued), request.priority, Reverse(request.deadline), queued.ticket)
+        let late = self.is_late(queued);
+        (!queued.short, late, request.priority, Reverse(request.deadline), queued.ticket)
     }
 }
 
@@ -236,6 +242,14 @@
         }
     }
 
+    /// Sets the classes whose requests go before those of others while kinds share the server (see
+    /// [`super::share::short_classes`]).
+    pub fn set_short_classes(&mut self, classes: HashSet<String>) {
+        if let Some(sharing) = &mut self.sharing {
+            sharing.short = classes;
+        }
+    }
+
     /// Whether kinds of requests of unequal cost share the server.
     pub fn is_sharing(&self) -> bool {
         self.sharing.is_some()
@@ -331,7 +345,14 @@
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        self.waiting.push(Queued { ticket, request, arrived: now, class: 0, expected: own });
+        self.waiting.push(Queued {
+            ticket,
+            request,
+            arrived: now,
+            class: 0,
+            short: false,
+            expected: own,
+        });
         AdmitDecision::Wait(ticket)
     }
 
@@ -441,7 +462,8 @@
         }
         let ticket = Ticket(self.next_ticket);
         let expected = own / self.slowdown;
-        let queued = Queued { ticket, request, arrived: now, class, expected };
+        let short = self.sharing.as_ref().is_some_and(|s| s.short.contains(&request.class));
+        let queued = Queued { ticket, request, arrived: now, class, short, expected };
         let view = self.view(now);
         let order = view.order(&queued);
         let (mut ahead, mut ahead_secs, mut all_secs) = (0, 0.0, own);
--- a/src/kelpwind/gate/share.rs
+++ b/src/kelpwind/gate/share.rs
@@ -8,11 +8,17 @@
 //!
 //! Pure: the time is an argument.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use crate::core::ids::ServiceName;
+use crate::core::routes::Routes;
+
 /// Fraction of the service level of all classes that each class keeps.
 const GUARANTEED_LEVEL: f64 = 0.25;
+/// Longest time-out of routes whose requests go first, as a fraction of the longest of their service.
+/// Nested calls have a tenth of the time of callers' requests, and these differ by a factor of two.
+const SHORT_FRACTION: f64 = 0.25;
 /// Time constant of the moving averages of offered and started work. It is a few service times, so
 /// that a lent share returns soon.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -97,6 +103,17 @@
     }
 }
 
+/// Names of the routes to `service` whose requests go before all others there: those with at most a
+/// fraction [`SHORT_FRACTION`] of the longest time-out of the service's routes. Their callers have
+/// little time because they are at work on a request themselves, and hold a slot of their server
+/// meanwhile. Only the configuration counts, so callers cannot go ahead by stating less time.
+pub fn short_classes(routes: &Routes, service: &ServiceName) -> HashSet<String> {
+    let of_service = || routes.all().filter(|r| r.services.iter().any(|s| s.service == *service));
+    let longest = of_service().map(|r| r.timeout).max().unwrap_or_default();
+    let short = of_service().filter(|r| r.timeout <= longest.mul_f64(SHORT_FRACTION));
+    short.map(|r| r.name.clone()).collect()
+}
+
 /// Spreads the returns of refused callers: each is told a time of its own.
 #[derive(Clone, Debug, Default)]
 pub struct ReturnTimes {
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -71,6 +71,11 @@
             }
         };
         self.metrics.count_request(&state.service, &result, arrived.elapsed());
+        let failed = result.as_ref().map_or(true, |answer| answer.status >= 500);
+        if failed && state.sharing && self.queue.borrow().running() > 0 {
+            // It may be a call of a request that runs at the backend server beside this node.
+            self.call_trees.borrow_mut().record_failed_call(Instant::now());
+        }
         if let Err(failure) = &result {
             self.metrics.failure_log.write(|left_out| {
                 spdlog::info!("entry: failed", kv: {
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -15,6 +15,7 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::frame::{GateRequest, LoadReport, Outcome, OwnerHint};
+use super::metrics::AdmissionRefusal;
 use super::node::Node;
 use super::platform_api::SendOutcome;
 use super::server_exits::ServerRun;
@@ -44,6 +45,9 @@
 const KEY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry-after while there is no backend server, and of requests whose time in the queue ran out.
 const SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Mean retry-after of a request that is refused while calls of such requests fail: about the time in
+/// which the estimate is forgotten.
+const CALLS_RETRY_AFTER: Duration = Duration::from_millis(700);
 /// Retry-after of a request that the server rejected or could not be sent.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -198,6 +202,12 @@
         }
         match result {
             SendOutcome::Ran(answer, _) => {
+                self.call_trees.borrow_mut().record_answer(
+                    &slot.class,
+                    began,
+                    answer.status >= 500,
+                    Instant::now(),
+                );
                 if answer.status < 500 {
                     slot.service_time.set(Some(began.elapsed()));
                 }
@@ -291,12 +301,21 @@
     /// Waits in the queue for a slot of the server.
     async fn acquire_slot(&self, slot_request: SlotRequest) -> Result<Slot<'_>, Outcome> {
         let (class, deadline) = (slot_request.class.clone(), slot_request.deadline);
+        if self.queue.borrow().is_sharing() {
+            let draw = fastrand::f64();
+            if !self.call_trees.borrow().admits(&class, draw, Instant::now()) {
+                self.count_admission(&class, AdmissionRefusal::Calls);
+                let delay = CALLS_RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
+                return Err(Outcome::not_run(Code::Busy, delay));
+            }
+        }
         let verdict = self.queue.borrow_mut().admit(slot_request, Instant::now());
         match verdict {
             AdmitDecision::Run => {}
             AdmitDecision::Refuse(delay) => {
                 // Others may have been evicted for it.
                 self.queue_wake.notify_one();
+                self.count_admission(&class, AdmissionRefusal::Arrival);
                 return Err(Outcome::not_run(self.busy_code(), delay));
             }
             AdmitDecision::Wait(ticket) => {
@@ -306,11 +325,15 @@
                 let mut queued = QueuedRequest { node: self, ticket, start };
                 let until = deadline.checked_sub(REJECT_MARGIN).unwrap_or(deadline);
                 let Ok(started) = timeout_at(until.into(), &mut queued.start).await else {
+                    self.count_admission(&class, AdmissionRefusal::Queued);
                     return Err(Outcome::not_run(self.busy_code(), SERVER_RETRY_AFTER));
                 };
                 match started {
                     Ok(Ok(())) => {}
-                    Ok(Err(delay)) => return Err(Outcome::not_run(self.busy_code(), delay)),
+                    Ok(Err(delay)) => {
+                        self.count_admission(&class, AdmissionRefusal::Queued);
+                        return Err(Outcome::not_run(self.busy_code(), delay));
+                    }
                     Err(_) => return Err(Outcome::not_run(Code::Draining, KEY_RETRY_AFTER)),
                 }
             }
@@ -318,6 +341,16 @@
         Ok(Slot { node: self, class, service_time: Cell::new(None) })
     }
 
+    /// Counts a request that is refused for lack of capacity while kinds share the server. Classes
+    /// that the configuration does not name are counted as one.
+    fn count_admission(&self, class: &str, reason: AdmissionRefusal) {
+        if !self.queue.borrow().is_sharing() {
+            return;
+        }
+        let known = self.routes().is_some_and(|routes| routes.all().any(|r| r.name == class));
+        self.metrics.count_admission(if known { class } else { "other" }, reason);
+    }
+
     /// The code of requests for which the server has no capacity.
     fn busy_code(&self) -> Code {
         let (queue, now) = (self.queue.borrow(), Instant::now());
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -58,6 +58,7 @@
     requests: IntCounterVec,
     latency: HistogramVec,
     refusals_total: IntCounterVec,
+    admission: IntCounterVec,
     unrouted: IntCounterVec,
     store_reads: IntCounterVec,
     grants: IntCounterVec,
@@ -128,6 +129,27 @@
     }
 }
 
+/// When a request was refused for lack of capacity; the value of a metric's label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AdmissionRefusal {
+    /// On arrival: its deadline cannot be met, or the queue is full of more urgent requests.
+    Arrival,
+    /// After it was queued: its deadline cannot be met any more, or it was evicted.
+    Queued,
+    /// Calls of such requests fail.
+    Calls,
+}
+
+impl AdmissionRefusal {
+    fn label(self) -> &'static str {
+        match self {
+            AdmissionRefusal::Arrival => "arrival",
+            AdmissionRefusal::Queued => "queued",
+            AdmissionRefusal::Calls => "calls",
+        }
+    }
+}
+
 /// How a read of the store ended; the value of a metric's label.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReadResult {
@@ -204,6 +226,11 @@
                 "Requests that this node's gate refused, by result code and class of request.",
                 &["code", "class"],
             ),
+            admission: counters(
+                "kelpwind_admission_refusals_total",
+                "Requests refused for lack of capacity where kinds share the server, by class and reason.",
+                &["class", "reason"],
+            ),
             unrouted: counters(
                 "kelpwind_unrouted_requests_total",
                 "Callers' requests that failed before a route was chosen, by result code.",
@@ -401,6 +428,11 @@
         self.sent.inc();
     }
 
+    /// Counts a request that is refused for lack of capacity.
+    pub fn count_admission(&self, class: &str, reason: AdmissionRefusal) {
+        self.admission.with_label_values(&[class, reason.label()]).inc();
+    }
+
     /// Counts a request that the gate refused.
     pub fn count_refusal(&self, code: Code, class: &str) {
         self.refusals_total.with_label_values(&[code.number().to_string().as_str(), class]).inc();
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -27,6 +27,7 @@
 use super::store_era::StoreEra;
 use crate::core::ids::{DomainName, Era, Holder, Incarnation, NodeId, Position, ServiceName};
 use crate::core::routes::Routes;
+use crate::gate::call_tree::CallTrees;
 use crate::gate::grant_time::TransitTimes;
 use crate::gate::queue::RequestQueue;
 use crate::gate::server_runs::ServerRuns;
@@ -141,6 +142,8 @@
     pub suspects_wake: Notify,
     /// The queue in front of the backend server.
     pub queue: RefCell<RequestQueue>,
+    /// What became of recent requests and of the calls that they made.
+    pub call_trees: RefCell<CallTrees>,
     /// Requests that wait in the queue.
     pub tickets: Tickets,
     /// Wakes the task that starts queued requests during a cold start.
--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -15,6 +15,7 @@
 use crate::core::freshness::Freshness;
 use crate::core::ids::{DomainName, Offset, Revision};
 use crate::core::routes::Routes;
+use crate::gate::share;
 use crate::table::{Record, polling};
 
 /// Longest time that a request waits until the store has confirmed the configuration. The store
@@ -193,8 +194,10 @@
         let (version, count) = (routes.version.0, routes.all().count());
         spdlog::info!("a configuration is in force", kv: { version, routes = count });
         let sharing = routes.has_bulk();
+        let short = share::short_classes(&routes, &self.service());
         self.routes.replace(Some(Rc::new(routes)));
         self.queue.borrow_mut().set_sharing(sharing);
+        self.queue.borrow_mut().set_short_classes(short);
         self.configured.send_replace(true);
         let rate = self.cold_rate();
         self.queue.borrow_mut().cold_start.set_rate(rate);
--- a/tests/testsuite/admission.rs
+++ b/tests/testsuite/admission.rs
@@ -4,7 +4,7 @@
 //! and service times, and compares what the answers are worth to callers.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
 use std::time::{Duration, Instant};
 
 use kelpwind::gate::queue::{AdmitDecision, QueueEvent, RequestQueue, SlotRequest, Ticket};
@@ -180,6 +180,7 @@
     let mut random = fastrand::Rng::with_seed(seed);
     let mut queue = RequestQueue::new(slots);
     queue.set_sharing(sharing);
+    queue.set_short_classes(HashSet::from([CALL.class.to_owned()]));
     let mut replay = Replay {
         kinds,
         queue,
@@ -342,3 +343,85 @@
     let answered = f64::from(after[0].timely + after[0].late) / f64::from(after[0].requests);
     assert!(answered >= 0.95, "{answered}");
 }
+
+/// Guards against nested calls that wait behind more urgent requests of callers.
+#[test]
+fn nested_calls_beside_more_urgent_requests() {
+    let call = Kind { load: 0.1, ..CALL };
+    let (_, after) = compare(&[call, URGENT, BULK], 1.7, 3000.0);
+    let answered = f64::from(after[0].timely + after[0].late) / f64::from(after[0].requests);
+    assert!(answered >= 0.95, "{answered}");
+}
+
+/// Guards against a request that starts although its deadline cannot be met.
+#[test]
+fn work_that_cannot_meet_its_deadline_never_starts() {
+    let now = Instant::now();
+    let mut queue = RequestQueue::new(1);
+    queue.set_sharing(true);
+    let request = |ms: u64| {
+        let deadline = now + Duration::from_millis(ms);
+        SlotRequest { class: "read".into(), priority: 1, objective: deadline, deadline }
+    };
+    assert_eq!(queue.admit(request(4000), now), AdmitDecision::Run);
+    queue.finish("read", Some(Duration::from_millis(200)), now);
+    assert!(matches!(queue.admit(request(50), now), AdmitDecision::Refuse(_)));
+    assert_eq!(queue.admit(request(4000), now), AdmitDecision::Run);
+    let AdmitDecision::Wait(short) = queue.admit(request(800), now) else { panic!() };
+    let AdmitDecision::Wait(long) = queue.admit(request(4000), now) else { panic!() };
+    let later = now + Duration::from_millis(700);
+    let events = queue.finish("read", None, later);
+    assert!(
+        matches!(events[..], [QueueEvent::Refuse(a, _), QueueEvent::Start(b)] if a == short && b == long)
+    );
+}
+
+/// Guards against refused callers that all return at the same moment, or sooner than they can be
+/// admitted.
+#[test]
+fn refused_callers_are_told_different_times() {
+    let now = Instant::now();
+    let mut queue = RequestQueue::new(2);
+    queue.set_sharing(true);
+    let request = || SlotRequest {
+        class: "read".into(),
+        priority: 1,
+        objective: now + Duration::from_millis(800),
+        deadline: now + Duration::from_millis(1500),
+    };
+    assert_eq!(queue.admit(request(), now), AdmitDecision::Run);
+    queue.finish("read", Some(Duration::from_millis(200)), now);
+    let delays: Vec<Duration> = (0..60)
+        .filter_map(|_| match queue.admit(request(), now) {
+            AdmitDecision::Refuse(delay) => Some(delay),
+            _ => None,
+        })
+        .collect();
+    assert!(delays.len() >= 30);
+    for pair in delays.windows(2) {
+        assert_eq!(pair[1] - pair[0], Duration::from_millis(100), "the time of one request");
+    }
+    assert!(delays[0] >= Duration::from_millis(1000), "queued work goes first: {:?}", delays[0]);
+}
+
+/// Guards against a queue that goes on to accept late requests under a configuration without bulk
+/// routes, and against refusals that are lost when the configuration changes.
+#[test]
+fn decisions_return_to_the_former_ones_without_sharing() {
+    let now = Instant::now();
+    let mut queue = RequestQueue::new(1);
+    let late = || SlotRequest {
+        class: "read".into(),
+        priority: 1,
+        objective: now + Duration::from_millis(10),
+        deadline: now + Duration::from_secs(5),
+    };
+    assert_eq!(queue.admit(late(), now), AdmitDecision::Run);
+    queue.finish("read", Some(Duration::from_secs(1)), now);
+    assert_eq!(queue.admit(late(), now), AdmitDecision::Run);
+    assert!(matches!(queue.clone().admit(late(), now), AdmitDecision::Refuse(_)));
+    queue.set_sharing(true);
+    assert!(matches!(queue.clone().admit(late(), now), AdmitDecision::Wait(_)));
+    queue.set_sharing(false);
+    assert!(matches!(queue.admit(late(), now), AdmitDecision::Refuse(_)));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod adapter;
 mod admission;
 mod bad_input;
+mod call_tree;
 mod charts;
 mod command_line;
 mod config;
