--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -302,7 +302,7 @@
             state.attempt_sent.set(true);
             let link = self.link(&chosen.node, chosen.addr);
             let asked = Instant::now();
-            let reply = link.send(request).await;
+            let reply = link.send(request, &state.attempt_sent).await;
             if let Some(stated) = &reply.stated {
                 self.learn_statement(stated, asked);
             }
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -41,6 +41,11 @@
 /// Time before its deadline at which a request that still waits is rejected, so that its entry
 /// learns in time that it has not run.
 const REJECT_MARGIN: Duration = Duration::from_millis(40);
+/// The same where kinds share the server, as a fraction of the time with which the request arrived, and at
+/// most: answers then share slow links with large ones. A request with less time left would not be
+/// answered in time anyway.
+const REJECT_MARGIN_RATIO: f64 = 0.05;
+const REJECT_MARGIN_MAX: Duration = Duration::from_millis(150);
 /// Retry-after of a key that is being moved or has another owner.
 const KEY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry-after while there is no backend server, and of requests whose time in the queue ran out.
@@ -323,7 +328,8 @@
                 self.tickets.borrow_mut().insert(ticket, sender);
                 self.queue_wake.notify_one();
                 let mut queued = QueuedRequest { node: self, ticket, start };
-                let until = deadline.checked_sub(REJECT_MARGIN).unwrap_or(deadline);
+                let margin = self.reject_margin(deadline);
+                let until = deadline.checked_sub(margin).unwrap_or(deadline);
                 let Ok(started) = timeout_at(until.into(), &mut queued.start).await else {
                     self.count_admission(&class, AdmissionRefusal::Queued);
                     return Err(Outcome::not_run(self.busy_code(), SERVER_RETRY_AFTER));
@@ -341,6 +347,15 @@
         Ok(Slot { node: self, class, service_time: Cell::new(None) })
     }
 
+    /// Time before its deadline at which a request that arrives now is rejected if it still waits.
+    fn reject_margin(&self, deadline: Instant) -> Duration {
+        if !self.queue.borrow().is_sharing() {
+            return REJECT_MARGIN;
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        left.mul_f64(REJECT_MARGIN_RATIO).clamp(REJECT_MARGIN, REJECT_MARGIN_MAX)
+    }
+
     /// Counts a request that is refused for lack of capacity while kinds share the server. Classes
     /// that the configuration does not name are counted as one.
     fn count_admission(&self, class: &str, reason: AdmissionRefusal) {
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -105,13 +105,15 @@
 struct CancelOnDrop<'a> {
     link: &'a Link,
     number: u64,
+    /// Set to whether the gate may have the cancelled request.
+    sent: &'a Cell<bool>,
 }
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
-        if self.link.pending.borrow_mut().remove(&self.number).is_some()
-            && let Some(queue) = self.link.queue.borrow().as_ref()
-        {
+        let Some(pending) = self.link.pending.borrow_mut().remove(&self.number) else { return };
+        self.sent.set(pending.sent);
+        if let Some(queue) = self.link.queue.borrow().as_ref() {
             queue.push(&frame::encode(&EntryFrame::Cancel(self.number)));
         }
     }
@@ -168,8 +170,9 @@
         self.pending.borrow().len() as u32
     }
 
-    /// Sends a request and waits for its outcome. Dropping the future cancels the request.
-    pub async fn send(&self, mut request: GateRequest) -> GateReply {
+    /// Sends a request and waits for its outcome. Dropping the future cancels the request, and sets `sent`
+    /// to whether the gate may have it.
+    pub async fn send(&self, mut request: GateRequest, sent: &Cell<bool>) -> GateReply {
         if self.lost_since.get().is_some() {
             // The gate is unreachable, so the caller gets its answer at once.
             return not_sent().into();
@@ -181,14 +184,14 @@
         let frame = frame::encode(&EntryFrame::Request(Box::new(request)));
         let (done, answer) = oneshot::channel();
         let queue = self.queue.borrow().clone();
-        let sent = queue.is_some();
+        let connected = queue.is_some();
         if let Some(queue) = queue {
             queue.push(&frame);
             self.last_sent.set(number);
         }
-        let pending = Pending { frame, idempotent, sent, since: Instant::now(), done };
+        let pending = Pending { frame, idempotent, sent: connected, since: Instant::now(), done };
         self.pending.borrow_mut().insert(number, pending);
-        let _cancel = CancelOnDrop { link: self, number };
+        let _cancel = CancelOnDrop { link: self, number, sent };
         self.wake.notify_one();
         match answer.await {
             Ok(reply) => reply,
--- a/src/kelpwind/mesh/request_state.rs
+++ b/src/kelpwind/mesh/request_state.rs
@@ -67,7 +67,7 @@
     }
 
     /// Whether a server may be at work on the request. With sharing, an attempt that only waits in this
-    /// node's own queue does not count: nothing of it has been sent.
+    /// node's own queue or for a connection to the gate does not count: nothing of it has been sent.
     pub fn may_be_running(&self) -> bool {
         self.in_flight && (!self.sharing || self.attempt_sent.get())
     }
