--- a/src/kelpwind/gate/mod.rs
+++ b/src/kelpwind/gate/mod.rs
@@ -10,12 +10,15 @@
 //! outcomes of requests that must run at most once.
 //!
 //! On a platform ([`crate::mesh`]), admission is decided by [`queue`], [`cold_start`] and
-//! [`rate_limit`], that of requests with large answers also by [`bulk`], and the duration of key grants by [`grant_time`]. [`server_runs`] tells which
+//! [`rate_limit`], that of requests with large answers also by [`bulk`], where kinds of requests of unequal
+//! cost share the server also by [`share`] and [`call_tree`], and the duration of key grants by
+//! [`grant_time`]. [`server_runs`] tells which
 //! requests the server was at work on when its process ended.
 
 pub(crate) mod admission;
 pub(crate) mod backend;
 pub mod bulk;
+pub mod call_tree;
 pub mod cold_start;
 pub(crate) mod dedup;
 pub mod grant_time;
@@ -25,3 +28,4 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod server_runs;
+pub mod share;
--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -16,13 +16,28 @@
 //! A rate limit that the server states ([`super::rate_limit`]) counts as less capacity: requests whose
 //! turn would come too late are refused as soon as that is known, not when their turn comes.
 //!
+//! Where kinds of requests of unequal cost share the server ([`RequestQueue::set_sharing`]), the load
+//! pattern is 1.2 to 2.5 times the capacity for seconds, and a refused caller returns to the same
+//! overload. A late answer is worth something and a refusal nothing, so a request is then accepted if
+//! its deadline can be met behind what starts before it. The order of starts is:
+//! 1. classes that get less than their guaranteed share ([`super::share`]);
+//! 2. classes with little time by configuration, which are nested calls: each keeps the slot of
+//!    another request waiting. They are refused only if their deadline cannot be met;
+//! 3. by priority; within one, requests that can still meet their objective before late ones; among
+//!    these, the least time left first.
+//!
+//! Requests whose deadline cannot be met any more are refused and never start. If the queue is full,
+//! a late request of the lowest priority is evicted, and of these the one with the least time left.
+//!
 //! Pure: the time is an argument, and the requests to start are returned as values.
 
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use super::cold_start::ColdStart;
 use super::rate_limit::RateLimit;
+use super::share::{ClassIndex, ReturnTimes, Shares};
 use crate::core::ids::RequestRate;
 
 /// Weight of the newest sample in the service time estimates: about ten answers count.
@@ -44,6 +59,18 @@
 /// Bounds to which a reported slowdown is clamped; values outside are not plausible.
 const SLOWDOWN_BOUNDS: (f64, f64) = (0.3, 8.0);
 
+/// Time that a request needs until its deadline to be worth a start, as a multiple of the mean time.
+const DEADLINE_MARGIN: f64 = 1.5;
+/// Least such time, for a request that arrives with little time: a short one may take half the mean.
+const LEAST_FRACTION: f64 = 0.5;
+/// Time that a request needs until its objective to count as in time, as a multiple of the mean time:
+/// service times vary, and one with just the mean left is late in a third of the cases.
+const OBJECTIVE_MARGIN: f64 = 3.0;
+/// Largest fraction of the time from arrival to objective or deadline that these margins take.
+const ALLOWANCE_FRACTION: f64 = 0.6;
+/// Most queued work, as the time in which all slots together do it.
+const BACKLOG_MAX: Duration = Duration::from_secs(6);
+
 /// A request for a slot of the backend server.
 #[derive(Clone, Debug)]
 pub struct SlotRequest {
@@ -85,6 +112,77 @@
 struct Queued {
     ticket: Ticket,
     request: SlotRequest,
+    arrived: Instant,
+    /// Number of the class, if kinds share the server.
+    class: ClassIndex,
+    /// Whether the class goes before others, if kinds share the server.
+    short: bool,
+    /// Service time expected on arrival, in seconds at the usual speed of the server.
+    expected: f64,
+}
+
+/// State of a queue whose server several kinds of requests of unequal cost share.
+#[derive(Clone, Debug, Default)]
+struct Sharing {
+    shares: Shares,
+    returns: ReturnTimes,
+    /// Classes whose requests go before those of all others that get their share.
+    short: HashSet<String>,
+}
+
+/// What the order of queued requests depends on while kinds share the server. It is taken once per
+/// decision, since hundreds of requests may be queued.
+struct SharedView {
+    now: Instant,
+    /// Whether a class gets less than its guaranteed share, by its number.
+    owed: Vec<bool>,
+    slowdown: f64,
+}
+
+/// Sort key of queued requests while kinds share the server: the lowest starts next.
+type SharedOrder = (bool, bool, u8, bool, Instant, Ticket);
+
+impl SharedView {
+    /// Expected service time of a queued request, in seconds.
+    fn expected(&self, queued: &Queued) -> f64 {
+        queued.expected * self.slowdown
+    }
+
+    /// Whether a request that starts now would probably miss its deadline.
+    fn is_hopeless(&self, queued: &Queued) -> bool {
+        let own = self.expected(queued);
+        // A request with little time on arrival is tried if half of the usual time is left.
+        let allowance = queued.request.deadline.saturating_duration_since(queued.arrived);
+        let most = (allowance.as_secs_f64() * ALLOWANCE_FRACTION).max(own * LEAST_FRACTION);
+        let needed = Duration::from_secs_f64((own * DEADLINE_MARGIN).min(most));
+        self.now + needed > queued.request.deadline
+    }
+
+    /// Whether a request that starts now would probably miss its latency objective.
+    fn is_late(&self, queued: &Queued) -> bool {
+        let own = self.expected(queued);
+        // A class whose usual time is close to its objective would else be late on arrival.
+        let allowance = queued.request.objective.saturating_duration_since(queued.arrived);
+        let most = (allowance.as_secs_f64() * ALLOWANCE_FRACTION).max(own);
+        let margin = Duration::from_secs_f64((own * OBJECTIVE_MARGIN).min(most));
+        self.now + margin > queued.request.objective
+    }
+
+    /// When a request starts, relative to others.
+    fn order(&self, queued: &Queued) -> SharedOrder {
+        let request = &queued.request;
+        let owed = self.owed.get(queued.class).is_some_and(|owed| *owed);
+        let late = self.is_late(queued);
+        let until = if late { request.deadline } else { request.objective };
+        (!owed, !queued.short, request.priority, late, until, queued.ticket)
+    }
+
+    /// Sort key of queued requests by when they are evicted: the highest is first.
+    fn eviction_order(&self, queued: &Queued) -> (bool, bool, u8, Reverse<Instant>, Ticket) {
+        let request = &queued.request;
+        let late = self.is_late(queued);
+        (!queued.short, late, request.priority, Reverse(request.deadline), queued.ticket)
+    }
 }
 
 /// The admission queue of one backend server.
@@ -104,6 +202,9 @@
     /// Limit on request starts while the server is cold.
     pub cold_start: ColdStart,
     rate_limit: RateLimit,
+    sharing: Option<Sharing>,
+    /// Refusals of requests that were evicted on the arrival of others; the next dispatch returns them.
+    evicted: Vec<QueueEvent>,
 }
 
 impl RequestQueue {
@@ -123,6 +224,8 @@
             load_updated: None,
             cold_start: ColdStart::default(),
             rate_limit: RateLimit::default(),
+            sharing: None,
+            evicted: Vec::new(),
         }
     }
 
@@ -131,6 +234,27 @@
         self.slots = slots.max(1);
     }
 
+    /// Sets whether kinds of requests of unequal cost share the server. If they do, requests are
+    /// accepted up to their deadlines; see the module's documentation.
+    pub fn set_sharing(&mut self, sharing: bool) {
+        if sharing != self.sharing.is_some() {
+            self.sharing = sharing.then(Sharing::default);
+        }
+    }
+
+    /// Sets the classes whose requests go before those of others while kinds share the server (see
+    /// [`super::share::short_classes`]).
+    pub fn set_short_classes(&mut self, classes: HashSet<String>) {
+        if let Some(sharing) = &mut self.sharing {
+            sharing.short = classes;
+        }
+    }
+
+    /// Whether kinds of requests of unequal cost share the server.
+    pub fn is_sharing(&self) -> bool {
+        self.sharing.is_some()
+    }
+
     /// Sets the slowdown that the server reports: 1 is normal, 2 means that work takes twice as
     /// long.
     pub fn set_slowdown(&mut self, slowdown: f64) {
@@ -194,6 +318,9 @@
     /// Starts, queues or refuses an arriving request.
     pub fn admit(&mut self, request: SlotRequest, now: Instant) -> AdmitDecision {
         self.record_offered_load(&request, now);
+        if self.sharing.is_some() {
+            return self.admit_shared(request, now);
+        }
         if self.running < self.slots && self.waiting.is_empty() && self.may_start(now) {
             self.start(now);
             return AdmitDecision::Run;
@@ -218,7 +345,14 @@
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        self.waiting.push(Queued { ticket, request });
+        self.waiting.push(Queued {
+            ticket,
+            request,
+            arrived: now,
+            class: 0,
+            short: false,
+            expected: own,
+        });
         AdmitDecision::Wait(ticket)
     }
 
@@ -240,10 +374,13 @@
     /// Starts the queued requests that may start now. One whose turn comes too late to meet its
     /// deadline is refused instead.
     pub fn dispatch(&mut self, now: Instant) -> Vec<QueueEvent> {
-        let mut events = Vec::new();
+        if self.sharing.is_some() {
+            return self.dispatch_shared(now);
+        }
+        let mut events = std::mem::take(&mut self.evicted);
         while self.running < self.slots && !self.waiting.is_empty() {
             let Some(first) = self.next_index(now) else { break };
-            let Queued { ticket, request } = &self.waiting[first];
+            let Queued { ticket, request, .. } = &self.waiting[first];
             let (ticket, own) = (*ticket, self.expected_secs(request));
             // The estimate is a mean, and a short request may take only half of it.
             let too_late = now + Duration::from_secs_f64(own / 2.0) >= request.deadline;
@@ -272,7 +409,7 @@
         order.sort_by_key(|i| self.start_order(&self.waiting[*i], now));
         let mut ahead = 0;
         let mut hopeless = Vec::new();
-        for Queued { ticket, request } in order.into_iter().map(|i| &self.waiting[i]) {
+        for Queued { ticket, request, .. } in order.into_iter().map(|i| &self.waiting[i]) {
             let start = now + self.rate_limit.wait(now, ahead);
             if start + Duration::from_secs_f64(self.expected_secs(request) / 2.0)
                 >= request.deadline
@@ -296,6 +433,9 @@
     /// When [`dispatch`](Self::dispatch) must run next even if no request finishes, since at most the
     /// cold start and the rate limit hold requests back; `None` if a slot must become free first.
     pub fn next_dispatch(&self, now: Instant) -> Option<Instant> {
+        if !self.evicted.is_empty() {
+            return Some(now);
+        }
         if self.waiting.is_empty() || self.running >= self.slots {
             return None;
         }
@@ -303,6 +443,116 @@
         Some(next.unwrap_or(now))
     }
 
+    /// Starts or queues an arriving request unless its deadline cannot be met, and evicts others for
+    /// it if the queue is full.
+    fn admit_shared(&mut self, request: SlotRequest, now: Instant) -> AdmitDecision {
+        let own = self.expected_secs(&request);
+        let class = self.sharing.as_mut().map_or(0, |sharing| {
+            let class = sharing.shares.index(&request.class);
+            sharing.shares.record_offered(class, own, now);
+            class
+        });
+        let least = Duration::from_secs_f64(own * LEAST_FRACTION);
+        if now + least > request.deadline {
+            return AdmitDecision::Refuse(self.return_delay(0.0, now));
+        }
+        if self.running < self.slots && self.waiting.is_empty() && self.may_start(now) {
+            self.start_shared(class, own, now);
+            return AdmitDecision::Run;
+        }
+        let ticket = Ticket(self.next_ticket);
+        let expected = own / self.slowdown;
+        let short = self.sharing.as_ref().is_some_and(|s| s.short.contains(&request.class));
+        let queued = Queued { ticket, request, arrived: now, class, short, expected };
+        let view = self.view(now);
+        let order = view.order(&queued);
+        let (mut ahead, mut ahead_secs, mut all_secs) = (0, 0.0, own);
+        for other in &self.waiting {
+            let secs = view.expected(other);
+            all_secs += secs;
+            if view.order(other) < order {
+                ahead += 1;
+                ahead_secs += secs;
+            }
+        }
+        let slots = f64::from(self.slots);
+        let wait =
+            self.secs_until_free() + ahead_secs / slots + self.cold_start.wait_secs(now, ahead);
+        let wait = wait.max(self.rate_limit.wait(now, ahead).as_secs_f64());
+        let start = SharedView { now: now + Duration::from_secs_f64(wait), ..self.view(now) };
+        if start.is_hopeless(&queued) {
+            return AdmitDecision::Refuse(self.return_delay(all_secs - own, now));
+        }
+        self.next_ticket += 1;
+        self.waiting.push(queued);
+        while all_secs > BACKLOG_MAX.as_secs_f64() * slots {
+            let last =
+                (0..self.waiting.len()).max_by_key(|i| view.eviction_order(&self.waiting[*i]));
+            let Some(last) = last else { break };
+            let evicted = self.waiting.swap_remove(last);
+            all_secs -= view.expected(&evicted);
+            let delay = self.return_delay(all_secs, now);
+            if evicted.ticket == ticket {
+                return AdmitDecision::Refuse(delay);
+            }
+            self.evicted.push(QueueEvent::Refuse(evicted.ticket, delay));
+        }
+        AdmitDecision::Wait(ticket)
+    }
+
+    /// Refuses the queued requests whose deadlines cannot be met any more, and starts others.
+    fn dispatch_shared(&mut self, now: Instant) -> Vec<QueueEvent> {
+        let mut events = std::mem::take(&mut self.evicted);
+        let mut view = self.view(now);
+        let waiting = std::mem::take(&mut self.waiting);
+        let (hopeless, waiting): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|w| view.is_hopeless(w));
+        self.waiting = waiting;
+        let all_secs: f64 = self.waiting.iter().map(|w| view.expected(w)).sum();
+        for queued in hopeless {
+            let delay = self.return_delay(all_secs, now);
+            events.push(QueueEvent::Refuse(queued.ticket, delay));
+        }
+        while self.running < self.slots && self.may_start(now) {
+            let first = (0..self.waiting.len()).min_by_key(|i| view.order(&self.waiting[*i]));
+            let Some(first) = first else { break };
+            let Queued { ticket, class, .. } = self.waiting[first];
+            let own = view.expected(&self.waiting[first]);
+            self.waiting.swap_remove(first);
+            self.start_shared(class, own, now);
+            events.push(QueueEvent::Start(ticket));
+            // The start may have paid what the class was owed.
+            view = self.view(now);
+        }
+        self.refuse_hopeless(now, &mut events);
+        events
+    }
+
+    fn start_shared(&mut self, class: ClassIndex, own: f64, now: Instant) {
+        self.start(now);
+        if let Some(sharing) = &mut self.sharing {
+            sharing.shares.record_started(class, own, now);
+        }
+    }
+
+    /// The state of the classes that the order of queued requests depends on.
+    fn view(&self, now: Instant) -> SharedView {
+        let owed = self.sharing.as_ref().map(|s| s.shares.owed()).unwrap_or_default();
+        SharedView { now, owed, slowdown: self.slowdown }
+    }
+
+    /// Time after which a refused caller should return: when the queued work is done, and the callers
+    /// refused before it have returned. `queued_secs` is the work of the requests that stay queued.
+    fn return_delay(&mut self, queued_secs: f64, now: Instant) -> Duration {
+        let slots = f64::from(self.slots);
+        let free_after = self.secs_until_free() + queued_secs / slots;
+        let interval = self.mean_time * self.slowdown / slots;
+        let limited = self.rate_limit.record_refusal(now);
+        let Some(sharing) = &mut self.sharing else { return limited };
+        let free_after = Duration::from_secs_f64(free_after).max(RETRY_DELAY_MIN);
+        sharing.returns.assign(free_after, Duration::from_secs_f64(interval), now).max(limited)
+    }
+
     /// Whether the limits on request starts let one more start.
     fn may_start(&self, now: Instant) -> bool {
         self.cold_start.may_start(now) && self.rate_limit.may_start(now)
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -15,6 +15,7 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::frame::{GateRequest, LoadReport, Outcome, OwnerHint};
+use super::metrics::AdmissionRefusal;
 use super::node::Node;
 use super::platform_api::SendOutcome;
 use super::server_exits::ServerRun;
@@ -41,10 +42,18 @@
 /// Time before its deadline at which a request that still waits is rejected, so that its entry
 /// learns in time that it has not run.
 const REJECT_MARGIN: Duration = Duration::from_millis(40);
+/// The same where kinds share the server, as a fraction of the time with which the request arrived, and at
+/// most: answers then share slow links with large ones. A request with less time left would not be
+/// answered in time anyway.
+const REJECT_MARGIN_RATIO: f64 = 0.05;
+const REJECT_MARGIN_MAX: Duration = Duration::from_millis(150);
 /// Retry-after of a key that is being moved or has another owner.
 const KEY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry-after while there is no backend server, and of requests whose time in the queue ran out.
 const SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Mean retry-after of a request that is refused while calls of such requests fail: about the time in
+/// which the estimate is forgotten.
+const CALLS_RETRY_AFTER: Duration = Duration::from_millis(700);
 /// Retry-after of a request that the server rejected or could not be sent.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -215,6 +224,12 @@
         }
         match result {
             SendOutcome::Ran(answer, _) => {
+                self.call_trees.borrow_mut().record_answer(
+                    &slot.class,
+                    began,
+                    answer.status >= 500,
+                    Instant::now(),
+                );
                 if answer.status < 500 {
                     slot.service_time.set(Some(began.elapsed()));
                 }
@@ -322,22 +337,40 @@
     /// Waits in the queue for a slot of the server.
     async fn acquire_slot(&self, slot_request: SlotRequest) -> Result<Slot<'_>, Outcome> {
         let (class, deadline) = (slot_request.class.clone(), slot_request.deadline);
+        if self.queue.borrow().is_sharing() {
+            let draw = fastrand::f64();
+            if !self.call_trees.borrow().admits(&class, draw, Instant::now()) {
+                self.count_admission(&class, AdmissionRefusal::Calls);
+                let delay = CALLS_RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
+                return Err(Outcome::not_run(Code::Busy, delay));
+            }
+        }
         let verdict = self.queue.borrow_mut().admit(slot_request, Instant::now());
         match verdict {
             AdmitDecision::Run => {}
-            AdmitDecision::Refuse(delay) => return Err(Outcome::not_run(self.busy_code(), delay)),
+            AdmitDecision::Refuse(delay) => {
+                // Others may have been evicted for it.
+                self.queue_wake.notify_one();
+                self.count_admission(&class, AdmissionRefusal::Arrival);
+                return Err(Outcome::not_run(self.busy_code(), delay));
+            }
             AdmitDecision::Wait(ticket) => {
                 let (sender, start) = oneshot::channel();
                 self.tickets.borrow_mut().insert(ticket, sender);
                 self.queue_wake.notify_one();
                 let mut queued = QueuedRequest { node: self, ticket, start };
-                let until = deadline.checked_sub(REJECT_MARGIN).unwrap_or(deadline);
+                let margin = self.reject_margin(deadline);
+                let until = deadline.checked_sub(margin).unwrap_or(deadline);
                 let Ok(started) = timeout_at(until.into(), &mut queued.start).await else {
+                    self.count_admission(&class, AdmissionRefusal::Queued);
                     return Err(Outcome::not_run(self.busy_code(), SERVER_RETRY_AFTER));
                 };
                 match started {
                     Ok(Ok(())) => {}
-                    Ok(Err(delay)) => return Err(Outcome::not_run(self.busy_code(), delay)),
+                    Ok(Err(delay)) => {
+                        self.count_admission(&class, AdmissionRefusal::Queued);
+                        return Err(Outcome::not_run(self.busy_code(), delay));
+                    }
                     Err(_) => return Err(Outcome::not_run(Code::Draining, KEY_RETRY_AFTER)),
                 }
             }
@@ -345,6 +378,25 @@
         Ok(Slot { node: self, class, service_time: Cell::new(None) })
     }
 
+    /// Time before its deadline at which a request that arrives now is rejected if it still waits.
+    fn reject_margin(&self, deadline: Instant) -> Duration {
+        if !self.queue.borrow().is_sharing() {
+            return REJECT_MARGIN;
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        left.mul_f64(REJECT_MARGIN_RATIO).clamp(REJECT_MARGIN, REJECT_MARGIN_MAX)
+    }
+
+    /// Counts a request that is refused for lack of capacity while kinds share the server. Classes
+    /// that the configuration does not name are counted as one.
+    fn count_admission(&self, class: &str, reason: AdmissionRefusal) {
+        if !self.queue.borrow().is_sharing() {
+            return;
+        }
+        let known = self.routes().is_some_and(|routes| routes.all().any(|r| r.name == class));
+        self.metrics.count_admission(if known { class } else { "other" }, reason);
+    }
+
     /// The code of requests for which the server has no capacity.
     fn busy_code(&self) -> Code {
         let (queue, now) = (self.queue.borrow(), Instant::now());
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -120,12 +120,15 @@
 struct CancelOnDrop<'a> {
     link: &'a Link,
     number: u64,
+    /// Set to whether the gate may have the cancelled request.
+    sent: &'a Cell<bool>,
 }
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
         let Some(pending) = self.link.pending.borrow_mut().remove(&self.number) else { return };
         self.link.receiver.borrow_mut().forget(self.number);
+        self.sent.set(pending.message.was_sent());
         let Some(queue) = self.link.queue.borrow().clone() else { return };
         if queue.remove(self.number) == Removed::Unsent && !pending.message.was_sent() {
             return;
@@ -194,8 +197,9 @@
         self.pending.borrow().len() as u32
     }
 
-    /// Sends a request and waits for its outcome. Dropping the future cancels the request.
-    pub async fn send(&self, mut request: GateRequest) -> GateReply {
+    /// Sends a request and waits for its outcome. Dropping the future cancels the request, and sets `sent`
+    /// to whether the gate may have it.
+    pub async fn send(&self, mut request: GateRequest, sent: &Cell<bool>) -> GateReply {
         if self.lost_since.get().is_some() {
             // The gate is unreachable, so the caller gets its answer at once.
             return not_sent().into();
@@ -214,7 +218,7 @@
             self.acknowledge(queue);
             queue.push(&message);
         }
-        let _cancel = CancelOnDrop { link: self, number };
+        let _cancel = CancelOnDrop { link: self, number, sent };
         self.wake.notify_one();
         match answer.await {
             Ok(reply) => reply,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,7 +2,9 @@
 //! `kelpwind_test_support::cluster` run real processes of the program.
 
 mod adapter;
+mod admission;
 mod bad_input;
+mod call_tree;
 mod charts;
 mod command_line;
 mod config;
