Reject statuses that HTTP does not define; cancel again over a new connection

Cause: a status below 100 counted as an interim answer, so the request waited until its deadline; 600 to 999 went to the caller. Change: code 305, the connection is not used again. Cancels sent over a connection that broke were lost: they are sent again over the next one.

--- a/src/kelpwind/core/codes.rs
+++ b/src/kelpwind/core/codes.rs
@@ -82,6 +82,7 @@
     Truncated = 302, Unknown, 502, "the answer ended before it was whole";
     Revoked = 303, Unknown, 502, "the lease ended while the backend server worked";
     EarlierUnknown = 304, Unknown, 502, "an earlier request with this idempotency key has no known outcome";
+    InvalidStatus = 305, Unknown, 502, "the backend server answered with a status that HTTP does not define";
     BadName = 400, NotRun, 400, "not a valid name";
     BadValue = 401, NotRun, 400, "not a valid value";
     UnknownField = 402, NotRun, 400, "no such field or object kind";
--- a/src/kelpwind/gate/backend.rs
+++ b/src/kelpwind/gate/backend.rs
@@ -116,6 +116,7 @@
         e if e.is_unsent() => Code::Unreachable,
         CallError::Expired => Code::Expired,
         CallError::Truncated | CallError::TooLarge => Code::Truncated,
+        CallError::InvalidStatus => Code::InvalidStatus,
         _ => Code::ConnectionLost,
     }
 }
--- a/src/kelpwind/mesh/commit.rs
+++ b/src/kelpwind/mesh/commit.rs
@@ -12,12 +12,12 @@
 use crate::core::ids::Position;
 use crate::table::{Table, WriteBatch};
 
-/// Longest pause after the second conflict; it grows with each failure. The pause is drawn at
+/// Longest pause after the first conflict; it doubles with each further one. The pause is drawn at
 /// random, so that concurrent writers do not retry in step.
-const CONFLICT_PAUSE: Duration = Duration::from_millis(8);
-/// Number of conflicts after which the pause stops growing. Two dozen writers at 4 ms an append take
-/// about as long as this pause.
-const CONFLICT_PAUSE_STEPS: u32 = 12;
+const CONFLICT_PAUSE: Duration = Duration::from_millis(15);
+/// Number of conflicts after which the pause stops growing. Some twenty owners that move keys at once
+/// take half a second for one attempt each, if a read and an append take 25 ms.
+const CONFLICT_DOUBLINGS: u32 = 5;
 /// Pause after the first append that fails for another reason than a conflict; it grows with each
 /// failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
@@ -87,13 +87,11 @@
                     return Some(update);
                 }
                 Err(StoreError::Conflict) => {
+                    let pause = CONFLICT_PAUSE * 2_u32.pow(failures.min(CONFLICT_DOUBLINGS));
+                    sleep(pause.mul_f64(fastrand::f64())).await;
                     // The shorter the time between a read and the next attempt, the fewer attempts
                     // conflict. Records that others pass on may be late on a busy link.
-                    if self.followed_position().0 <= at {
-                        self.read_table_once().await;
-                    }
-                    let pause = CONFLICT_PAUSE * failures.min(CONFLICT_PAUSE_STEPS);
-                    sleep(pause.mul_f64(fastrand::f64())).await;
+                    self.read_table_once().await;
                 }
                 Err(e) => {
                     let why = e.to_string();
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -6,7 +6,7 @@
 //! run if it was never sent, otherwise as unknown.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -58,6 +58,10 @@
 /// Number of replies after which they are acknowledged.
 const ACKNOWLEDGE_COUNT: usize = 256;
 
+/// Time for which the numbers of cancelled requests are kept. It is longer than it takes to notice that a
+/// connection is broken and to open another one.
+const CANCEL_RETENTION: Duration = Duration::from_secs(3);
+
 /// An unanswered request.
 struct Pending {
     message: Rc<Message>,
@@ -99,6 +103,8 @@
     receiver: RefCell<Receiver>,
     account: MemoryAccount,
     pacer: Rc<Pacer>,
+    /// Numbers of requests cancelled lately, and when.
+    cancelled: RefCell<VecDeque<(Instant, u64)>>,
     queue: RefCell<Option<Rc<SendQueue>>>,
     /// When the last bytes arrived.
     last_received: Cell<Instant>,
@@ -129,10 +135,13 @@
         let Some(pending) = self.link.pending.borrow_mut().remove(&self.number) else { return };
         self.link.receiver.borrow_mut().forget(self.number);
         self.sent.set(pending.message.was_sent());
-        let Some(queue) = self.link.queue.borrow().clone() else { return };
-        if queue.remove(self.number) == Removed::Unsent && !pending.message.was_sent() {
+        let queue = self.link.queue.borrow().clone();
+        let removed = queue.as_ref().map(|queue| queue.remove(self.number));
+        if matches!(removed, None | Some(Removed::Unsent)) && !pending.message.was_sent() {
             return;
         }
+        self.link.note_cancelled(self.number);
+        let Some(queue) = queue else { return };
         queue.push_control(&Message::control(&EntryFrame::Cancel(self.number)));
     }
 }
@@ -159,6 +168,7 @@
             receiver: RefCell::default(),
             account,
             pacer,
+            cancelled: RefCell::default(),
             queue: RefCell::default(),
             last_received: Cell::new(Instant::now()),
             lost_since: Cell::new(None),
@@ -192,6 +202,17 @@
         self.leaving.get()
     }
 
+    /// Keeps the number of a cancelled request for the next connection: the present one may be broken.
+    fn note_cancelled(&self, number: u64) {
+        let now = Instant::now();
+        let mut cancelled = self.cancelled.borrow_mut();
+        let is_old = |at: Instant| now.duration_since(at) >= CANCEL_RETENTION;
+        while cancelled.front().is_some_and(|(at, _)| is_old(*at)) {
+            cancelled.pop_front();
+        }
+        cancelled.push_back((now, number));
+    }
+
     /// Number of unanswered requests.
     pub fn pending_count(&self) -> u32 {
         self.pending.borrow().len() as u32
@@ -384,6 +405,11 @@
             spdlog::info!("regained contact with a node", kv: { node = self.node.as_str() });
         }
         self.last_received.set(Instant::now());
+        for (at, number) in &*self.cancelled.borrow() {
+            if at.elapsed() < CANCEL_RETENTION {
+                queue.push_control(&Message::control(&EntryFrame::Cancel(*number)));
+            }
+        }
         self.pending.borrow().values().for_each(|pending| queue.push(&pending.message));
         self.queue.replace(Some(queue.clone()));
     }
--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -7,6 +7,7 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,8 @@
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
+/// Statuses that HTTP defines. One below 100 is no interim response, so no other one need follow it.
+pub(crate) const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 /// Maximum number of headers of a response.
 const HEADERS_MAX: usize = 64;
 /// Largest head of a response, in bytes, and largest size of the 1xx heads before it together. The
@@ -123,6 +126,8 @@
     Malformed,
     /// the answer is over a size limit
     TooLarge,
+    /// HTTP does not define the status {0}
+    InvalidStatus(u16),
 }
 
 impl std::error::Error for ExchangeError {
@@ -366,6 +371,9 @@
     let mut interim_bytes = 0;
     let head = loop {
         let (head, size) = read_head(reader, buffer).await?;
+        if !VALID_STATUSES.contains(&head.status) {
+            return Err(ExchangeError::InvalidStatus(head.status));
+        }
         if head.status >= 200 {
             break head;
         }
--- a/src/kelpwind/net/pool.rs
+++ b/src/kelpwind/net/pool.rs
@@ -25,6 +25,8 @@
 use tokio::task::{AbortHandle, yield_now};
 use tokio::time::{timeout, timeout_at};
 
+use super::http1::VALID_STATUSES;
+
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// TCP user timeout: how long sent bytes may stay unacknowledged before the connection fails.
@@ -59,6 +61,8 @@
     Truncated,
     /// the answer is over the size limit
     TooLarge,
+    /// HTTP does not define the status of the answer
+    InvalidStatus,
 }
 
 impl std::error::Error for CallError {
@@ -174,6 +178,9 @@
                     None => return Err(CallError::Broken(failed.into_error())),
                 },
             };
+            if !VALID_STATUSES.contains(&response.status().as_u16()) {
+                return Err(CallError::InvalidStatus);
+            }
             let (response, reusable) = read_response(response, limits).await?;
             if reusable {
                 self.put_idle(addr, connection);
--- a/tests/testsuite/connection.rs
+++ b/tests/testsuite/connection.rs
@@ -118,6 +118,7 @@
             ExchangeError::Truncated => "truncated",
             ExchangeError::Malformed => "malformed",
             ExchangeError::TooLarge => "too large",
+            ExchangeError::InvalidStatus(_) => "invalid status",
             ExchangeError::Unsent(_) | ExchangeError::Broken(_) => "broken",
         };
         assert_eq!(kind, expected, "{bytes:?}");
--- a/tests/testsuite/faulty_answers.rs
+++ b/tests/testsuite/faulty_answers.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use kelpwind::core::codes::Code;
 use kelpwind::mesh::platform_api::{Backend, Request, SendOutcome};
 use kelpwind::net::http1::Conn;
+use kelpwind::net::pool::{CallError, Pool};
 use rstest::rstest;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -172,3 +174,96 @@
     let answer = conn.exchange("GET", b"GET / HTTP/1.1\r\n\r\n", &[], |_| true).await.unwrap();
     assert_eq!(answer.head.status, 200);
 }
+
+/// A server that answers the first request on its first connection with `answer`, and all others as it
+/// should.
+async fn serve_odd_status(listener: TcpListener, after: u32, answer_1: String) {
+    for number in 0.. {
+        let Ok((mut stream, _)) = listener.accept().await else { return };
+        let odd = answer_1.clone();
+        tokio::spawn(async move {
+            let mut requests = 0;
+            while let Some(id) = read_id(&mut stream).await {
+                let text = if number == 0 && requests == after {
+                    odd.replace("ID", &id)
+                } else {
+                    answer(&id)
+                };
+                requests += 1;
+                // The client may have closed the connection.
+                let _ = stream.write_all(text.as_bytes()).await;
+            }
+        });
+    }
+}
+
+/// Statuses that HTTP does not define. A caller would get them as the answer of the server, or would wait
+/// for another one until its time is over.
+const ODD_STATUSES: &[&str] = &["000", "099", "600", "999", "20", "2000", "", "-200", "2x0"];
+
+/// The caller gets a failure that promises nothing, and nothing that is left on the connection counts as
+/// the answer to the next request.
+#[rstest]
+#[tokio::test]
+async fn an_odd_status_is_passed_on_or_waited_out(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8)] status: usize,
+    #[values("content-length: 0\r\n\r\n", "content-length: 5\r\n\r\nhello", "\r\nhello")]
+    rest: &str,
+    #[values(0, 1)] before: u32,
+) {
+    let status = ODD_STATUSES[status];
+    let odd = format!("HTTP/1.1 {status} Odd\r\nx-request-id: ID\r\n{rest}");
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let backend = open_backend(listener.local_addr().unwrap());
+    tokio::spawn(serve_odd_status(listener, before, odd));
+    for n in 0..before {
+        let outcome = send(&backend, &format!("r-{n}")).await;
+        assert!(matches!(&outcome, SendOutcome::Ran(a, _) if a.body == "ok"), "{outcome:?}");
+    }
+    let outcome = send(&backend, "odd").await;
+    let allowed = [Code::InvalidStatus, Code::Truncated];
+    assert!(
+        matches!(&outcome, SendOutcome::Unknown(code, _) if allowed.contains(code)),
+        "{outcome:?}"
+    );
+    let outcome = send(&backend, "next").await;
+    assert!(matches!(&outcome, SendOutcome::Ran(a, _) if a.body == "ok"), "{outcome:?}");
+}
+
+/// Interim answers without end hold a request until its deadline.
+#[tokio::test]
+async fn interim_answers_without_end_are_waited_out() {
+    let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(4000);
+    let addr = serve_once(interim.into_bytes(), End::Close).await;
+    let outcome = send(&open_backend(addr), "r-1").await;
+    assert!(matches!(outcome, SendOutcome::Unknown(Code::Truncated, _)), "{outcome:?}");
+}
+
+/// The same for nodes that use the log, whose connections are those of the HTTP library.
+#[rstest]
+#[tokio::test]
+async fn an_odd_status_is_passed_on_by_a_node_with_a_log(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8)] status: usize,
+    #[values("content-length: 0\r\n\r\n", "content-length: 5\r\n\r\nhello")] rest: &str,
+    #[values(0, 1)] before: u32,
+) {
+    let status = ODD_STATUSES[status];
+    let odd = format!("HTTP/1.1 {status} Odd\r\nx-request-id: ID\r\n{rest}");
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(serve_odd_status(listener, before, odd));
+    let pool = Pool::new(None);
+    let call = async || {
+        let request = http::Request::get("/x").header("x-request-id", "r").body(Bytes::new());
+        pool.call(addr, request.unwrap(), Instant::now() + CALL_LIMIT).await
+    };
+    for _ in 0..before {
+        assert_eq!(call().await.unwrap().body(), "ok");
+    }
+    let odd = call().await;
+    assert!(
+        matches!(&odd, Err(e) if !e.is_unsent() && !matches!(e, CallError::Expired)),
+        "{odd:?}"
+    );
+    assert_eq!(call().await.unwrap().body(), "ok");
+}
