--- a/src/kelpwind/mesh/send_queue.rs
+++ b/src/kelpwind/mesh/send_queue.rs
@@ -25,6 +25,8 @@
     order: RefCell<SendOrder<Rc<Message>>>,
     wake: Notify,
     closed: Cell<bool>,
+    /// Whether messages are being written.
+    writing: Cell<bool>,
 }
 
 impl SendQueue {
@@ -52,6 +54,11 @@
         self.wake.notify_one();
     }
 
+    /// Whether all messages have been written.
+    pub fn is_idle(&self) -> bool {
+        !self.writing.get() && self.order.borrow().is_empty()
+    }
+
     /// Ends the writing task once the queue is empty.
     pub fn close(&self) {
         self.closed.set(true);
@@ -71,7 +78,10 @@
             buffer.clear();
             self.fill(&mut buffer);
             if !buffer.is_empty() {
-                if let Err(e) = writer.write_all(&buffer).await {
+                self.writing.set(true);
+                let written = writer.write_all(&buffer).await;
+                self.writing.set(false);
+                if let Err(e) = written {
                     spdlog::debug!("failed to write to the connection to another node: {e}");
                     return;
                 }
--- a/src/kelpwind/mesh/serve.rs
+++ b/src/kelpwind/mesh/serve.rs
@@ -199,6 +199,12 @@
         }
     }
 
+    /// Whether replies are still to be written to connections of entries.
+    pub fn has_unsent_replies(&self) -> bool {
+        let sessions = self.sessions.borrow();
+        sessions.values().any(|s| s.current.borrow().as_ref().is_some_and(|c| !c.queue.is_idle()))
+    }
+
     /// Takes the memory for a request that arrives in parts. `None` if it is not needed, or there is
     /// none: then the request is refused.
     fn reserve(&self, session: &Session, number: u64, size: usize) -> Option<Hold> {
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -273,6 +273,7 @@
         let me = self.holder();
         let table = self.table.borrow();
         let owns = table.keys.values().flat_map(|k| k.owners()).any(|h| me.continues(h));
-        self.inflight.get() == 0 && queue.running() == 0 && queue.waiting() == 0 && !owns
+        let handled = self.inflight.get() == 0 && queue.running() == 0 && queue.waiting() == 0;
+        handled && !owns && !self.has_unsent_replies()
     }
 }
--- a/tests/mesh/large_messages.rs
+++ b/tests/mesh/large_messages.rs
@@ -138,6 +138,34 @@
     assert!(!fleet.log(ENTRY).contains("is silent and is closed"), "the link was closed");
 }
 
+/// Guards against a server that is told more time than is left, because the time was computed before
+/// the body was sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_takes_seconds_to_send_comes_with_the_time_left_before_them() {
+    let fleet = start_slow(LONG_PUT).await;
+    let large = spawn_long(&fleet, ENTRY, "POST /put/x", "large", body(LARGE));
+    let answer = large.await.unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let told = answer.head.split("x-told-ms: ").nth(1).and_then(|s| s.split('\r').next());
+    let told: u64 = told.and_then(|s| s.parse().ok()).expect("a time");
+    // The proxy takes at least 3.3 s for the body, 0.1 s of which for the last chunks under way.
+    assert!(told < 30_000 - 3000, "told {told} ms");
+}
+
+/// Guards against a gate that exits while it is still sending an answer, with grace period left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gate_that_stops_leaves_a_large_answer_incomplete() {
+    let mut fleet = start_slow(LONG_GET).await;
+    let start = format!("GET /get/x?answer-bytes={LARGE}");
+    let large = spawn_long(&fleet, ENTRY, &start, "large", Vec::new());
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(runs(&fleet, "large"), 1);
+    fleet.signal_node(GATE, "TERM");
+    let answer = large.await.unwrap();
+    assert_eq!((answer.status, answer.body.len()), (200, LARGE + "done large".len()));
+    assert_eq!(runs(&fleet, "large"), 1);
+}
+
 /// Guards against small requests that wait for a large answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_large_answer_on_a_slow_link_delays_small_requests() {
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -755,8 +755,13 @@
         let mut answer = Reply::new(Full::new(Bytes::from(body)));
         let headers = answer.headers_mut();
         let digest = xxh3_64(request.body()).to_string();
-        let fields =
-            [("x-request-id", &id), ("x-server-signature", &self.id), ("x-body-digest", &digest)];
+        let told = header("x-deadline-ms").unwrap_or_default();
+        let fields = [
+            ("x-request-id", &id),
+            ("x-server-signature", &self.id),
+            ("x-body-digest", &digest),
+            ("x-told-ms", &told),
+        ];
         for (name, value) in fields {
             headers.insert(name, value.parse().expect("valid header value"));
         }
