--- a/src/kelpwind/mesh/send_order.rs
+++ b/src/kelpwind/mesh/send_order.rs
@@ -140,7 +140,7 @@
 
     /// Removes the next part to send; `None` if there is none, or only chunks that the window does
     /// not allow.
-    pub fn next(&mut self) -> Option<Piece<T>> {
+    pub fn take_next(&mut self) -> Option<Piece<T>> {
         if let Some(item) = self.control.pop_front() {
             return Some(Piece { item, start: 0, end: 0, last: true });
         }
--- a/src/kelpwind/mesh/send_queue.rs
+++ b/src/kelpwind/mesh/send_queue.rs
@@ -101,7 +101,7 @@
     fn fill(&self, buffer: &mut BytesMut) {
         let mut order = self.order.borrow_mut();
         while buffer.len() < WRITE_BYTES
-            && let Some(piece) = order.next()
+            && let Some(piece) = order.take_next()
         {
             piece.item.append_piece(piece.start, piece.end, piece.last, buffer);
         }
--- a/tests/testsuite/send_order.rs
+++ b/tests/testsuite/send_order.rs
@@ -12,7 +12,7 @@
 
 /// Takes the next piece. The peer confirms every chunk at once.
 fn next(order: &mut SendOrder<&'static str>, chunks: &mut u64) -> Option<Piece<&'static str>> {
-    let piece = order.next()?;
+    let piece = order.take_next()?;
     *chunks += u64::from(piece.start > 0 || !piece.last);
     order.confirm(*chunks);
     Some(piece)
@@ -99,16 +99,16 @@
 fn chunks_stop_while_the_peer_confirms_none_and_small_messages_go_on() {
     let mut order = SendOrder::default();
     order.push(1, 0, LARGE, "large");
-    let sent = std::iter::from_fn(|| order.next()).count();
+    let sent = std::iter::from_fn(|| order.take_next()).count();
     assert_eq!(sent as u64, WINDOW_CHUNKS);
     order.push(2, 3, 100, "small");
-    assert_eq!(order.next().unwrap().item, "small");
-    assert_eq!(order.next(), None);
+    assert_eq!(order.take_next().unwrap().item, "small");
+    assert_eq!(order.take_next(), None);
     order.confirm(2);
-    assert_eq!(std::iter::from_fn(|| order.next()).count(), 2);
+    assert_eq!(std::iter::from_fn(|| order.take_next()).count(), 2);
     // A confirmation of more than was sent must not raise the limit for later chunks.
     order.confirm(u64::MAX);
-    assert_eq!(std::iter::from_fn(|| order.next()).count() as u64, WINDOW_CHUNKS);
+    assert_eq!(std::iter::from_fn(|| order.take_next()).count() as u64, WINDOW_CHUNKS);
 }
 
 /// Guards against bodies of cancelled requests that stay in memory while the peer does not read.
@@ -120,8 +120,8 @@
         let hold = account.try_take(Place::Link, size).unwrap();
         order.push(number, 0, size, Rc::new(hold));
     }
-    assert_eq!(order.next().map(|p| p.last), Some(true), "the small one goes first");
-    drop(order.next());
+    assert_eq!(order.take_next().map(|p| p.last), Some(true), "the small one goes first");
+    drop(order.take_next());
     assert_eq!(account.held(Place::Link), LARGE);
     assert_eq!(order.remove(1), Removed::Partial);
     assert_eq!(account.held(Place::Link), 0);
