--- a/src/kelpwind/mesh/send_queue.rs
+++ b/src/kelpwind/mesh/send_queue.rs
@@ -30,6 +30,8 @@
     pacer: Rc<Pacer>,
     wake: Notify,
     closed: Cell<bool>,
+    /// Whether messages are being written.
+    writing: Cell<bool>,
 }
 
 impl SendQueue {
@@ -72,6 +74,11 @@
         self.wake.notify_one();
     }
 
+    /// Whether all messages have been written.
+    pub fn is_idle(&self) -> bool {
+        !self.writing.get() && self.order.borrow().is_empty()
+    }
+
     /// Ends the writing task once the queue is empty.
     pub fn close(&self) {
         self.closed.set(true);
@@ -97,7 +104,10 @@
                 self.fill(&mut buffer);
             }
             if !buffer.is_empty() {
-                if let Err(e) = writer.write_all(&buffer).await {
+                self.writing.set(true);
+                let written = writer.write_all(&buffer).await;
+                self.writing.set(false);
+                if let Err(e) = written {
                     spdlog::debug!("failed to write to the connection to another node: {e}");
                     return;
                 }
@@ -131,7 +141,7 @@
             if buffer.len() >= WRITE_BYTES {
                 return;
             }
-            let Some(piece) = order.next_of(turn.is_some_and(|at| at <= now)) else { return };
+            let Some(piece) = order.take_next_of(turn.is_some_and(|at| at <= now)) else { return };
             if is_chunk(piece.start, piece.last) {
                 *turn = None;
             } else {
@@ -145,7 +155,7 @@
     fn fill(&self, buffer: &mut BytesMut) {
         let mut order = self.order.borrow_mut();
         while buffer.len() < WRITE_BYTES
-            && let Some(piece) = order.next()
+            && let Some(piece) = order.take_next()
         {
             piece.item.append_piece(piece.start, piece.end, piece.last, buffer);
         }
