mesh: bodies and answers of callers are counted, and clients that stall lose their place

Cause: bodies were collected frame by frame and joined (two copies of each, and 32 bytes for each frame), nothing limited all of them together, answers waited without a limit for callers that did not read them, and connections were limited by nothing.

Change: a body is copied once out of the library's buffers into one block that grows with what has arrived and is charged to Node.memory with what the library buffers; without room it is refused with code 215 after bodies that stall have lost theirs. Answers are charged while they arrive from the server and until the caller has taken them; the slowest reader is closed when room is needed, and any without progress for limits.answer-stall-s. Connections are charged 32 KiB, and heads beyond 16 KiB; at limits.connections the one that has waited longest for a request is closed. The entry and the gate start no request while the account is full. ServerRuns keeps a digest of what was given up.

--- a/src/kelpwind/mesh/connection.rs
+++ b/src/kelpwind/mesh/connection.rs
@@ -4,28 +4,33 @@
 //! needed. A wait that has begun keeps the limits of that moment if new ones are lower, because the
 //! client could rely on them.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::io::{self, IoSlice};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use http::Request;
 use http::header::{CONNECTION, HeaderValue};
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
 
-use super::http::{Reply, wait_until_true};
+use super::http::{Clients, Reply, wait_until_true};
+use super::metrics::MemoryRefusal;
 use super::node::Node;
+use super::request_body::ArrivingBody;
 use crate::core::routes::Limits;
+use crate::net::memory::{CONNECTION_BYTES, Hold, Place};
 
 /// Size up to which each connection takes a request's head, since the limit may be raised while the
 /// connection is open.
@@ -33,13 +38,12 @@
 /// Most headers of a request. The HTTP library prepares room for all of them for each request.
 const HEADERS_MAX: usize = 256;
 
-/// Serves a connection until the client ends it, keeps the node waiting for longer than `limits`
-/// allow, or `closed` becomes true.
+/// Serves a connection until the client ends it, keeps the node waiting for longer than the limits
+/// allow, others need its memory, or `closed` becomes true.
 pub(super) async fn serve<H, F>(
     stream: TcpStream,
-    node: Rc<Node>,
+    activity: Rc<Activity>,
     mut closed: watch::Receiver<bool>,
-    limits: fn(&Node) -> Limits,
     handle: H,
 ) where
     H: Fn(Rc<Node>, Request<Incoming>) -> F + 'static,
@@ -48,11 +52,15 @@
     if let Err(e) = stream.set_nodelay(true) {
         spdlog::debug!("failed to set TCP_NODELAY on a connection: {e}");
     }
-    let activity = Rc::new(Activity::new(node.clone(), limits));
+    let node = activity.node.clone();
     let stream = WatchedStream { stream, activity: activity.clone() };
     let head_bytes = activity.limits().head_bytes.max(HEAD_BYTES_MAX);
     let watched = activity.clone();
     let id = node.next_connection();
+    let _registered = match activity.clients {
+        Clients::Callers => Some(node.register(id, &activity)),
+        Clients::Others => None,
+    };
     let service = service_fn(move |mut request: Request<Incoming>| {
         watched.phase.set(Phase::Handling);
         request.extensions_mut().insert(id);
@@ -63,7 +71,7 @@
             if node.is_stopping() || activity.limits().head_bytes > head_bytes {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            activity.phase.set(Phase::Answering);
+            activity.begin_answer(reply.body().size_hint().lower() as usize);
             Ok::<_, Infallible>(reply)
         }
     });
@@ -82,6 +90,7 @@
             biased;
             ended = connection.as_mut() => break ended,
             () = expired.as_mut() => break Ok(()),
+            () = activity.evicted.notified() => break Ok(()),
             () = wait_until_true(&mut closed), if !closing => {
                 connection.as_mut().graceful_shutdown();
                 closing = true;
@@ -119,44 +128,169 @@
     limits: Limits,
 }
 
-/// The phase of a connection, which its stream and its service keep up to date.
-struct Activity {
+/// An answer that the client has not taken whole.
+struct Unread {
+    hold: Hold,
+    since: Instant,
+    /// When the client last took some of it.
+    progress: Instant,
+    /// Number of bytes that the client has taken.
+    taken: usize,
+}
+
+/// The phase of a connection and what it holds, which its stream and its service keep up to date.
+pub(crate) struct Activity {
     node: Rc<Node>,
-    /// Returns the limits in force.
-    limits: fn(&Node) -> Limits,
+    clients: Clients,
     phase: Cell<Phase>,
+    /// Memory of the connection and of the head that is arriving; `None` for clients other than callers.
+    hold: RefCell<Option<Hold>>,
+    /// Bytes of the head that have arrived.
+    head_read: Cell<usize>,
+    /// The body that is arriving.
+    pub(super) body: RefCell<Option<ArrivingBody>>,
+    /// Notified when the body has lost its memory.
+    pub(super) body_evicted: Notify,
+    /// The answer that is being written. The HTTP library begins the next one once this one is
+    /// written, so there is one at most.
+    answer: RefCell<Option<Unread>>,
+    /// Notified when the connection is to be closed because others need its memory.
+    evicted: Notify,
+    is_evicted: Cell<bool>,
 }
 
 impl Activity {
-    fn new(node: Rc<Node>, limits: fn(&Node) -> Limits) -> Activity {
-        let activity = Activity { node, limits, phase: Cell::new(Phase::Handling) };
+    /// The activity of a new connection. `hold` is the memory of a caller's connection.
+    pub(super) fn new(node: Rc<Node>, clients: Clients, hold: Option<Hold>) -> Activity {
+        let activity = Activity {
+            node,
+            clients,
+            phase: Cell::new(Phase::Handling),
+            hold: RefCell::new(hold),
+            head_read: Cell::new(0),
+            body: RefCell::default(),
+            body_evicted: Notify::new(),
+            answer: RefCell::default(),
+            evicted: Notify::new(),
+            is_evicted: Cell::new(false),
+        };
         activity.phase.set(Phase::Idle(activity.start_wait()));
         activity
     }
 
     /// The limits in force.
     fn limits(&self) -> Limits {
-        (self.limits)(&self.node)
+        self.clients.limits(&self.node)
+    }
+
+    /// Closes the connection, and gives back its memory.
+    pub(super) fn evict(&self) {
+        self.is_evicted.set(true);
+        self.hold.take();
+        self.body.take();
+        self.answer.take();
+        self.evicted.notify_one();
+    }
+
+    /// Whether the connection is to be closed.
+    pub(super) fn is_evicted(&self) -> bool {
+        self.is_evicted.get()
+    }
+
+    /// Gives up the body that is arriving.
+    pub(super) fn evict_body(&self) {
+        if self.body.take().is_some() {
+            self.body_evicted.notify_one();
+        }
+    }
+
+    /// Memory of a body that has made no progress for the time `stall`.
+    pub(super) fn stalled_body(&self, stall: Duration) -> Option<usize> {
+        let body = self.body.borrow();
+        let body = body.as_ref().filter(|b| b.progress.elapsed() >= stall)?;
+        Some(body.held())
+    }
+
+    /// Bytes per second at which the client has taken its answer, if that was begun longer than
+    /// `grace` ago.
+    pub(super) fn reading_rate(&self, grace: Duration) -> Option<f64> {
+        let answer = self.answer.borrow();
+        let answer = answer.as_ref().filter(|a| a.since.elapsed() >= grace)?;
+        (answer.hold.bytes() > 0)
+            .then(|| answer.taken as f64 / answer.since.elapsed().as_secs_f64())
+    }
+
+    /// Since when the connection has waited for a request; `None` if one is in progress.
+    pub(super) fn waiting_since(&self) -> Option<Instant> {
+        match self.phase.get() {
+            _ if self.is_evicted() || self.answer.borrow().is_some() => None,
+            Phase::Idle(wait) | Phase::Head(wait) => Some(wait.since),
+            Phase::Handling | Phase::Answering => None,
+        }
+    }
+
+    /// Counts an answer of `size` bytes, which is kept whatever the room: it is the result of a request
+    /// that has run. Slow readers make room for it.
+    fn begin_answer(&self, size: usize) {
+        self.phase.set(Phase::Answering);
+        let hold = self.node.memory.take(Place::Answer, size);
+        let now = Instant::now();
+        self.answer.replace(Some(Unread { hold, since: now, progress: now, taken: 0 }));
+        self.node.make_room(|| self.node.memory.free() > 0);
+    }
+
+    fn on_written(&self, size: usize) {
+        if let Some(answer) = self.answer.borrow_mut().as_mut()
+            && size > 0
+        {
+            answer.progress = Instant::now();
+            answer.taken += size;
+        }
     }
 
     fn start_wait(&self) -> Wait {
         Wait { since: Instant::now(), limits: self.limits() }
     }
 
-    fn on_read(&self) {
-        if let Phase::Idle(_) = self.phase.get() {
-            self.phase.set(Phase::Head(self.start_wait()));
+    /// Records that bytes have arrived.
+    ///
+    /// # Errors
+    /// If they belong to a head for which there is no memory.
+    fn on_read(&self, size: usize) -> io::Result<()> {
+        match self.phase.get() {
+            Phase::Idle(_) => self.phase.set(Phase::Head(self.start_wait())),
+            Phase::Head(_) => {}
+            Phase::Handling | Phase::Answering => return Ok(()),
         }
+        let read = self.head_read.get() + size;
+        self.head_read.set(read);
+        let mut hold = self.hold.borrow_mut();
+        let Some(hold) = hold.as_mut() else { return Ok(()) };
+        let added = (CONNECTION_BYTES / 2 + read).saturating_sub(hold.bytes());
+        if hold.try_grow(added) {
+            return Ok(());
+        }
+        self.node.metrics.count_memory_refusal(MemoryRefusal::ConnectionNoRoom);
+        Err(io::Error::other("no memory for the head of a request"))
     }
 
     fn on_flushed(&self) {
+        self.answer.take();
         if let Phase::Answering = self.phase.get() {
+            self.head_read.set(0);
+            if let Some(hold) = self.hold.borrow_mut().as_mut() {
+                hold.shrink_to(CONNECTION_BYTES);
+            }
             self.phase.set(Phase::Idle(self.start_wait()));
         }
     }
 
     /// When the present wait ends the connection; `None` if it does not wait for the client.
     fn deadline(&self) -> Option<Instant> {
+        let answer = self.answer.borrow().as_ref().map(|a| a.progress);
+        if let Some(progress) = answer {
+            return progress.checked_add(self.node.settings.borrow().limits.answer_stall);
+        }
         let now = self.limits();
         let (wait, timeout) = match self.phase.get() {
             Phase::Idle(wait) => (wait, wait.limits.idle_timeout.max(now.idle_timeout)),
@@ -176,6 +310,9 @@
             loop {
                 let Some(deadline) = self.deadline() else { return Poll::Pending };
                 if deadline <= Instant::now() {
+                    if self.answer.borrow().is_some() {
+                        self.node.metrics.count_memory_refusal(MemoryRefusal::AnswerStalled);
+                    }
                     return Poll::Ready(());
                 }
                 // Each request moves the deadline back; the timer follows only when it has fired.
@@ -204,7 +341,7 @@
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         if buf.filled().len() > before {
-            self.activity.on_read();
+            self.activity.on_read(buf.filled().len() - before)?;
         }
         Poll::Ready(Ok(()))
     }
@@ -216,7 +353,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let size = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        self.activity.on_written(size);
+        Poll::Ready(Ok(size))
     }
 
     fn poll_write_vectored(
@@ -224,7 +363,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let size = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
+        self.activity.on_written(size);
+        Poll::Ready(Ok(size))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -47,6 +47,10 @@
 /// Retry-after of a request that the server rejected or could not be sent.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Retry-after while the node has no memory for another request. Bodies and answers that make no
+/// progress lose theirs within seconds.
+pub(super) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Channels of the queued requests: each gets `Ok` to start, or the retry-after with which it is
 /// rejected.
 pub(crate) type Tickets = RefCell<HashMap<Ticket, oneshot::Sender<Result<(), Duration>>>>;
@@ -160,6 +164,9 @@
         {
             return Err(Outcome::not_run(Code::HandingOver, KEY_RETRY_AFTER));
         }
+        if !self.has_room_to_run() {
+            return Err(Outcome::not_run(Code::MemoryFull, MEMORY_RETRY_AFTER));
+        }
         self.begin_trial_if_due(&call)?;
         sent.set(true);
         let began = Instant::now();
--- a/src/kelpwind/mesh/http.rs
+++ b/src/kelpwind/mesh/http.rs
@@ -6,19 +6,22 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{HeaderValue, RETRY_AFTER};
+use http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use http::{HeaderName, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
-use super::connection;
+use super::connection::{self, Activity};
+use super::gate::MEMORY_RETRY_AFTER;
 use super::node::Node;
 use super::orders::Confirmation;
 use super::platform_api::{Answer, CallerRequest};
-use super::request_state::Failure;
+use super::request_body::{self, BodyError};
+use super::request_state::{Failure, not_run};
 use crate::core::codes::{Code, Outcome};
 use crate::core::ids::Revision;
 use crate::core::routes::Limits;
@@ -44,7 +47,7 @@
     listener: TcpListener,
     node: Rc<Node>,
     closed: watch::Receiver<bool>,
-    limits: fn(&Node) -> Limits,
+    clients: Clients,
     handle: H,
 ) where
     H: Fn(Rc<Node>, Request<Incoming>) -> F + Clone + 'static,
@@ -58,8 +61,22 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let hold = match clients {
+                    Clients::Callers => {
+                        let hold = node.admit_connection();
+                        // Lets connections end that were closed for this one. Otherwise, the file
+                        // descriptors could run out while many clients connect at once.
+                        yield_now().await;
+                        if hold.is_none() {
+                            continue;
+                        }
+                        hold
+                    }
+                    Clients::Others => None,
+                };
+                let activity = Activity::new(node.clone(), clients, hold);
                 let connection =
-                    connection::serve(stream, node.clone(), closed.clone(), limits, handle.clone());
+                    connection::serve(stream, Rc::new(activity), closed.clone(), handle.clone());
                 tokio::task::spawn_local(connection);
             }
             Err(e) => {
@@ -70,9 +87,28 @@
     }
 }
 
+/// Who uses a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Clients {
+    /// Callers, which are not trusted: their connections are limited and counted.
+    Callers,
+    /// The platform, the backend server and operators.
+    Others,
+}
+
+impl Clients {
+    /// The limits in force on their requests and connections.
+    pub fn limits(self, node: &Node) -> Limits {
+        match self {
+            Clients::Callers => caller_limits(node),
+            Clients::Others => Limits::default(),
+        }
+    }
+}
+
 /// Limits of callers' requests and connections. While there may be a configuration that this node
 /// has not read, connections may be idle for longer than the last one says.
-pub(crate) fn caller_limits(node: &Node) -> Limits {
+fn caller_limits(node: &Node) -> Limits {
     let known = node.routes().map(|r| r.limits);
     let orders = *node.orders.borrow();
     let behind = orders.next < orders.freshness.end();
@@ -84,11 +120,6 @@
     limits
 }
 
-/// Limits of all others' connections, which operators' limits do not concern.
-pub(crate) fn other_limits(_node: &Node) -> Limits {
-    Limits::default()
-}
-
 /// Returns when the flag becomes true. Never returns once the sender is gone.
 pub(super) async fn wait_until_true(flag: &mut watch::Receiver<bool>) {
     if flag.wait_for(|f| *f).await.is_err() {
@@ -117,6 +148,11 @@
     let _inflight = Inflight::start(&node);
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
+    let connection = parts.extensions.get().and_then(|id| node.caller(*id));
+    let Some(activity) = connection else {
+        spdlog::error!("a request came over a connection that is not known");
+        return failure_reply(Failure { code: Code::Internal, retry_after: None });
+    };
     let mut call = match (node.platform.decode_request)(&parts) {
         Ok(call) => call,
         Err(code) => {
@@ -127,12 +163,28 @@
     if let Err(failure) = check_head(&node, &call, arrived).await {
         return reject_unrouted(&node, &call, failure);
     }
+    if !node.has_room_to_run() {
+        let failure = memory_full(&call);
+        return reject_unrouted(&node, &call, failure);
+    }
     let routes = node.routes();
     let limit = routes.as_ref().map_or(Limits::default(), |r| r.limits).body_bytes;
     let within = call.remaining.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
-    match timeout(within, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => call.request.body = body.to_bytes(),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+    let read = timeout(within, request_body::read(&node, &activity, body, limit)).await;
+    // What has arrived of a body that was not read is given up.
+    activity.body.take();
+    // The memory of the body is held until the request has its answer.
+    let _held;
+    match read {
+        Ok(Ok((body, hold))) => {
+            call.request.body = body;
+            _held = hold;
+        }
+        Ok(Err(BodyError::NoRoom)) => {
+            let failure = memory_full(&call);
+            return reject_unrouted(&node, &call, failure);
+        }
+        Ok(Err(BodyError::TooLarge)) => {
             let version = routes.map_or_else(Revision::default, |r| r.version);
             let failure = match node.confirm_config(version, arrived, &call).await {
                 Confirmation::Newest => Failure { code: Code::BodyTooLarge, retry_after: None },
@@ -141,7 +193,7 @@
             };
             return reject_unrouted(&node, &call, failure);
         }
-        Ok(Err(e)) => {
+        Ok(Err(BodyError::Broken(e))) => {
             spdlog::debug!("failed to read the body of a caller's request: {e}");
             let failure = Failure { code: Code::BadRequest, retry_after: None };
             return reject_unrouted(&node, &call, failure);
@@ -155,6 +207,11 @@
     answer(&node, call).await
 }
 
+/// The failure of a request for which the node has no memory.
+fn memory_full(call: &CallerRequest) -> Failure {
+    not_run(Code::MemoryFull, MEMORY_RETRY_AFTER, call.remaining, fastrand::f64())
+}
+
 /// Compares the size of a request's head with the limit of the newest configuration. Without a
 /// configuration there is no limit, and the request is refused later.
 async fn check_head(node: &Node, call: &CallerRequest, arrived: Instant) -> Result<(), Failure> {
@@ -219,6 +276,9 @@
     *reply.status_mut() = status;
     let headers = reply.headers_mut();
     headers.insert(CODE_HEADER, HeaderValue::from(failure.code.number()));
+    if failure.code == Code::MemoryFull {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     if let Some(retry) = failure.retry_after {
         let secs = format!("{:.3}", retry.as_secs_f64());
         match HeaderValue::from_str(&secs) {
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -116,7 +116,6 @@
 /// Why a request or a connection of a caller was refused for the sake of the process; the value of a
 /// metric's label and a log key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[allow(dead_code, reason = "the refusals follow in the next commit")]
 pub(crate) enum MemoryRefusal {
     /// The account had no room for a body.
     BodyNoRoom,
@@ -459,7 +458,6 @@
     }
 
     /// Counts a request or connection that was refused, and logs it.
-    #[allow(dead_code, reason = "the refusals follow in the next commit")]
     pub fn count_memory_refusal(&self, reason: MemoryRefusal) {
         self.memory_refusals.with_label_values(&[reason.label()]).inc();
         self.memory_log.write(|left_out| {
--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -26,6 +26,7 @@
 //! * [`frame`], [`send_queue`], [`serve`], [`datagram`] and [`udp`]: connections and datagrams
 //!   between nodes.
 //! * [`http`], [`connection`] and [`metrics`]: the node's HTTP servers and its metrics.
+//! * [`request_body`] and [`eviction`]: memory for callers' bodies and answers, and who loses it.
 //! * [`start`]: start, reload and graceful shutdown.
 
 pub(crate) mod balance;
@@ -33,6 +34,7 @@
 pub(crate) mod connection;
 pub(crate) mod datagram;
 pub(crate) mod entry;
+pub(crate) mod eviction;
 pub(crate) mod frame;
 pub(crate) mod gate;
 pub(crate) mod grants;
@@ -53,6 +55,7 @@
 pub mod report_exchanges;
 pub(crate) mod report_grants;
 pub(crate) mod reports;
+pub(crate) mod request_body;
 pub(crate) mod request_state;
 pub(crate) mod restoration;
 pub(crate) mod selection;
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -13,16 +13,18 @@
 use tokio::sync::{Notify, watch};
 
 use super::balance::{LoadQuery, Reservations};
+use super::connection::Activity;
 use super::gate::Tickets;
 use super::held_ranges::HeldRanges;
 use super::link::Link;
 use super::metrics::Metrics;
 use super::orders::OrdersProgress;
-use super::platform_api::{NodeSettings, Platform, Request, ServerReport};
+use super::platform_api::{NodeSettings, Platform, ServerReport};
 use super::quarantine::SuspectChanges;
 use super::report_exchanges::{ConnectionId, ReportExchanges};
 use super::restoration::Restoration;
 use super::serve::Sessions;
+use super::server_exits::RunningRequest;
 use super::statements::ServerStatements;
 use super::store_era::StoreEra;
 use crate::core::ids::{DomainName, Era, Holder, Incarnation, NodeId, Position, ServiceName};
@@ -129,7 +131,7 @@
     /// What backend servers state of themselves.
     pub statements: RefCell<ServerStatements>,
     /// Requests at the backend server.
-    pub server_runs: RefCell<ServerRuns<Rc<Request>>>,
+    pub server_runs: RefCell<ServerRuns<Rc<RunningRequest>>>,
     /// Seed of the fingerprints by which they are compared.
     pub fingerprint_seed: u64,
     /// Whether a check is in progress whether the backend server's process has ended.
@@ -191,6 +193,8 @@
     pub last_connection: Cell<u64>,
     /// Callers' requests in progress.
     pub inflight: Cell<u32>,
+    /// Connections of callers, by number.
+    pub callers: RefCell<HashMap<u64, Rc<Activity>>>,
     /// Memory for bodies and answers.
     pub memory: MemoryAccount,
     /// Counters and histograms.
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -20,6 +20,7 @@
 };
 use crate::core::routes::Routes;
 use crate::lease::clock::BootInstant;
+use crate::net::memory::MemoryAccount;
 use crate::table::keys::Span;
 use crate::table::member::Instance;
 use crate::table::{Record, WriteBatch};
@@ -407,6 +408,8 @@
 
 /// The backend server beside the node.
 pub struct Backend {
+    /// Sets the account in which the server's answers are counted while they arrive.
+    pub set_account: Box<dyn Fn(MemoryAccount)>,
     /// Sends a request to the server with the given id, which is told to stop at the deadline. If the
     /// server was granted the key of the request by a call, the session of the grant is given: that it
     /// runs the request shows that it is the process of that session. Dropping the future cancels the server's work.
--- a/src/kelpwind/mesh/server_exits.rs
+++ b/src/kelpwind/mesh/server_exits.rs
@@ -5,6 +5,7 @@
 //! or another instance reports later. A server that has said that it leaves ends as planned, so
 //! that is no sign that a request has ended it.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -26,22 +27,56 @@
 /// Most suspects that one log line lists.
 const LISTED_MAX: usize = 24;
 
+/// What is known of a request at the server.
+pub(crate) struct RunningRequest {
+    id: String,
+    content: RefCell<Content>,
+}
+
+/// What a request asks for.
+enum Content {
+    /// The request itself, while it is in use anyway.
+    Whole(Rc<Request>),
+    /// Its digest, which does not keep its body in memory.
+    Digest(RequestDigest),
+}
+
+impl RunningRequest {
+    /// The digest, computed only if it is needed: bodies may be large.
+    fn digest(&self) -> RequestDigest {
+        match &*self.content.borrow() {
+            Content::Whole(request) => RequestDigest::from(&request_parts(request)),
+            Content::Digest(digest) => *digest,
+        }
+    }
+
+    /// Keeps only the digest of a request that has ended but may still have ended the server.
+    fn release_body(&self) {
+        let digest = self.digest();
+        self.content.replace(Content::Digest(digest));
+    }
+}
+
 /// A request at the server. Dropping it records that it was given up.
 pub(super) struct ServerRun<'a> {
     node: &'a Rc<Node>,
     id: RunId,
+    /// `None` once it has finished.
+    request: Option<Rc<RunningRequest>>,
     instance: &'a Instance,
 }
 
 impl<'a> ServerRun<'a> {
     pub fn begin(node: &'a Rc<Node>, instance: &'a Instance, request: &Rc<Request>) -> Self {
         let fingerprint = request_parts(request).fingerprint(node.fingerprint_seed);
+        let content = RefCell::new(Content::Whole(request.clone()));
+        let request = Rc::new(RunningRequest { id: request.id.clone(), content });
         let id = node.server_runs.borrow_mut().begin(instance, fingerprint, request.clone());
-        ServerRun { node, id, instance }
+        ServerRun { node, id, request: Some(request), instance }
     }
 
     /// Records how the request ended.
-    pub fn finish(self, result: &SendOutcome) {
+    pub fn finish(mut self, result: &SendOutcome) {
         let end = match result {
             SendOutcome::Ran(answer, _) if answer.status < 500 => RunEnd::Answered,
             SendOutcome::Unknown(Code::Expired, None) => RunEnd::GivenUp,
@@ -51,6 +86,10 @@
             | SendOutcome::Rejected(..)
             | SendOutcome::NotSent(_) => RunEnd::Other,
         };
+        let request = self.request.take();
+        if let (RunEnd::Lost | RunEnd::GivenUp, Some(request)) = (end, request) {
+            request.release_body();
+        }
         self.node.server_runs.borrow_mut().finish(self.id, end, Instant::now());
         if matches!(result, SendOutcome::Unknown(_, None) | SendOutcome::NotSent(_)) {
             self.node.check_server_exit(self.instance);
@@ -60,7 +99,8 @@
 
 impl Drop for ServerRun<'_> {
     fn drop(&mut self) {
-        // Without effect if it has finished.
+        let Some(request) = self.request.take() else { return };
+        request.release_body();
         self.node.server_runs.borrow_mut().finish(self.id, RunEnd::GivenUp, Instant::now());
     }
 }
@@ -111,9 +151,8 @@
             return;
         }
         self.metrics.server_exits.inc();
-        let digest = |run: &Suspect<Rc<Request>>| RequestDigest::from(&request_parts(&run.request));
-        let suspects: BTreeMap<RequestDigest, Suspect<Rc<Request>>> =
-            runs.into_iter().map(|run| (digest(&run), run)).collect();
+        let suspects: BTreeMap<RequestDigest, Suspect<Rc<RunningRequest>>> =
+            runs.into_iter().map(|run| (run.request.digest(), run)).collect();
         let listed = suspects.iter().take(LISTED_MAX).map(|(digest, run)| {
             let answered = if run.answered { " answered before" } else { "" };
             format!("{} {digest}{answered}", run.request.id)
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
+use super::http::Clients;
 use super::metrics::Metrics;
 use super::node::Node;
 use super::platform_api::{NodeSettings, Platform, Topic};
@@ -95,6 +96,7 @@
     let mut held = held_ranges::HeldRanges::default();
     held.assume_former_grants(now, grant_time::EXCESS_MAX);
     let memory = MemoryAccount::new(settings.limits.body_memory);
+    (platform.backend.set_account)(memory.clone());
     Node {
         settings: RefCell::new(settings),
         platform,
@@ -163,6 +165,7 @@
         stop_began: Cell::new(None),
         last_connection: Cell::new(0),
         inflight: Cell::new(0),
+        callers: RefCell::default(),
         memory,
         metrics: Metrics::default(),
     }
@@ -203,13 +206,13 @@
     let serve =
         |listener, closing: &watch::Receiver<bool>| (listener, node.clone(), closing.clone());
     let (l, n, c) = serve(callers, closing);
-    tokio::task::spawn_local(http::serve(l, n, c, http::caller_limits, http::handle_call));
+    tokio::task::spawn_local(http::serve(l, n, c, Clients::Callers, http::handle_call));
     let (l, n, c) = serve(ready, &never);
-    tokio::task::spawn_local(http::serve(l, n, c, http::other_limits, http::check_ready));
+    tokio::task::spawn_local(http::serve(l, n, c, Clients::Others, http::check_ready));
     let (l, n, c) = serve(from_server, &never);
-    tokio::task::spawn_local(http::serve(l, n, c, http::other_limits, http::receive_report));
+    tokio::task::spawn_local(http::serve(l, n, c, Clients::Others, http::receive_report));
     let (l, n, c) = serve(metrics, &never);
-    tokio::task::spawn_local(http::serve(l, n, c, http::other_limits, http::serve_metrics));
+    tokio::task::spawn_local(http::serve(l, n, c, Clients::Others, http::serve_metrics));
 }
 
 /// Reads the settings again on SIGHUP and at intervals. Only bounds can change while a node runs. A
--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -18,6 +18,8 @@
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
+use super::memory::{Hold, MemoryAccount, Place};
+
 /// Maximum number of headers of a response.
 const HEADERS_MAX: usize = 64;
 /// Largest head of a response, in bytes, and largest size of the 1xx heads before it together. The
@@ -80,6 +82,8 @@
     stall_timeout: Option<Duration>,
     body: BodyLimit,
     memory: BodyMemory,
+    /// Where the bodies that are kept are counted.
+    account: Option<MemoryAccount>,
 }
 
 /// Status and headers of a response.
@@ -185,6 +189,7 @@
                 stall_timeout: None,
                 body: BodyLimit::MAX,
                 memory: BodyMemory::default(),
+                account: None,
             },
             peer: None,
             opened,
@@ -208,6 +213,12 @@
         self.limits.memory = memory;
     }
 
+    /// Sets the account in which later responses are counted while they arrive. They are read
+    /// whatever the room, since their requests have run.
+    pub fn set_account(&mut self, account: MemoryAccount) {
+        self.limits.account = Some(account);
+    }
+
     /// When the connection began to be opened.
     pub fn opened(&self) -> Instant {
         self.opened
@@ -380,11 +391,14 @@
     let mut body = Body::new(limits, belongs);
     match framing {
         Framing::None => {}
-        Framing::Length(size) => read_exactly(reader, buffer, &mut body, size).await?,
+        Framing::Length(size) => {
+            body.size_max = size;
+            read_exactly(reader, buffer, &mut body, size).await?;
+        }
         Framing::Chunked => read_chunks(reader, buffer, &mut body).await?,
         Framing::UntilClose => read_to_end(reader, buffer, &mut body).await?,
     }
-    let body = body.bytes.freeze();
+    let body = Bytes::from(body.bytes);
     Ok(Received { response: Response { head, body }, belongs, closed })
 }
 
@@ -393,20 +407,35 @@
     limits: &'a Limits,
     /// Whether its bytes are kept, or only counted.
     keep: bool,
-    bytes: BytesMut,
+    bytes: Vec<u8>,
     size: usize,
+    /// Most bytes that it can have.
+    size_max: usize,
     /// Bytes read since other tasks last ran.
     unyielded: usize,
     memory: Option<SemaphorePermit<'a>>,
+    /// The bytes that are kept, in the account.
+    hold: Option<Hold>,
 }
 
 impl<'a> Body<'a> {
     fn new(limits: &'a Limits, keep: bool) -> Body<'a> {
-        Body { limits, keep, bytes: BytesMut::new(), size: 0, unyielded: 0, memory: None }
+        let hold = limits.account.as_ref().map(|a| a.take(Place::Answer, 0));
+        let size_max = limits.body.0;
+        Body {
+            limits,
+            keep,
+            bytes: Vec::new(),
+            size: 0,
+            size_max,
+            unyielded: 0,
+            memory: None,
+            hold,
+        }
     }
 
     /// Adds bytes that have arrived.
-    fn push(&mut self, part: BytesMut) -> Result<()> {
+    fn push(&mut self, part: &[u8]) -> Result<()> {
         self.size += part.len();
         if self.size > self.limits.body.0 {
             return Err(ExchangeError::TooLarge);
@@ -415,11 +444,15 @@
             return Ok(());
         }
         self.reserve()?;
-        if self.bytes.is_empty() {
-            self.bytes = part;
-        } else {
-            self.bytes.extend_from_slice(&part);
+        if let Some(hold) = &mut self.hold {
+            hold.grow(part.len());
+        }
+        // Doubling would take twice the memory of a body of known size.
+        if self.size > self.bytes.capacity() {
+            let grown = (self.bytes.capacity() * 3 / 2).min(self.size_max).max(self.size);
+            self.bytes.reserve_exact(grown - self.bytes.len());
         }
+        self.bytes.extend_from_slice(part);
         Ok(())
     }
 
@@ -534,7 +567,7 @@
         }
         let part = buffer.split_to(left.min(buffer.len()));
         left -= part.len();
-        body.push(part)?;
+        body.push(&part)?;
     }
     Ok(())
 }
@@ -545,7 +578,7 @@
     body: &mut Body<'_>,
 ) -> Result<()> {
     loop {
-        body.push(buffer.split())?;
+        body.push(&buffer.split())?;
         if fill_from_body(reader, buffer, body).await? == 0 {
             return Ok(());
         }
--- a/src/kelpwind/net/memory.rs
+++ b/src/kelpwind/net/memory.rs
@@ -126,6 +126,12 @@
         granted
     }
 
+    /// Takes `bytes` more even if there is no room.
+    pub fn grow(&mut self, bytes: usize) {
+        self.account.add(self.place, bytes);
+        self.bytes += bytes;
+    }
+
     /// Gives back all but `bytes`.
     pub fn shrink_to(&mut self, bytes: usize) {
         let excess = self.bytes.saturating_sub(bytes);
--- a/tests/testsuite/adapter.rs
+++ b/tests/testsuite/adapter.rs
@@ -12,10 +12,12 @@
 use kelpwind::mesh::platform_api::{
     CallerRequest, Departure, KeyAssignment, OperatorOrder, ServerMessage,
 };
+use kelpwind::net::memory::{MemoryAccount, Place};
 use kelpwind::platform;
 use kelpwind::table::Record;
 use kelpwind::table::keys::Span;
 use kelpwind::util::error::format_chain;
+use rstest::rstest;
 
 pub(crate) const SETTINGS: &str = "\
 grants=call
@@ -88,6 +90,55 @@
 "rows":[["books","/healthz",130,"h1",false,3.0,16.0,true,2.0,"call"],["maps","/healthz",130,"h1",false,3.0,16.0,null,null,null]]},
 "limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15}}"#;
 
+/// The default of the memory for bodies has room for the largest body on the smallest host.
+#[test]
+fn limits_of_the_process_follow_from_the_host() {
+    let small = format!("{SETTINGS}self.limits.memory-mb=160\nself.limits.max-fds=4100\n");
+    let limits = platform::parse_settings(&small).unwrap().limits;
+    assert_eq!(limits.body_memory.0, 84 << 20);
+    let account = MemoryAccount::new(limits.body_memory);
+    assert!(account.try_take(Place::RequestBody, (64 << 20) + (128 << 10)).is_some());
+    assert_eq!(limits.connections, 1344);
+    assert_eq!(limits.body_stall, Duration::from_secs(2));
+    assert_eq!(limits.answer_stall, Duration::from_secs(15));
+    let stated = format!(
+        "{small}limits.body-memory-bytes=2000000\nlimits.connections=9\nlimits.body-stall-s=0.5\n\
+         limits.answer-stall-s=4\n"
+    );
+    let limits = platform::parse_settings(&stated).unwrap().limits;
+    assert_eq!((limits.body_memory.0, limits.connections), (2_000_000, 9));
+    assert_eq!(limits.body_stall, Duration::from_millis(500));
+    assert_eq!(limits.answer_stall, Duration::from_secs(4));
+}
+
+/// A limit that cannot work must not bring a node up without one.
+#[rstest]
+#[case::memory("self.limits.memory-mb=40", "self.limits.memory-mb '40': not a number from 64 to")]
+#[case::fds("self.limits.max-fds=200", "self.limits.max-fds '200': not a number from 201 to")]
+#[case::no_number("self.limits.max-fds=many", "self.limits.max-fds 'many': invalid digit")]
+#[case::bodies(
+    "limits.body-memory-bytes=1000",
+    "limits.body-memory-bytes '1000': not a number from 1048576 to"
+)]
+#[case::more_than_the_host(
+    "limits.body-memory-bytes=600000000",
+    "limits.body-memory-bytes '600000000': not a number from 1048576 to 272629760"
+)]
+#[case::body_stall("limits.body-stall-s=0", "limits.body-stall-s '0': not a number of seconds")]
+#[case::answer_stall(
+    "limits.answer-stall-s=-1",
+    "limits.answer-stall-s '-1': not a number of seconds"
+)]
+#[case::connections(
+    "limits.connections=4000",
+    "limits.connections '4000': not a number from 1 to 3900"
+)]
+fn an_invalid_limit_of_the_process_is_an_error(#[case] line: &str, #[case] text: &str) {
+    let error = platform::parse_settings(&format!("{SETTINGS}{line}\n")).unwrap_err();
+    let error = format_chain(&error);
+    assert!(error.contains(text), "{error}");
+}
+
 #[test]
 fn a_configuration_is_decoded_and_the_longest_prefix_wins() {
     let Ok(OperatorOrder::Routes(routes)) = platform::decode_order(&record("config", Some(CONFIG)))
