--- a/src/kelpwind/mesh/mod.rs
+++ b/src/kelpwind/mesh/mod.rs
@@ -28,6 +28,7 @@
 //! * [`send_order`] and [`kept_replies`]: what a connection sends next, and which replies are dropped
 //!   when memory is short. They do no I/O.
 //! * [`http`], [`connection`] and [`metrics`]: the node's HTTP servers and its metrics.
+//! * [`request_body`] and [`eviction`]: memory for callers' bodies and answers, and who loses it.
 //! * [`start`]: start, reload and graceful shutdown.
 
 pub(crate) mod balance;
@@ -35,6 +36,7 @@
 pub(crate) mod connection;
 pub(crate) mod datagram;
 pub(crate) mod entry;
+pub(crate) mod eviction;
 pub(crate) mod frame;
 pub(crate) mod gate;
 pub(crate) mod grants;
@@ -56,6 +58,7 @@
 pub mod report_exchanges;
 pub(crate) mod report_grants;
 pub(crate) mod reports;
+pub(crate) mod request_body;
 pub(crate) mod request_state;
 pub(crate) mod restoration;
 pub(crate) mod selection;
--- a/src/kelpwind/mesh/send_queue.rs
+++ b/src/kelpwind/mesh/send_queue.rs
@@ -42,6 +42,7 @@
             pacer,
             wake: Notify::new(),
             closed: Cell::new(false),
+            writing: Cell::new(false),
         }
     }
 
@@ -141,7 +142,11 @@
             if buffer.len() >= WRITE_BYTES {
                 return;
             }
-            let Some(piece) = order.take_next_of(turn.is_some_and(|at| at <= now)) else { return };
+            let Some(piece) = order.take_next_of(turn.is_some_and(|at| at <= now)) else {
+                // The message whose turn it was may have been removed.
+                *turn = turn.filter(|_| order.next_chunk().is_some());
+                return;
+            };
             if is_chunk(piece.start, piece.last) {
                 *turn = None;
             } else {
