tenants: quotas summed over all nodes

Cause: a tenant may send rate-per-s requests per second and a burst, over all nodes together.

Change: route/allotment.rs keeps a tenant's bucket at one node and grants portions to those that ask; mesh/tenants.rs carries it by datagram. Keepers fill their buckets in proportion to the members in contact, and a node without a keeper spends its own share, so that shares add up to the quota also in partitions.

Not yet run with processes.

--- a/src/kelpwind/core/tenants.rs
+++ b/src/kelpwind/core/tenants.rs
@@ -140,6 +140,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tenants {
     by_key: HashMap<ApiKeyDigest, Rc<Tenant>>,
+    by_name: HashMap<TenantName, Rc<Tenant>>,
     all: Vec<Rc<Tenant>>,
 }
 
@@ -150,12 +151,11 @@
     /// Two tenants have the same name or the same key.
     pub fn new(tenants: Vec<(Tenant, Vec<ApiKeyDigest>)>) -> Result<Tenants, TenantsError> {
         let mut result = Tenants::default();
-        let mut names = std::collections::HashSet::new();
         for (tenant, keys) in tenants {
-            if !names.insert(tenant.name.clone()) {
-                return Err(TenantsError::SameName(tenant.name));
-            }
             let tenant = Rc::new(tenant);
+            if result.by_name.insert(tenant.name.clone(), tenant.clone()).is_some() {
+                return Err(TenantsError::SameName(tenant.name.clone()));
+            }
             for key in keys {
                 let former = result.by_key.insert(key, tenant.clone());
                 if let Some(former) = former.filter(|former| former.name != tenant.name) {
@@ -188,6 +188,11 @@
         }
     }
 
+    /// The tenant with this name.
+    pub fn named(&self, name: &TenantName) -> Option<&Rc<Tenant>> {
+        self.by_name.get(name)
+    }
+
     /// All tenants, in the order of the configuration.
     pub fn all(&self) -> &[Rc<Tenant>] {
         &self.all
--- a/src/kelpwind/mesh/datagram.rs
+++ b/src/kelpwind/mesh/datagram.rs
@@ -5,6 +5,7 @@
 use crate::core::digest::RequestDigest;
 use crate::core::ids::{Era, Position, ServiceName};
 use crate::lease::message::Message;
+use crate::route::allotment::{Ask, Reply};
 use crate::table::WriteBatch;
 use crate::table::suspect::ServerExit;
 
@@ -65,4 +66,8 @@
     Suspects(Vec<SuspectNotice>),
     /// Servers of these services have answered these suspects.
     Cleared(Vec<(RequestDigest, ServiceName)>),
+    /// A node asks the keeper of tenants' quotas for tokens, or keeps up contact.
+    QuotaAsk(Ask),
+    /// The answer to it.
+    QuotaReply(Reply),
 }
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -72,6 +72,10 @@
         }
         state.tenant = tenant;
         state.suspicion = suspicion;
+        if let Err(failure) = self.take_quota(&state).await {
+            self.metrics.count_request(&state.service, &Err(failure), arrived.elapsed());
+            return Err(failure);
+        }
         let id = state.request.id.clone();
         let left = state.deadline.saturating_duration_since(arrived).saturating_sub(ANSWER_MARGIN);
         let ended = timeout(left, self.try_gates(&mut state)).await;
@@ -84,6 +88,7 @@
         };
         self.metrics.count_request(&state.service, &result, arrived.elapsed());
         if let Err(failure) = &result {
+            self.give_back_quota(&state, *failure);
             self.metrics.failure_log.write(|left_out| {
                 spdlog::info!("entry: failed", kv: {
                     request = id.as_str(), code = failure.code.number(), why = failure.code.text(),
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of a node, and a rate limit for log lines about single requests.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use prometheus::{
@@ -13,6 +14,7 @@
 use super::request_state::Failure;
 use crate::core::codes::Code;
 use crate::core::ids::ServiceName;
+use crate::core::tenants::TenantName;
 use crate::lease::clock;
 use crate::util::registry::register;
 
@@ -59,6 +61,8 @@
     latency: HistogramVec,
     refusals_total: IntCounterVec,
     unrouted: IntCounterVec,
+    /// Requests of tenants, by what became of them.
+    pub tenants: TenantCounts,
     store_reads: IntCounterVec,
     grants: IntCounterVec,
     grant_time: Histogram,
@@ -107,6 +111,28 @@
     era: IntGauge,
 }
 
+/// Most tenants with a label of their own; the others are counted as `other`.
+const TENANT_LABELS_MAX: usize = 100;
+
+/// Counts of tenants' requests.
+pub(crate) struct TenantCounts {
+    counts: IntCounterVec,
+    named: RefCell<HashSet<TenantName>>,
+}
+
+impl TenantCounts {
+    /// Counts a request that is within the quota or not.
+    pub fn count(&self, tenant: &TenantName, within: bool) {
+        let mut named = self.named.borrow_mut();
+        if !named.contains(tenant) && named.len() < TENANT_LABELS_MAX {
+            named.insert(tenant.clone());
+        }
+        let name = if named.contains(tenant) { tenant.as_str() } else { "other" };
+        let result = if within { "admitted" } else { "refused" };
+        self.counts.with_label_values(&[name, result]).inc();
+    }
+}
+
 /// Why the era of an answer of the store cannot be used; the value of a metric's label.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EraFault {
@@ -209,6 +235,14 @@
                 "Callers' requests that failed before a route was chosen, by result code.",
                 &["code"],
             ),
+            tenants: TenantCounts {
+                counts: counters(
+                    "kelpwind_tenant_requests_total",
+                    "Tenants' requests that were within their quota or were refused because of it.",
+                    &["tenant", "result"],
+                ),
+                named: RefCell::default(),
+            },
             store_reads: counters(
                 "kelpwind_store_reads_total",
                 "Reads of the store by topic and result.",
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -25,6 +25,7 @@
 use super::serve::Sessions;
 use super::statements::ServerStatements;
 use super::store_era::StoreEra;
+use super::tenants::Quotas;
 use crate::core::ids::{DomainName, Era, Holder, Incarnation, NodeId, Position, ServiceName};
 use crate::core::routes::Routes;
 use crate::gate::grant_time::TransitTimes;
@@ -180,6 +181,8 @@
     pub witness: RefCell<Witness>,
     /// Takeovers in progress, by incarnation of the holder.
     pub takeovers: RefCell<HashMap<IncarnationId, Takeover>>,
+    /// Quotas of tenants.
+    pub quotas: Quotas,
     /// Socket for datagrams between nodes.
     pub udp: UdpSocket,
     /// Becomes true when the node begins to stop.
--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -194,6 +194,7 @@
         spdlog::info!("a configuration is in force", kv: { version, routes = count });
         self.routes.replace(Some(Rc::new(routes)));
         self.configured.send_replace(true);
+        self.quotas.wake.notify_one();
         let rate = self.cold_rate();
         self.queue.borrow_mut().cold_start.set_rate(rate);
         self.grants_wake.notify_one();
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -15,9 +15,10 @@
 use super::node::Node;
 use super::platform_api::{NodeSettings, Platform, Topic};
 use super::store_era::StoreEra;
+use super::tenants::Quotas;
 use super::{
     balance, gate, grants, held_ranges, http, lease, plan, quarantine, reports, serve, store_era,
-    store_watch, takeover, udp,
+    store_watch, takeover, tenants, udp,
 };
 use crate::core::codes::Code;
 use crate::core::ids::{Holder, Incarnation};
@@ -93,10 +94,12 @@
     let witness = Witness::new(IncarnationId::from(holder.inc), now);
     let mut held = held_ranges::HeldRanges::default();
     held.assume_former_grants(now, grant_time::EXCESS_MAX);
+    let run_id = fastrand::u64(..);
     Node {
+        quotas: Quotas::new(settings.node.clone(), run_id),
         settings: RefCell::new(settings),
         platform,
-        run_id: fastrand::u64(..),
+        run_id,
         holder: RefCell::new(holder),
         started: Instant::now(),
         started_boot: now,
@@ -190,6 +193,7 @@
     run(node, "datagrams", udp::receive);
     run(node, "takeovers", takeover::watch_holders);
     run(node, "witnesses", lease::maintain_witnesses);
+    run(node, "quotas", tenants::maintain_quotas);
     run(node, "suspects", quarantine::maintain_suspects);
     tokio::task::spawn_local(reload(node.clone(), hangup));
 }
--- a/src/kelpwind/mesh/udp.rs
+++ b/src/kelpwind/mesh/udp.rs
@@ -71,6 +71,11 @@
                 self.learn_cleared(cleared);
                 None
             }
+            Datagram::QuotaAsk(ask) => self.answer_quota_ask(&ask).map(Datagram::QuotaReply),
+            Datagram::QuotaReply(reply) => {
+                self.learn_quota_reply(reply);
+                None
+            }
             Datagram::LoadQuery { query, work } => self.answer_load_query(query, work),
             Datagram::LoadReply { query, server, work, slots } => {
                 self.record_load_reply(query, &server, work, slots);
--- a/src/kelpwind/route/mod.rs
+++ b/src/kelpwind/route/mod.rs
@@ -7,9 +7,10 @@
 //! idempotent by its policy, or if its owner deduplicates it by idempotency key.
 //!
 //! On a platform ([`crate::mesh`]), [`least_cost`] chooses the target, [`round_robin`] the service
-//! of a weighted route, [`availability`] and [`retry_after`] handle refusals, and [`quarantine`] keeps
+//! of a weighted route, [`allotment`] divides quotas of tenants among nodes, [`availability`] and [`retry_after`] handle refusals, and [`quarantine`] keeps
 //! requests away from servers that end when they run them.
 
+pub mod allotment;
 pub mod availability;
 pub mod budget;
 pub(crate) mod entry;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 //! `kelpwind_test_support::cluster` run real processes of the program.
 
 mod adapter;
+mod allotment;
 mod bad_input;
 mod charts;
 mod command_line;
