--- a/tests/mesh/tenants.rs
+++ b/tests/mesh/tenants.rs
@@ -83,3 +83,46 @@
         assert!(!["k-1", "k-2", "k-3", "k-4", "k-9"].iter().any(|key| log.contains(key)));
     }
 }
+
+// Guards against a quota that each node grants for itself, and a refusal without 429 and Retry-After.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quota_holds_over_all_nodes_and_refusals_say_when_to_retry() {
+    const RATE: f64 = 20.0;
+    const BURST: f64 = 10.0;
+    const TIME: Duration = Duration::from_secs(5);
+    let mut fleet = Fleet::start(SERVICES, Duration::ZERO).await;
+    fleet.tenants = Some(format!(r#"["blue",["k-1"],null,{RATE},{BURST},null],["red",["k-3"]]"#));
+    fleet.publish(SERVICES, PUBLIC);
+    until_status(&fleet, "k-9", 401).await;
+    // The bucket fills.
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    let until = Instant::now() + TIME;
+    let (mut ran, mut refused) = (0, 0);
+    while Instant::now() < until {
+        let calls =
+            (0..fleet.hosts.len()).map(|n| send(&fleet, n, "maps", "x-credential: k-1\r\n"));
+        for (status, text) in futures_util::future::join_all(calls).await {
+            match status {
+                200 => ran += 1,
+                429 => {
+                    assert!(text.contains("\nretry-after: "), "{text}");
+                    assert!(text.contains("kelpwind-code: 109"), "{text}");
+                    refused += 1;
+                }
+                _ => panic!("{text}"),
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let bound = (RATE * TIME.as_secs_f64() + BURST) * 1.1 + 20.0;
+    assert!(f64::from(ran) <= bound, "{ran} ran, {bound} may");
+    // Half of the quota: the machine may be slow.
+    assert!(f64::from(ran) >= RATE * TIME.as_secs_f64() / 2.0, "only {ran} ran");
+    assert!(refused > ran, "{refused} refused, {ran} ran");
+    for _ in 0..20 {
+        let (status, text) = send(&fleet, 0, "maps", "x-credential: k-3\r\n").await;
+        assert_eq!(status, 200, "{text}");
+        let (status, text) = send(&fleet, 0, "open", "").await;
+        assert_eq!(status, 200, "{text}");
+    }
+}
