--- a/src/kelpwind/mesh/orders.rs
+++ b/src/kelpwind/mesh/orders.rs
@@ -201,6 +201,7 @@
         self.queue.borrow_mut().set_sharing(sharing);
         self.queue.borrow_mut().set_short_classes(short);
         self.configured.send_replace(true);
+        self.quotas.wake.notify_one();
         let rate = self.cold_rate();
         self.queue.borrow_mut().cold_start.set_rate(rate);
         self.grants_wake.notify_one();
--- a/src/kelpwind/mesh/request_state.rs
+++ b/src/kelpwind/mesh/request_state.rs
@@ -11,6 +11,7 @@
 use crate::core::codes::Code;
 use crate::core::ids::{NodeId, Position, ServiceName};
 use crate::core::routes::Route;
+use crate::core::tenants::Tenant;
 use crate::route::budget::Budget;
 use crate::route::retry_after;
 
@@ -58,6 +59,8 @@
     pub sharing: bool,
     /// Whether the attempt in progress may have reached a server.
     pub attempt_sent: Cell<bool>,
+    /// Whose request it is, where the configuration has tenants.
+    pub tenant: Option<Rc<Tenant>>,
 }
 
 impl RequestState {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 
 mod adapter;
 mod admission;
+mod allotment;
 mod bad_input;
 mod call_tree;
 mod charts;
@@ -44,3 +45,4 @@
 mod support;
 mod table;
 mod table_eras;
+mod tenants;
