--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -5,6 +5,7 @@
 //! tests ran at the same time as other tests of whole deployments, their timing would depend on the
 //! load of the machine.
 
+mod admission;
 mod configuration;
 mod crashing_requests;
 mod endless_answers;
