queue: callers without time to return take no place among those told to

Cause: each refused caller moved the time told to the next one, also if it had no time left to return. In an overload of 20 s the times told ran seconds ahead of the capacity, and stayed there after it.

Change: only callers that are told a time before their deadline take a place.

--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -454,7 +454,7 @@
         });
         let least = Duration::from_secs_f64(own * LEAST_FRACTION);
         if now + least > request.deadline {
-            return AdmitDecision::Refuse(self.return_delay(0.0, now));
+            return AdmitDecision::Refuse(self.return_delay(0.0, request.deadline, now));
         }
         if self.running < self.slots && self.waiting.is_empty() && self.may_start(now) {
             self.start_shared(class, own, now);
@@ -481,7 +481,11 @@
         let wait = wait.max(self.rate_limit.wait(now, ahead).as_secs_f64());
         let start = SharedView { now: now + Duration::from_secs_f64(wait), ..self.view(now) };
         if start.is_hopeless(&queued) {
-            return AdmitDecision::Refuse(self.return_delay(all_secs - own, now));
+            return AdmitDecision::Refuse(self.return_delay(
+                all_secs - own,
+                queued.request.deadline,
+                now,
+            ));
         }
         self.next_ticket += 1;
         self.waiting.push(queued);
@@ -491,7 +495,7 @@
             let Some(last) = last else { break };
             let evicted = self.waiting.swap_remove(last);
             all_secs -= view.expected(&evicted);
-            let delay = self.return_delay(all_secs, now);
+            let delay = self.return_delay(all_secs, evicted.request.deadline, now);
             if evicted.ticket == ticket {
                 return AdmitDecision::Refuse(delay);
             }
@@ -510,7 +514,7 @@
         self.waiting = waiting;
         let all_secs: f64 = self.waiting.iter().map(|w| view.expected(w)).sum();
         for queued in hopeless {
-            let delay = self.return_delay(all_secs, now);
+            let delay = self.return_delay(all_secs, queued.request.deadline, now);
             events.push(QueueEvent::Refuse(queued.ticket, delay));
         }
         while self.running < self.slots && self.may_start(now) {
@@ -543,14 +547,15 @@
 
     /// Time after which a refused caller should return: when the queued work is done, and the callers
     /// refused before it have returned. `queued_secs` is the work of the requests that stay queued.
-    fn return_delay(&mut self, queued_secs: f64, now: Instant) -> Duration {
+    fn return_delay(&mut self, queued_secs: f64, deadline: Instant, now: Instant) -> Duration {
         let slots = f64::from(self.slots);
         let free_after = self.secs_until_free() + queued_secs / slots;
         let interval = self.mean_time * self.slowdown / slots;
         let limited = self.rate_limit.record_refusal(now);
         let Some(sharing) = &mut self.sharing else { return limited };
         let free_after = Duration::from_secs_f64(free_after).max(RETRY_DELAY_MIN);
-        sharing.returns.assign(free_after, Duration::from_secs_f64(interval), now).max(limited)
+        let interval = Duration::from_secs_f64(interval);
+        sharing.returns.assign(free_after, interval, deadline, now).max(limited)
     }
 
     /// Whether the limits on request starts let one more start.
--- a/src/kelpwind/gate/share.rs
+++ b/src/kelpwind/gate/share.rs
@@ -122,11 +122,20 @@
 
 impl ReturnTimes {
     /// Time after which a refused caller should return. Capacity is free after `free_after`, unless
-    /// callers that were refused before return by then, of which one is served per `interval`.
-    pub fn assign(&mut self, free_after: Duration, interval: Duration, now: Instant) -> Duration {
+    /// callers that were refused before return by then, of which one is served per `interval`. A caller
+    /// that should return after its `deadline` does not, so it takes no place before others.
+    pub fn assign(
+        &mut self,
+        free_after: Duration,
+        interval: Duration,
+        deadline: Instant,
+        now: Instant,
+    ) -> Duration {
         let free = now + free_after;
         let at = self.next.map_or(free, |next| next.max(free));
-        self.next = Some(at + interval);
+        if at < deadline {
+            self.next = Some(at + interval);
+        }
         at.saturating_duration_since(now)
     }
 }
