Shed hot spans to several owners at once

An owner needed 48 requests in 1.5 to 6 s before it counted as overloaded, checked every 300 ms and paused 600 ms after each move, and planned with a rate that still included the time before the hot spot. 200 adjacent keys with two fifths of the requests were refused for seconds.

Where a configuration has bulk routes, an owner looks for an excess that is certain every 50 ms: the requests of the last 200 or 400 ms exceed 1.2 times what it can run by five standard deviations. The rate is taken from the onset of the excess; the hot span (its density against the mean over the owner's keys) is cut into adjacent pieces, one for each owner with room. Other owners' loads are converted by their measured service times. Requests for keys that are leaving no longer count.

--- a/src/kelpwind/mesh/balance.rs
+++ b/src/kelpwind/mesh/balance.rs
@@ -5,6 +5,10 @@
 //! enough to take the excess load, so the number of messages does not grow with the number of
 //! owners. An owner that replies counts the load it was asked to take as its own for a while, so
 //! that two overloaded owners do not both fill the same free capacity.
+//!
+//! Where requests of unequal cost share servers ([`crate::core::routes::Routes::has_bulk`]), an owner also looks for an
+//! excess that is certain, twenty times a second, and sheds the hot span to several owners at once;
+//! and loads of others are converted by the measured service times, so that faster servers take more.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -15,7 +19,7 @@
 use super::datagram::Datagram;
 use super::node::Node;
 use crate::core::ids::{Holder, NodeId};
-use crate::place::relief::{self, OwnerLoad};
+use crate::place::relief::{self, Excess, OwnerLoad};
 use crate::table::keys::{Owner, Span};
 
 /// Time between two checks of this owner's load.
@@ -23,6 +27,11 @@
 /// Pause after a move starts, until its effect shows: entries still send requests that are in
 /// flight to the former owner.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
+/// Time between two checks for an excess that is certain.
+const EXCESS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Pause after hot spans begin to be shed. Requests for them are no longer counted here, so what
+/// remains shows sooner than after other moves.
+const SHED_SETTLE_TIME: Duration = Duration::from_millis(150);
 /// Maximum number of ranges per owner of a service, on average. Each range needs a grant that must
 /// be renewed.
 const RANGES_PER_OWNER_MAX: usize = 12;
@@ -46,11 +55,25 @@
 
 /// Moves keys away whenever this owner is overloaded, for as long as the process runs.
 pub(crate) async fn rebalance(node: Rc<Node>) {
+    let mut checked = Instant::now();
     loop {
-        sleep(CHECK_INTERVAL).await;
+        let by_work = node.weighs_work();
+        sleep(if by_work { EXCESS_CHECK_INTERVAL } else { CHECK_INTERVAL }).await;
         if !node.can_rebalance() {
             continue;
         }
+        if by_work {
+            if let Some(excess) = node.certain_excess()
+                && node.shed(excess).await
+            {
+                sleep(SHED_SETTLE_TIME).await;
+                continue;
+            }
+            if checked.elapsed() < CHECK_INTERVAL {
+                continue;
+            }
+            checked = Instant::now();
+        }
         let Some(own) = node.own_load() else { continue };
         let requests = node.demand.borrow().len();
         if !relief::is_overloaded(&own, requests) {
@@ -66,9 +89,7 @@
         spdlog::info!("keys move to less busy owners", kv: {
             busy = own.utilization(), slots = own.slots, requests, keys, ranges = moves.len()
         });
-        let spans: Vec<Span> = moves.iter().map(|(span, _)| *span).collect();
-        if node.start_moves(moves) {
-            spans.iter().for_each(|span| node.demand.borrow_mut().remove_span(*span));
+        if node.start_counted_moves(moves) {
             sleep(SETTLE_TIME).await;
         }
     }
@@ -80,16 +101,71 @@
         self.is_keyed() && !self.is_stopping() && warm && !self.is_changing_keys()
     }
 
+    /// Whether requests of unequal cost share servers, so that the choice of targets and the placing of
+    /// keys weigh the work of requests.
+    pub fn weighs_work(&self) -> bool {
+        self.routes.borrow().as_ref().is_some_and(|r| r.has_bulk())
+    }
+
     /// This owner's load; `None` while it has no backend server.
     fn own_load(&self) -> Option<OwnerLoad> {
         let owner = Owner { holder: self.holder(), instance: self.server_instance()? };
         let now = Instant::now();
         let rate = self.demand.borrow_mut().rate(now);
+        let excess = if self.weighs_work() { self.certain_excess() } else { None };
         let queue = self.queue.borrow();
         let work = rate * queue.typical_time().as_secs_f64();
+        let work = excess.map_or(work, |excess| excess.work.max(work));
         Some(OwnerLoad { owner, work, slots: queue.capacity() })
     }
 
+    /// The excess of requests for this owner's keys that chance does not explain.
+    fn certain_excess(&self) -> Option<Excess> {
+        let queue = self.queue.borrow();
+        let (slots, typical) = (queue.capacity(), queue.typical_time());
+        relief::certain_excess(&self.demand.borrow(), slots, typical, Instant::now())
+    }
+
+    /// Transfers hot spans to several owners at once. Returns whether there are moves.
+    async fn shed(self: &Rc<Self>, excess: Excess) -> bool {
+        let now = Instant::now();
+        let Some(mut own) = self.own_load() else { return false };
+        if self.shed_failed.get().is_some_and(|at| now - at < CHECK_INTERVAL) {
+            return false;
+        }
+        own.work = excess.work;
+        self.query_loads(&own).await;
+        sleep(REPLY_WAIT).await;
+        // More requests are known by now.
+        let excess = self.certain_excess().unwrap_or(excess);
+        own.work = excess.work;
+        let moves = self.movable_spans(&own).map(|spans| {
+            relief::plan_shedding(&own, &excess.demand, &spans, &self.load_query.borrow().replies)
+        });
+        let moves = moves.unwrap_or_default();
+        // Without an owner that has room, the others are not asked again at once.
+        if moves.is_empty() {
+            self.shed_failed.set(Some(now));
+            return false;
+        }
+        let keys: u32 = moves.iter().map(|(s, _)| s.width()).sum();
+        spdlog::info!("hot keys are shed", kv: {
+            busy = own.utilization(), slots = own.slots, requests = excess.demand.len(), keys,
+            ranges = moves.len(), replies = self.load_query.borrow().replies.len()
+        });
+        self.start_counted_moves(moves)
+    }
+
+    /// Starts moves and no longer counts the requests for their keys. Returns whether they started.
+    fn start_counted_moves(self: &Rc<Self>, moves: Vec<(Span, Owner)>) -> bool {
+        let spans: Vec<Span> = moves.iter().map(|(span, _)| *span).collect();
+        let started = self.start_moves(moves);
+        if started {
+            spans.iter().for_each(|span| self.demand.borrow_mut().remove_span(*span));
+        }
+        started
+    }
+
     /// Asks a random sample of other owners for their load, and resets the replies.
     async fn query_loads(&self, own: &OwnerLoad) {
         let service = self.service();
@@ -133,12 +209,19 @@
             server,
             work: (work * 1000.0) as u32,
             slots: (own.slots * 1000.0) as u32,
+            service_us: self.queue.borrow().typical_time().as_micros() as u32,
         })
     }
 
     /// Records a reply to the latest query. Replies to earlier queries and from owners that were
-    /// not queried are ignored.
-    pub fn record_load_reply(&self, query: u32, server: &str, work: u32, slots: u32) {
+    /// not queried are ignored. `service_time` is the mean service time of the replying owner.
+    pub fn record_load_reply(
+        &self,
+        query: u32,
+        server: &str,
+        (work, slots): (u32, u32),
+        service_time: Duration,
+    ) {
         let mut latest = self.load_query.borrow_mut();
         if latest.query != query {
             return;
@@ -147,23 +230,28 @@
             return;
         };
         let (work, slots) = (f64::from(work) / 1000.0, f64::from(slots) / 1000.0);
-        latest.replies.push(OwnerLoad { owner, work, slots });
+        let load = OwnerLoad { owner, work, slots };
+        latest.replies.push(match self.weighs_work() {
+            true => load.in_units_of(self.queue.borrow().typical_time(), service_time),
+            false => load,
+        });
     }
 
     /// Moves that relieve this owner, chosen from the replies. Empty when the service already has
     /// too many ranges.
     fn choose_moves(&self, own: &OwnerLoad) -> Vec<(Span, Owner)> {
-        let service = self.service();
-        let spans: Vec<Span> = {
-            let table = self.table.borrow();
-            let Some(keys) = table.keys.get(&service) else { return Vec::new() };
-            let spans: Vec<Span> = keys.owned_by(&own.owner.holder).map(|r| r.span).collect();
-            let owners: BTreeSet<&Holder> = keys.owners().collect();
-            if keys.ranges.len() > RANGES_PER_OWNER_MAX * owners.len() {
-                return Vec::new();
-            }
-            spans
-        };
+        let Some(spans) = self.movable_spans(own) else { return Vec::new() };
         relief::plan_relief(own, &self.demand.borrow(), &spans, &self.load_query.borrow().replies)
     }
+
+    /// The spans of this owner; `None` when the service already has too many ranges.
+    fn movable_spans(&self, own: &OwnerLoad) -> Option<Vec<Span>> {
+        let table = self.table.borrow();
+        let keys = table.keys.get(&self.service())?;
+        let owners: BTreeSet<&Holder> = keys.owners().collect();
+        if keys.ranges.len() > RANGES_PER_OWNER_MAX * owners.len() {
+            return None;
+        }
+        Some(keys.owned_by(&own.owner.holder).map(|r| r.span).collect())
+    }
 }
--- a/src/kelpwind/mesh/datagram.rs
+++ b/src/kelpwind/mesh/datagram.rs
@@ -58,6 +58,8 @@
         work: u32,
         /// Work that the backend server can do at once, in thousandths of a slot.
         slots: u32,
+        /// Mean service time there in microseconds; 0 when unknown.
+        service_us: u32,
     },
     /// The store has come back from an older copy and is in this era.
     StoreRestored(Era),
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -140,7 +140,12 @@
         let call = Rc::new(std::mem::take(&mut request.request));
         let key = call.key.filter(|_| self.is_keyed());
         if let Some(key) = key {
-            if self.held.borrow().is_owned(key) {
+            // Requests for keys that are leaving would make the remaining ones look hot.
+            let counted = match self.weighs_work() {
+                true => self.held.borrow().is_staying(key),
+                false => self.held.borrow().is_owned(key),
+            };
+            if counted {
                 self.demand.borrow_mut().record(key, now);
             }
             let until = now + move_wait(deadline.saturating_duration_since(now));
--- a/src/kelpwind/mesh/held_ranges.rs
+++ b/src/kelpwind/mesh/held_ranges.rs
@@ -67,6 +67,11 @@
         self.find(key).is_some()
     }
 
+    /// Whether this node owns a key that is not being moved.
+    pub fn is_staying(&self, key: u16) -> bool {
+        self.find(key).is_some_and(|r| !r.leaving)
+    }
+
     /// The session in which the server was granted a key; `None` if it was not.
     pub fn session(&self, key: u16) -> Option<BackendSession> {
         self.find(key)?.session
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -158,6 +158,8 @@
     pub demand: RefCell<Demand>,
     /// The last query of this owner for the load of others.
     pub load_query: RefCell<LoadQuery>,
+    /// When this owner last found no owner to shed hot keys to.
+    pub shed_failed: Cell<Option<Instant>>,
     /// Capacity reserved for overloaded owners that have asked for this owner's load.
     pub reservations: RefCell<Reservations>,
     /// Connections to the gates of other nodes.
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -145,6 +145,7 @@
         departed_owners: RefCell::default(),
         demand: RefCell::default(),
         load_query: RefCell::default(),
+        shed_failed: Cell::default(),
         reservations: RefCell::default(),
         links: RefCell::new(HashMap::new()),
         sessions: RefCell::default(),
--- a/src/kelpwind/mesh/udp.rs
+++ b/src/kelpwind/mesh/udp.rs
@@ -72,8 +72,9 @@
                 None
             }
             Datagram::LoadQuery { query, work } => self.answer_load_query(query, work),
-            Datagram::LoadReply { query, server, work, slots } => {
-                self.record_load_reply(query, &server, work, slots);
+            Datagram::LoadReply { query, server, work, slots, service_us } => {
+                let service_time = Duration::from_micros(service_us.into());
+                self.record_load_reply(query, &server, (work, slots), service_time);
                 None
             }
         }
--- a/src/kelpwind/place/relief.rs
+++ b/src/kelpwind/place/relief.rs
@@ -9,6 +9,10 @@
 //! Another load pattern must not look like that one: few but long requests, of which some more than
 //! usual arrive by chance. So requests are counted for longer where they are few, and an owner counts
 //! as overloaded only if chance is no likely reason. This module does no I/O.
+//!
+//! A shift to one span that is far too large for chance shows within some tenths of a second, before
+//! the longer count can tell. [`certain_excess`] finds it from the newest requests alone, and
+//! [`plan_shedding`] cuts the hot span into adjacent pieces for several owners at once.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -47,6 +51,29 @@
 /// messages must stay small.
 const OWNERS_ASKED: std::ops::RangeInclusive<usize> = 12..=48;
 
+/// Periods over which an excess that is certain is looked for, shortest first. Two servers' worth of
+/// requests show in the shorter one, smaller excesses in the longer one.
+const EXCESS_WINDOWS: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(400)];
+/// Utilization that a certain excess surpasses by more than the error of its count.
+const EXCESS_UTILIZATION: f64 = 1.2;
+/// Number of standard deviations above that utilization from which an excess is certain. Checks run
+/// twenty times a second at every owner, so a smaller number would be exceeded by chance each day.
+const EXCESS_SIGMAS: f64 = 5.0;
+/// The first of this many equal parts of the requests may have arrived before an excess began; the
+/// others tell its rate.
+const EARLY_PART: usize = 8;
+/// Shortest time over which the rate of an excess is computed.
+const EXCESS_PERIOD_MIN: Duration = Duration::from_millis(40);
+/// Smallest density of requests that counts as hot, as a fraction of the mean over the owner's keys.
+/// Outside a span that causes a certain excess the density is lower.
+const HOT_DENSITY: f64 = 0.5;
+/// Maximum number of keys that are shed at once, a 64th of all. An excess over a wider span moves by the
+/// longer count, since moved keys cost their servers what they have prepared for them.
+const SHED_KEYS_MAX: u32 = 1024;
+/// Bounds to which the ratio of two owners' service times is clamped: servers differ by less than
+/// three times, the rest is chance.
+const SPEED_BOUNDS: (f64, f64) = (0.4, 2.5);
+
 /// Least capacity that loads are divided by.
 const SLOTS_MIN: f64 = 0.01;
 
@@ -95,6 +122,20 @@
         self.requests.is_empty()
     }
 
+    /// The requests of the last `window`, without the earlier ones.
+    pub fn within(&self, window: Duration, now: Instant) -> Demand {
+        let newer = |at: Instant| now.saturating_duration_since(at) < window;
+        let first = self.requests.partition_point(|(at, _)| !newer(*at));
+        Demand { requests: self.requests.range(first..).copied().collect() }
+    }
+
+    /// Number of requests in the last `window`.
+    fn count_within(&self, window: Duration, now: Instant) -> usize {
+        let first =
+            self.requests.partition_point(|(at, _)| now.saturating_duration_since(*at) >= window);
+        self.requests.len() - first
+    }
+
     /// The requested keys in ascending order, one entry for each request.
     fn keys(&self) -> Vec<u16> {
         let mut keys: Vec<u16> = self.requests.iter().map(|(_, key)| *key).collect();
@@ -130,6 +171,57 @@
     pub fn utilization(&self) -> f64 {
         self.work / self.slots.max(SLOTS_MIN)
     }
+
+    /// This load in the units of an owner whose requests take `own_time`, where here they take
+    /// `time`: a server that is 1.6 times as fast has 1.6 times as many slots of that kind. Unknown
+    /// times, which are zero, count as equal.
+    pub fn in_units_of(self, own_time: Duration, time: Duration) -> OwnerLoad {
+        if own_time.is_zero() || time.is_zero() {
+            return self;
+        }
+        let speed =
+            (own_time.as_secs_f64() / time.as_secs_f64()).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+        OwnerLoad { work: self.work * speed, slots: self.slots * speed, ..self }
+    }
+}
+
+/// An excess of requests that chance does not explain.
+#[derive(Clone, Debug)]
+pub struct Excess {
+    /// Requested work over the period in which the excess showed, in slots.
+    pub work: f64,
+    /// The requests of that period.
+    pub demand: Demand,
+}
+
+/// The excess of an owner with `slots` whose requests take `service_time`; `None` unless the requests
+/// of the last few tenths of a second are certainly more than it can run. Requests arrive
+/// independently, so the standard deviation of their number is its square root.
+pub fn certain_excess(
+    demand: &Demand,
+    slots: f64,
+    service_time: Duration,
+    now: Instant,
+) -> Option<Excess> {
+    if service_time.is_zero() {
+        return None;
+    }
+    EXCESS_WINDOWS.iter().find_map(|window| {
+        let per_request = service_time.as_secs_f64() / window.as_secs_f64();
+        let bearable = EXCESS_UTILIZATION * slots.max(SLOTS_MIN) / per_request;
+        let count = demand.count_within(*window, now) as f64;
+        if count <= bearable + EXCESS_SIGMAS * bearable.max(1.0).sqrt() {
+            return None;
+        }
+        let demand = demand.within(*window, now);
+        // Most of the period may lie before the excess began.
+        let early = demand.requests.len() / EARLY_PART;
+        let begun = demand.requests.get(early).map_or(*window, |(at, _)| {
+            now.saturating_duration_since(*at).mul_f64(EARLY_PART as f64 / (EARLY_PART - 1) as f64)
+        });
+        let period = begun.min(*window).max(EXCESS_PERIOD_MIN).as_secs_f64();
+        Some(Excess { work: count * service_time.as_secs_f64() / period, demand })
+    })
 }
 
 /// Whether an owner is overloaded: its utilization, computed from `requests`, exceeds the threshold by
@@ -155,9 +247,7 @@
     spans: &[Span],
     others: &[OwnerLoad],
 ) -> Vec<(Span, Owner)> {
-    let less_loaded = others.iter().filter(|o| o.utilization() + DIFFERENCE_MIN < me.utilization());
-    let mut less_loaded: Vec<&OwnerLoad> = less_loaded.collect();
-    less_loaded.sort_by(|a, b| a.utilization().total_cmp(&b.utilization()));
+    let less_loaded = less_loaded(me, others);
     let common = common_utilization(me, &less_loaded);
     let level = (common + LEVEL_TOLERANCE).min(TARGET_UTILIZATION_MAX);
     let mut rest = me.work - common * me.slots;
@@ -180,6 +270,118 @@
     moves
 }
 
+/// The owners that `me` may transfer load to, the least loaded first.
+fn less_loaded<'a>(me: &OwnerLoad, others: &'a [OwnerLoad]) -> Vec<&'a OwnerLoad> {
+    let less = others.iter().filter(|o| o.utilization() + DIFFERENCE_MIN < me.utilization());
+    let mut less: Vec<&OwnerLoad> = less.collect();
+    less.sort_by(|a, b| a.utilization().total_cmp(&b.utilization()));
+    less
+}
+
+/// Plans how `me` sheds a certain excess at once: the hot spans are cut into adjacent pieces, one for
+/// each owner with room. `demand` contains the requests that `me.work` was computed from.
+///
+/// Pieces are cut in the order of keys, not the densest first: among few requests the densest pieces
+/// are so by chance, and their owners would get less than planned.
+pub fn plan_shedding(
+    me: &OwnerLoad,
+    demand: &Demand,
+    spans: &[Span],
+    others: &[OwnerLoad],
+) -> Vec<(Span, Owner)> {
+    let less_loaded = less_loaded(me, others);
+    let common = common_utilization(me, &less_loaded);
+    let level = (common + LEVEL_TOLERANCE).min(TARGET_UTILIZATION_MAX);
+    let keys = demand.keys();
+    let per_request = me.work / keys.len().max(1) as f64;
+    let mut rest = me.work - common * me.slots;
+    let mut receivers = less_loaded.into_iter().filter_map(|other| {
+        let room = (level - other.utilization()) * other.slots;
+        (room >= MOVE_MIN * other.slots).then_some((other, room))
+    });
+    let (mut moves, mut width) = (Vec::new(), 0);
+    for (span, range) in hot_spans(&keys, spans) {
+        width += span.width();
+        if width > SHED_KEYS_MAX {
+            break;
+        }
+        let work = smoothed_counts(&keys[range], span);
+        let mut index = 0;
+        while index < work.len() && rest > 0.0 {
+            let Some((other, room)) = receivers.next() else { return moves };
+            let room = room.min(rest);
+            // A single key with more requests than the receiver has room for stays.
+            while index < work.len() && work[index] * per_request > room {
+                index += 1;
+            }
+            let (start, mut taken) = (index, 0.0);
+            while index < work.len() && taken + work[index] * per_request <= room {
+                taken += work[index] * per_request;
+                index += 1;
+            }
+            if index > start {
+                let first = span.first + start as u16;
+                let last = span.first + (index - 1) as u16;
+                moves.push((Span { first, last }, other.owner.clone()));
+                rest -= taken;
+            }
+        }
+    }
+    moves
+}
+
+/// Expected number of requests of each key of a span, of which `keys` were requested. Few requests are
+/// spread unevenly by chance; as far as chance explains their spread, each key counts as the mean.
+fn smoothed_counts(keys: &[u16], span: Span) -> Vec<f64> {
+    let mut counts = vec![0.0; span.width() as usize];
+    for key in keys.iter().filter(|key| span.contains(**key)) {
+        counts[usize::from(*key - span.first)] += 1.0;
+    }
+    let width = counts.len().max(1) as f64;
+    let mean = counts.iter().sum::<f64>() / width;
+    let variance = counts.iter().map(|n| (n - mean).powi(2)).sum::<f64>() / width;
+    // Independent requests to equal keys have a variance equal to the mean.
+    let real = (1.0 - mean / variance.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
+    counts.into_iter().map(|n| real * n + (1.0 - real) * mean).collect()
+}
+
+/// In each of `spans`, the part that stands out by its number of requests against its number of keys,
+/// with the indices of its requests in `keys`; the densest first.
+fn hot_spans(keys: &[u16], spans: &[Span]) -> Vec<(Span, std::ops::Range<usize>)> {
+    let width: u32 = spans.iter().map(|s| s.width()).sum();
+    // Each request counts 1 and each key costs this much, so sparse keys are not worth their width.
+    let key_cost = HOT_DENSITY * keys.len() as f64 / f64::from(width.max(1));
+    let mut found = Vec::new();
+    for span in spans {
+        let from = keys.partition_point(|k| *k < span.first);
+        let to = keys.partition_point(|k| *k <= span.last);
+        let (mut best, mut best_range) = (0.0, from..from);
+        let (mut sum, mut start) = (0.0, from);
+        for i in from..to {
+            let gap = if i > from { f64::from(keys[i] - keys[i - 1]) } else { 1.0 };
+            sum -= gap * key_cost;
+            if sum < 0.0 && (i == from || keys[i] != keys[i - 1]) {
+                (sum, start) = (-key_cost, i);
+            }
+            sum += 1.0;
+            if sum > best {
+                (best, best_range) = (sum, start..i + 1);
+            }
+        }
+        if best_range.is_empty() {
+            continue;
+        }
+        best_range.end = best_range.start
+            + keys[best_range.start..to].partition_point(|k| *k <= keys[best_range.end - 1]);
+        found.push((widen(keys, *span, best_range.clone()), best_range));
+    }
+    let density = |(span, range): &(Span, std::ops::Range<usize>)| {
+        range.len() as f64 / f64::from(span.width().max(1))
+    };
+    found.sort_by(|a, b| density(b).total_cmp(&density(a)));
+    found
+}
+
 /// Utilization of all owners if the load of `me` and of the less loaded owners were evenly divided.
 fn common_utilization(me: &OwnerLoad, less_loaded: &[&OwnerLoad]) -> f64 {
     let (mut work, mut slots) = (me.work, me.slots);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod report_exchanges;
 mod request_flow;
 mod server_runs;
+mod shedding;
 mod silent_connections;
 mod stale_configuration;
 mod state_machine;
