Choose targets by the work left, and let full gates return requests

An entry sends about three requests a second to a service, so the gate reports that it chooses by are seconds old. It forgot the speed of servers as fast as their queues, and all entries preferred the targets that had been idle once.

Gates predict the cost of requests (gate/cost.rs) and report with each answer when a slot will be free (work_ms) and their measured speed. Entries of configurations with bulk routes draw three targets, faster ones more often, and take the one with the least expected time; what a report says of queues decays with a half-life of 400 ms, the speed within minutes. A gate where a request would wait for more than 20 ms returns it unrun, at most two a request; if no other runs it, it goes back to one of them. Owners shedding hot keys no longer count requests for keys that have left; has_bulk is computed once.

--- a/src/kelpwind/core/routes.rs
+++ b/src/kelpwind/core/routes.rs
@@ -127,6 +127,8 @@
     pub limits: Limits,
     /// Routes by host, those with the longest path prefix first.
     by_host: HashMap<String, Vec<std::rc::Rc<Route>>>,
+    /// Whether a route is bulk.
+    bulk: bool,
 }
 
 impl Routes {
@@ -137,6 +139,7 @@
         limits: Limits,
         routes: Vec<Route>,
     ) -> Routes {
+        let bulk = routes.iter().any(|r| r.bulk);
         let mut by_host: HashMap<String, Vec<std::rc::Rc<Route>>> = HashMap::new();
         for route in routes {
             by_host.entry(route.host.clone()).or_default().push(std::rc::Rc::new(route));
@@ -144,7 +147,7 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        Routes { version, services, limits, by_host }
+        Routes { version, services, limits, by_host, bulk }
     }
 
     /// Finds the route of `host` with the longest path prefix that matches `path`. `host` may
@@ -160,7 +163,7 @@
 
     /// Whether some routes have large answers, so that requests of unequal cost share servers and links.
     pub fn has_bulk(&self) -> bool {
-        self.all().any(|r| r.bulk)
+        self.bulk
     }
 
     /// Iterates over all routes, in no particular order.
--- a/src/kelpwind/gate/mod.rs
+++ b/src/kelpwind/gate/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod admission;
 pub(crate) mod backend;
 pub mod cold_start;
+pub mod cost;
 pub(crate) mod dedup;
 pub mod grant_time;
 pub(crate) mod handler;
--- a/src/kelpwind/lib.rs
+++ b/src/kelpwind/lib.rs
@@ -36,7 +36,7 @@
 //! `core` and the parts that tests and benchmarks call directly: `lease`, `table`, `place`,
 //! `log::{replica, snapshot}`, `net::{datagram, http1, memory, pool}`,
 //! `route::{availability, budget, least_cost, picker, quantile, quarantine, retry_after, round_robin}`,
-//! `gate::{cold_start, grant_time, limiter, queue, rate_limit, server_runs}`,
+//! `gate::{cold_start, cost, grant_time, limiter, queue, rate_limit, server_runs}`,
 //! `mesh::{held_ranges, holds, platform_api, report_exchanges, statements}` and `node::{lifecycle, settings}`. Everything else is internal to the crate.
 
 pub mod core;
--- a/src/kelpwind/mesh/balance.rs
+++ b/src/kelpwind/mesh/balance.rs
@@ -90,6 +90,7 @@
             busy = own.utilization(), slots = own.slots, requests, keys, ranges = moves.len()
         });
         if node.start_counted_moves(moves) {
+            node.metrics.count_moved_keys("count", keys);
             sleep(SETTLE_TIME).await;
         }
     }
@@ -121,9 +122,16 @@
 
     /// The excess of requests for this owner's keys that chance does not explain.
     fn certain_excess(&self) -> Option<Excess> {
-        let queue = self.queue.borrow();
-        let (slots, typical) = (queue.capacity(), queue.typical_time());
-        relief::certain_excess(&self.demand.borrow(), slots, typical, Instant::now())
+        let (slots, typical) = {
+            let queue = self.queue.borrow();
+            (queue.capacity(), queue.typical_time())
+        };
+        let find = || relief::certain_excess(&self.demand.borrow(), slots, typical, Instant::now());
+        find()?;
+        // Moves may begin with the next report only, and until then requests for their keys count.
+        let held = self.held.borrow();
+        self.demand.borrow_mut().retain(|key| held.is_staying(key));
+        find()
     }
 
     /// Transfers hot spans to several owners at once. Returns whether there are moves.
@@ -153,7 +161,11 @@
             busy = own.utilization(), slots = own.slots, requests = excess.demand.len(), keys,
             ranges = moves.len(), replies = self.load_query.borrow().replies.len()
         });
-        self.start_counted_moves(moves)
+        let started = self.start_counted_moves(moves);
+        if started {
+            self.metrics.count_moved_keys("excess", keys);
+        }
+        started
     }
 
     /// Starts moves and no longer counts the requests for their keys. Returns whether they started.
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -167,6 +167,8 @@
             request,
             budget,
             tried_gates: Vec::new(),
+            returned_by: Vec::new(),
+            may_return: false,
             servers_reached: 0,
             in_flight: false,
             last_refusal: None,
@@ -225,9 +227,13 @@
         let owner_until = began + owner_wait.min(OWNER_WAIT);
         let move_until = began + gate::move_wait(state.remaining());
         loop {
+            state.may_return = self.may_return(state);
             let chosen = match self.choose_target(state, owner_until).await {
                 Ok(chosen) => chosen,
-                Err(failure) => return state.fail(failure),
+                Err(failure) => match self.next_returned_by(state) {
+                    Some(chosen) => chosen,
+                    None => return state.fail(failure),
+                },
             };
             state.tried_gates.push(chosen.node.clone());
             state.in_flight = true;
@@ -257,6 +263,10 @@
     ) -> Result<GateAddr, Failure> {
         let left = state.remaining();
         let Some(key) = state.request.key else {
+            // A gate that returned the request comes before more untried ones.
+            if !state.may_try_more() && !state.returned_by.is_empty() {
+                return Err(not_run(Code::Busy, TARGET_RETRY_AFTER, Some(left), fastrand::f64()));
+            }
             let no_target =
                 || not_run(Code::NoTarget, TARGET_RETRY_AFTER, Some(left), fastrand::f64());
             return self
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -87,6 +87,8 @@
     pub idempotent: bool,
     /// Priority; 0 is the highest.
     pub priority: u8,
+    /// Whether the gate may return the request unrun because another gate is likely to run it sooner.
+    pub may_return: bool,
     /// Milliseconds until the latency objective is missed.
     pub objective_ms: u32,
     /// Milliseconds until the deadline, after which the caller has no use for an answer.
@@ -114,6 +116,9 @@
         /// The owner of the key, if the gate knows that it is another node.
         owner: Option<OwnerHint>,
     },
+    /// The request did not run here and never will under this number: another gate is likely to run it
+    /// sooner. Only requests that may be returned get this outcome.
+    Returned,
     /// Whether the request ran is unknown.
     Unknown(Code),
 }
@@ -130,6 +135,7 @@
         match self {
             Outcome::Answer(answer) => format!("answered {}", answer.status),
             Outcome::NotRun { code, .. } => format!("not run {code}"),
+            Outcome::Returned => "returned".to_owned(),
             Outcome::Unknown(code) => format!("unknown {code}"),
         }
     }
@@ -153,6 +159,11 @@
     pub slots: u32,
     /// Estimated service time of the answered request's class, in milliseconds; 0 when unknown.
     pub service_ms: u32,
+    /// Expected milliseconds until a slot is free for one more request, with the current slowdown; 0
+    /// unless work is weighed.
+    pub work_ms: u32,
+    /// Measured speed of the server relative to the mean of its service, in thousandths; 0 when unknown.
+    pub speed: u32,
 }
 
 /// A frame that cannot be decoded.
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -13,13 +13,15 @@
 
 use tokio::sync::oneshot;
 use tokio::time::{timeout, timeout_at};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::frame::{GateRequest, LoadReport, Outcome, OwnerHint};
 use super::node::Node;
-use super::platform_api::SendOutcome;
+use super::platform_api::{Request, SendOutcome};
 use super::server_exits::ServerRun;
 use crate::core::codes::Code;
 use crate::core::ids::{Position, ServiceName};
+use crate::gate::cost::{CostModel, Features, JobId, WorkLeft};
 use crate::gate::queue::{AdmitDecision, QueueEvent, SlotRequest, Ticket};
 use crate::table::member::Instance;
 
@@ -47,6 +49,38 @@
 /// Retry-after of a request that the server rejected or could not be sent.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Expected wait from which a request is returned to an entry that may send it to another gate. A
+/// shorter one is not worth another round trip.
+const RETURN_WAIT: Duration = Duration::from_millis(20);
+
+/// Predicted costs of requests, and the work that is left at the backend server.
+#[derive(Debug, Default)]
+pub(crate) struct GateWork {
+    model: CostModel,
+    left: WorkLeft,
+}
+
+/// The part of the remaining work that one request makes up. Dropping it removes that part.
+struct CountedWork<'a> {
+    node: &'a Node,
+    id: Option<JobId>,
+}
+
+impl Drop for CountedWork<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.node.work.borrow_mut().left.remove(id);
+        }
+    }
+}
+
+/// What the cost of a request is predicted from.
+fn features<'a>(class: &'a str, call: &Request) -> Features<'a> {
+    let path = || call.target.split('?').next().unwrap_or_default();
+    let digest = call.key.map_or_else(|| xxh3_64(path().as_bytes()), u64::from);
+    Features { route: class, digest, body_bytes: call.body.len() }
+}
+
 /// Channels of the queued requests: each gets `Ok` to start, or the retry-after with which it is
 /// rejected.
 pub(crate) type Tickets = RefCell<HashMap<Ticket, oneshot::Sender<Result<(), Duration>>>>;
@@ -120,13 +154,46 @@
     /// The gate's load, with the service time of a request class.
     pub fn load_report(&self, class: &str) -> LoadReport {
         let queue = self.queue.borrow();
+        let (work_ms, speed) = match self.weighs_work() {
+            true => (self.expected_wait().as_millis() as u32, self.relative_speed(class)),
+            false => (0, 0),
+        };
         LoadReport {
             busy: queue.running() + queue.waiting(),
             slots: queue.slots(),
             service_ms: queue.estimate(class).map_or(0, |e| e.as_millis() as u32),
+            work_ms,
+            speed,
+        }
+    }
+
+    /// Expected time until a slot is free for one more request.
+    fn expected_wait(&self) -> Duration {
+        let work = self.work.borrow();
+        work.left.time_until_free(&work.model, self.queue.borrow().slots(), Instant::now())
+    }
+
+    /// Measured speed relative to the mean of the service, in thousandths; 0 while unknown. The mean is
+    /// that of the answers to this node's own entry.
+    fn relative_speed(&self, class: &str) -> u32 {
+        let mean = self.service_times.borrow().mean(class);
+        let own = self.work.borrow().model.route_secs(class);
+        match (mean, own) {
+            (Some(mean), Some(own)) if own > 0.0 => (mean / own * 1000.0) as u32,
+            _ => 0,
         }
     }
 
+    /// Counts the work of a request until the result is dropped.
+    fn count_work(&self, class: &str, call: &Request) -> CountedWork<'_> {
+        let id = self.weighs_work().then(|| {
+            let mut work = self.work.borrow_mut();
+            let cost = work.model.predict(&features(class, call));
+            work.left.add(cost)
+        });
+        CountedWork { node: self, id }
+    }
+
     async fn try_run(
         self: &Rc<Self>,
         mut request: GateRequest,
@@ -151,6 +218,11 @@
             let until = now + move_wait(deadline.saturating_duration_since(now));
             self.wait_for_key(key, until, request.table_position).await?;
         }
+        if request.may_return && self.weighs_work() && self.expected_wait() > RETURN_WAIT {
+            self.metrics.count_returned();
+            return Err(Outcome::Returned);
+        }
+        let counted = self.count_work(&request.class, &call);
         let slot_request = SlotRequest {
             class: request.class.clone(),
             priority: request.priority,
@@ -168,6 +240,9 @@
         self.begin_trial_if_due(&call)?;
         sent.set(true);
         let began = Instant::now();
+        if let Some(id) = counted.id {
+            self.work.borrow_mut().left.start(id, began);
+        }
         self.metrics.count_sent();
         let granted = key.and_then(|key| self.held.borrow().session(key));
         let granted = granted.filter(|_| !self.grants_in_reports());
@@ -176,6 +251,10 @@
         run.finish(&result);
         if let SendOutcome::Ran(answer, _) = &result {
             self.clear_if_answered(&call, answer.status);
+            if counted.id.is_some() && answer.status < 500 {
+                let (features, now) = (features(&slot.class, &call), Instant::now());
+                self.work.borrow_mut().model.record(&features, now - began, now);
+            }
         }
         Ok(self.to_outcome(result, &server, key, &slot, began))
     }
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -359,7 +359,7 @@
         match outcome {
             Outcome::NotRun { code, .. } => availability.on_refused(*code, Instant::now()),
             Outcome::Answer(_) => availability.on_accepted(),
-            Outcome::Unknown(_) => {}
+            Outcome::Returned | Outcome::Unknown(_) => {}
         }
         self.availability.set(availability);
     }
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -66,6 +66,8 @@
     /// Counts the takeovers that this node has started.
     pub takeovers: IntCounter,
     sent: IntCounter,
+    returned: IntCounter,
+    moved_keys: IntCounterVec,
     /// Counts statements of the backend server that are malformed.
     pub malformed_statements: IntCounter,
     /// Limits log lines about these.
@@ -245,6 +247,18 @@
                 &registry,
                 IntCounter::new("kelpwind_takeovers_total", "Takeovers started."),
             ),
+            returned: register(
+                &registry,
+                IntCounter::new(
+                    "kelpwind_gate_returned_total",
+                    "Requests that the gate returned unrun because another gate was likely to run them sooner.",
+                ),
+            ),
+            moved_keys: counters(
+                "kelpwind_moved_keys_total",
+                "Keys that an overloaded owner moved to others, by the way in which it was found overloaded.",
+                &["cause"],
+            ),
             sent: register(
                 &registry,
                 IntCounter::new(
@@ -401,6 +415,17 @@
         self.sent.inc();
     }
 
+    /// Counts a request that the gate returned for another gate to run.
+    pub fn count_returned(&self) {
+        self.returned.inc();
+    }
+
+    /// Counts keys that move away because this owner is overloaded: by a `count` of requests over seconds
+    /// or by an `excess` that is certain.
+    pub fn count_moved_keys(&self, cause: &str, keys: u32) {
+        self.moved_keys.with_label_values(&[cause]).inc_by(keys.into());
+    }
+
     /// Counts a request that the gate refused.
     pub fn count_refusal(&self, code: Code, class: &str) {
         self.refusals_total.with_label_values(&[code.number().to_string().as_str(), class]).inc();
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -141,6 +141,8 @@
     pub suspects_wake: Notify,
     /// The queue in front of the backend server.
     pub queue: RefCell<RequestQueue>,
+    /// Predicted costs of requests, and the work that is left at the backend server.
+    pub work: RefCell<super::gate::GateWork>,
     /// Requests that wait in the queue.
     pub tickets: Tickets,
     /// Wakes the task that starts queued requests during a cold start.
--- a/src/kelpwind/mesh/request_state.rs
+++ b/src/kelpwind/mesh/request_state.rs
@@ -17,6 +17,10 @@
 /// runs it.
 const GATES_MAX: usize = 3;
 
+/// Largest body of a request that a gate may return: a larger one takes too long on a slow link to be
+/// sent to several gates.
+const RETURNED_BYTES_MAX: usize = 64 << 10;
+
 /// A failure that the node reports to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Failure {
@@ -40,6 +44,11 @@
     pub budget: Rc<Budget>,
     /// Gates of all attempts, in order.
     pub tried_gates: Vec<NodeId>,
+    /// Gates that returned the request because another was likely to run it sooner, and that are tried
+    /// again when no other does.
+    pub returned_by: Vec<NodeId>,
+    /// Whether the next gate may return it.
+    pub may_return: bool,
     /// Number of attempts that reached a server.
     pub servers_reached: u32,
     /// Whether an attempt is in progress.
@@ -76,6 +85,7 @@
             class: self.route.name.clone(),
             idempotent: self.route.is_idempotent(),
             priority: self.route.priority,
+            may_return: self.may_return,
             objective_ms: self.objective.saturating_duration_since(now).as_millis() as u32,
             remaining_ms: self.deadline.saturating_duration_since(now).as_millis() as u32,
             table_position,
@@ -136,10 +146,14 @@
                 );
                 let retry = match self.request.key {
                     Some(_) => moved && Instant::now() < move_until,
-                    None => self.tried_gates.len() < GATES_MAX,
+                    None => self.may_try_more() || !self.returned_by.is_empty(),
                 };
                 if retry { None } else { Some(self.fail(failure)) }
             }
+            Outcome::Returned => {
+                self.returned_by.extend(self.tried_gates.last().cloned());
+                None
+            }
             Outcome::Unknown(code) => {
                 self.servers_reached += 1;
                 self.owner_hint = None;
@@ -153,6 +167,20 @@
         }
     }
 
+    /// Whether a gate that has not been tried may get the request.
+    pub fn may_try_more(&self) -> bool {
+        self.tried_gates.len() < GATES_MAX
+    }
+
+    /// Whether the next gate may return the request: it has no key, it is small, and one more gate may
+    /// be tried after it.
+    pub fn is_returnable(&self) -> bool {
+        self.request.key.is_none()
+            && self.request.body.len() <= RETURNED_BYTES_MAX
+            && self.tried_gates.len() + 1 < GATES_MAX
+            && self.suspicion.only.is_none()
+    }
+
     /// Whether the request may be sent again although a server may have run it. Withdraws the retry
     /// from the budget.
     fn try_retry(&self) -> bool {
--- a/src/kelpwind/mesh/selection.rs
+++ b/src/kelpwind/mesh/selection.rs
@@ -8,9 +8,10 @@
 use super::frame::OwnerHint;
 use super::node::Node;
 use super::quarantine::Suspicion;
+use super::request_state::RequestState;
 use crate::core::ids::{NodeId, ServiceName};
 use crate::core::routes::Route;
-use crate::route::least_cost::{self, Candidate};
+use crate::route::least_cost::{self, Candidate, WorkCandidate};
 use crate::table::member::Member;
 
 /// Weight of the newest answer in the moving average of a class's service time.
@@ -24,6 +25,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServiceTimes {
     classes: HashMap<String, ClassTimes>,
+    /// Requests sent to each gate since its last report, which is identified by its time.
+    sent: HashMap<NodeId, (Option<Instant>, u32)>,
 }
 
 #[derive(Debug, Default)]
@@ -55,8 +58,22 @@
         }
     }
 
+    /// Counts a request that is sent to a gate whose last report came at `report_at`.
+    fn record_sent(&mut self, gate: &NodeId, report_at: Option<Instant>) {
+        let count = self.sent_since(gate, report_at) + 1;
+        match self.sent.get_mut(gate) {
+            Some(sent) => *sent = (report_at, count),
+            None => drop(self.sent.insert(gate.clone(), (report_at, count))),
+        }
+    }
+
+    /// Requests sent to a gate since its last report, which came at `report_at`.
+    fn sent_since(&self, gate: &NodeId, report_at: Option<Instant>) -> u32 {
+        self.sent.get(gate).filter(|(at, _)| *at == report_at).map_or(0, |(_, count)| *count)
+    }
+
     /// Mean service time of a class over all gates, in seconds; `None` while unknown.
-    fn mean(&self, class: &str) -> Option<f64> {
+    pub fn mean(&self, class: &str) -> Option<f64> {
         self.classes.get(class).map(|t| t.mean)
     }
 
@@ -110,10 +127,53 @@
             .iter()
             .map(|m| self.candidate(m, &route.name, mean, m.domain == settings.domain))
             .collect();
-        let chosen = least_cost::choose(&candidates, mean, |_| fastrand::u32(..))?;
+        if !self.weighs_work() {
+            let chosen = least_cost::choose(&candidates, mean, |_| fastrand::u32(..))?;
+            return Some(GateAddr::of(members[chosen]));
+        }
+        let targets: Vec<WorkCandidate> = std::iter::zip(&members, candidates)
+            .map(|(member, known)| self.work_candidate(&member.holder.node, &route.name, known))
+            .collect();
+        let choices = least_cost::WORK_CHOICES;
+        let chosen = least_cost::choose_by_work(&targets, mean, choices, fastrand::f64)?;
+        let name = &members[chosen].holder.node;
+        let report_at = self.links.borrow().get(name).and_then(|l| l.last_report.get().1);
+        self.service_times.borrow_mut().record_sent(name, report_at);
         Some(GateAddr::of(members[chosen]))
     }
 
+    /// Adds to what is `known` of a target the work that is left there.
+    fn work_candidate(&self, name: &NodeId, class: &str, known: Candidate) -> WorkCandidate {
+        let is_local = *name == self.holder.borrow().node;
+        let (report, report_at) = match is_local {
+            true => (self.load_report(class), Some(Instant::now())),
+            false => self.links.borrow().get(name).map(|l| l.last_report.get()).unwrap_or_default(),
+        };
+        let sent_since = self.service_times.borrow().sent_since(name, report_at);
+        WorkCandidate {
+            known,
+            work: Duration::from_millis(report.work_ms.into()),
+            speed: if report.speed == 0 { 1.0 } else { f64::from(report.speed) / 1000.0 },
+            sent_since: sent_since.min(known.own),
+        }
+    }
+
+    /// Whether the next gate may return a request because another is likely to run it sooner.
+    pub(super) fn may_return(&self, state: &RequestState) -> bool {
+        self.weighs_work() && state.is_returnable()
+    }
+
+    /// The next of the gates that returned a request, which now may not return it again.
+    pub(super) fn next_returned_by(&self, state: &mut RequestState) -> Option<GateAddr> {
+        state.may_return = false;
+        while let Some(name) = state.returned_by.pop() {
+            if let Some(member) = self.table.borrow().members.get(&name) {
+                return Some(GateAddr::of(member));
+            }
+        }
+        None
+    }
+
     /// Whether a gate has announced that it is about to stop.
     fn is_gate_leaving(&self, node: &NodeId) -> bool {
         self.links.borrow().get(node).is_some_and(|l| l.is_leaving())
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -137,6 +137,7 @@
         suspect_changes: RefCell::default(),
         suspects_wake: Notify::new(),
         queue: RefCell::new(RequestQueue::new(DEFAULT_SLOTS)),
+        work: RefCell::default(),
         tickets: RefCell::default(),
         queue_wake: Notify::new(),
         held: RefCell::new(held),
--- a/src/kelpwind/place/relief.rs
+++ b/src/kelpwind/place/relief.rs
@@ -103,6 +103,11 @@
         self.requests.retain(|(_, key)| !span.contains(*key));
     }
 
+    /// Keeps only the requests for keys for which `keep` is true.
+    pub fn retain(&mut self, keep: impl Fn(u16) -> bool) {
+        self.requests.retain(|(_, key)| keep(*key));
+    }
+
     /// Requests per second.
     pub fn rate(&mut self, now: Instant) -> f64 {
         self.expire(now);
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -21,6 +21,7 @@
 mod server_processes;
 mod server_statements;
 mod store_restore;
+mod work_routing;
 
 use std::time::{Duration, Instant};
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -40,3 +40,4 @@
 mod support;
 mod table;
 mod table_eras;
+mod work_routing;
