--- a/tests/mesh/work_routing.rs
+++ b/tests/mesh/work_routing.rs
@@ -3,6 +3,9 @@
 
 use std::time::{Duration, Instant};
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
 use super::platform::fleet::Fleet;
 use super::{assert_no_violations, until_all_served};
 
@@ -17,6 +20,24 @@
 /// the whole deployment shares one machine with other tests.
 const SHED_MAX: Duration = Duration::from_secs(8);
 
+/// Port on which nodes serve their metrics.
+const METRICS_PORT: u16 = 9464;
+
+/// Number of requests that all gates together have returned unrun.
+async fn returned(fleet: &Fleet) -> u64 {
+    let mut sum = 0;
+    for host in &fleet.hosts {
+        let mut stream = TcpStream::connect((host.ip, METRICS_PORT)).await.unwrap();
+        let head = b"GET /metrics HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n";
+        stream.write_all(head).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        let line = answer.lines().find_map(|l| l.strip_prefix("kelpwind_gate_returned_total "));
+        sum += line.expect("the metric").parse::<u64>().unwrap();
+    }
+    sum
+}
+
 async fn start_with_bulk() -> Fleet {
     let mut fleet = Fleet::start(SERVICES, SERVICE_TIME).await;
     fleet.publish(SERVICES, BULK_ROUTE);
@@ -42,6 +63,9 @@
     let callers = fleet.spawn_callers(&["maps", "books"], Duration::from_millis(5));
     tokio::time::sleep(Duration::from_secs(2)).await;
     callers.iter().for_each(|c| c.abort());
+    let returned = returned(&fleet).await;
+    println!("{returned} requests were returned");
+    assert!(returned > 0, "no gate has returned a request");
     assert_no_violations(&fleet);
 }
 
