--- a/src/kelpwind/gate/mod.rs
+++ b/src/kelpwind/gate/mod.rs
@@ -20,6 +20,7 @@
 pub mod bulk;
 pub mod call_tree;
 pub mod cold_start;
+pub mod cost;
 pub(crate) mod dedup;
 pub mod grant_time;
 pub(crate) mod handler;
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -138,6 +138,8 @@
     pub bulk: bool,
     /// Priority; 0 is the highest.
     pub priority: u8,
+    /// Whether the gate may return the request unrun because another gate is likely to run it sooner.
+    pub may_return: bool,
     /// Milliseconds until the latency objective is missed. Sent at the end of the message.
     #[serde(skip)]
     pub objective_ms: u32,
@@ -168,6 +170,9 @@
         /// The owner of the key, if the gate knows that it is another node.
         owner: Option<OwnerHint>,
     },
+    /// The request did not run here and never will under this number: another gate is likely to run it
+    /// sooner. Only requests that may be returned get this outcome.
+    Returned,
     /// Whether the request ran is unknown.
     Unknown(Code),
 }
@@ -184,6 +189,7 @@
         match self {
             Outcome::Answer(answer) => format!("answered {}", answer.status),
             Outcome::NotRun { code, .. } => format!("not run {code}"),
+            Outcome::Returned => "returned".to_owned(),
             Outcome::Unknown(code) => format!("unknown {code}"),
         }
     }
@@ -207,6 +213,11 @@
     pub slots: u32,
     /// Estimated service time of the answered request's class, in milliseconds; 0 when unknown.
     pub service_ms: u32,
+    /// Expected milliseconds until a slot is free for one more request, with the current slowdown; 0
+    /// unless work is weighed.
+    pub work_ms: u32,
+    /// Measured speed of the server relative to the mean of its service, in thousandths; 0 when unknown.
+    pub speed: u32,
 }
 
 /// A message that cannot be decoded.
@@ -285,7 +296,7 @@
     ) -> Rc<Message> {
         let body = match &mut outcome {
             Outcome::Answer(answer) => take_large(&mut answer.body),
-            Outcome::NotRun { .. } | Outcome::Unknown(_) => Bytes::new(),
+            Outcome::NotRun { .. } | Outcome::Returned | Outcome::Unknown(_) => Bytes::new(),
         };
         let head = encode(&GateFrame::Reply { number, outcome, report, stated });
         let hold = Some(account.take(Place::Reply, head.len() + body.len()));
--- a/src/kelpwind/mesh/gate.rs
+++ b/src/kelpwind/mesh/gate.rs
@@ -13,15 +13,17 @@
 
 use tokio::sync::oneshot;
 use tokio::time::{timeout, timeout_at};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::frame::{GateRequest, LoadReport, Outcome, OwnerHint};
 use super::metrics::AdmissionRefusal;
 use super::node::Node;
-use super::platform_api::SendOutcome;
+use super::platform_api::{Request, SendOutcome};
 use super::server_exits::ServerRun;
 use crate::core::codes::Code;
 use crate::core::ids::{Position, ServiceName};
 use crate::gate::bulk;
+use crate::gate::cost::{CostModel, Features, JobId, WorkLeft};
 use crate::gate::queue::{AdmitDecision, QueueEvent, SlotRequest, Ticket};
 use crate::table::member::Instance;
 
@@ -60,6 +62,41 @@
 /// Retry-after while the node has no memory for another request. Bodies and answers that make no
 /// progress lose theirs within seconds.
 pub(super) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Expected wait from which a request is returned to an entry that may send it to another gate. A
+/// shorter one is not worth another round trip.
+const RETURN_WAIT: Duration = Duration::from_millis(20);
+
+/// Expected time until a large answer has left the host, from which its request is returned: that of four
+/// answers of 90 KB on a link of 10 Mbit/s.
+const BULK_RETURN_WAIT: Duration = Duration::from_millis(300);
+
+/// Predicted costs of requests, and the work that is left at the backend server.
+#[derive(Debug, Default)]
+pub(crate) struct GateWork {
+    model: CostModel,
+    left: WorkLeft,
+}
+
+/// The part of the remaining work that one request makes up. Dropping it removes that part.
+struct CountedWork<'a> {
+    node: &'a Node,
+    id: Option<JobId>,
+}
+
+impl Drop for CountedWork<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.node.work.borrow_mut().left.remove(id);
+        }
+    }
+}
+
+/// What the cost of a request is predicted from.
+fn features<'a>(class: &'a str, call: &Request) -> Features<'a> {
+    let path = || call.target.split('?').next().unwrap_or_default();
+    let digest = call.key.map_or_else(|| xxh3_64(path().as_bytes()), u64::from);
+    Features { route: class, digest, body_bytes: call.body.len() }
+}
 
 /// Channels of the queued requests: each gets `Ok` to start, or the retry-after with which it is
 /// rejected.
@@ -150,13 +187,46 @@
     /// The gate's load, with the service time of a request class.
     pub fn load_report(&self, class: &str) -> LoadReport {
         let queue = self.queue.borrow();
+        let (work_ms, speed) = match self.weighs_work() {
+            true => (self.expected_wait().as_millis() as u32, self.relative_speed(class)),
+            false => (0, 0),
+        };
         LoadReport {
             busy: queue.running() + queue.waiting(),
             slots: queue.slots(),
             service_ms: queue.estimate(class).map_or(0, |e| e.as_millis() as u32),
+            work_ms,
+            speed,
         }
     }
 
+    /// Expected time until a slot is free for one more request.
+    fn expected_wait(&self) -> Duration {
+        let work = self.work.borrow();
+        work.left.time_until_free(&work.model, self.queue.borrow().slots(), Instant::now())
+    }
+
+    /// Measured speed relative to the mean of the service, in thousandths; 0 while unknown. The mean is
+    /// that of the answers to this node's own entry.
+    fn relative_speed(&self, class: &str) -> u32 {
+        let mean = self.service_times.borrow().mean(class);
+        let own = self.work.borrow().model.route_secs(class);
+        match (mean, own) {
+            (Some(mean), Some(own)) if own > 0.0 => (mean / own * 1000.0) as u32,
+            _ => 0,
+        }
+    }
+
+    /// Counts the work of a request until the result is dropped.
+    fn count_work(&self, class: &str, call: &Request) -> CountedWork<'_> {
+        let id = self.weighs_work().then(|| {
+            let mut work = self.work.borrow_mut();
+            let cost = work.model.predict(&features(class, call));
+            work.left.add(cost)
+        });
+        CountedWork { node: self, id }
+    }
+
     async fn try_run(
         self: &Rc<Self>,
         mut request: GateRequest,
@@ -170,12 +240,23 @@
         let call = Rc::new(std::mem::take(&mut request.request));
         let key = call.key.filter(|_| self.is_keyed());
         if let Some(key) = key {
-            if self.held.borrow().is_owned(key) {
+            // Requests for keys that are leaving would make the remaining ones look hot.
+            let counted = match self.weighs_work() {
+                true => self.held.borrow().is_staying(key),
+                false => self.held.borrow().is_owned(key),
+            };
+            if counted {
                 self.demand.borrow_mut().record(key, now);
             }
             let until = now + move_wait(deadline.saturating_duration_since(now));
             self.wait_for_key(key, until, request.table_position).await?;
         }
+        let is_full = || self.expected_wait() > RETURN_WAIT || request.bulk && self.is_link_full();
+        if request.may_return && self.weighs_work() && is_full() {
+            self.metrics.count_returned();
+            return Err(Outcome::Returned);
+        }
+        let counted = self.count_work(&request.class, &call);
         let slot_request = SlotRequest {
             class: request.class.clone(),
             priority: request.priority,
@@ -197,6 +278,9 @@
         self.begin_trial_if_due(&call)?;
         sent.set(true);
         let began = Instant::now();
+        if let Some(id) = counted.id {
+            self.work.borrow_mut().left.start(id, began);
+        }
         self.metrics.count_sent();
         let granted = key.and_then(|key| self.held.borrow().session(key));
         let granted = granted.filter(|_| !self.grants_in_reports());
@@ -208,6 +292,10 @@
                 bulk.answer_bytes.set(Some(answer.body.len()));
             }
             self.clear_if_answered(&call, answer.status);
+            if counted.id.is_some() && answer.status < 500 {
+                let (features, now) = (features(&slot.class, &call), Instant::now());
+                self.work.borrow_mut().model.record(&features, now - began, now);
+            }
         }
         Ok(self.to_outcome(result, &server, key, &slot, began))
     }
@@ -331,14 +419,23 @@
         (node != self.name()).then_some(OwnerHint { node, table_position })
     }
 
-    /// Admits a request with a large answer if the host's link can carry it in time.
-    fn admit_bulk(&self, deadline: Instant) -> Result<BulkRequest<'_>, Outcome> {
-        let now = Instant::now();
+    /// Expected time until a large answer to a request that arrives now has left the host.
+    fn time_to_send_bulk(&self) -> Duration {
         let answers = *self.bulk_answers.borrow();
         let queued = answers.expected_bytes() + self.queued_bytes();
-        let sent_in = self.pacer.time_to_send(answers.mean_bytes(), queued, now);
-        let left = deadline.saturating_duration_since(now);
-        if let Some(delay) = bulk::retry_after(sent_in, left) {
+        self.pacer.time_to_send(answers.mean_bytes(), queued, Instant::now())
+    }
+
+    /// Whether a large answer would wait so long for the host's link that another gate is likely to send it
+    /// sooner.
+    fn is_link_full(&self) -> bool {
+        self.time_to_send_bulk() > BULK_RETURN_WAIT
+    }
+
+    /// Admits a request with a large answer if the host's link can carry it in time.
+    fn admit_bulk(&self, deadline: Instant) -> Result<BulkRequest<'_>, Outcome> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if let Some(delay) = bulk::retry_after(self.time_to_send_bulk(), left) {
             return Err(Outcome::not_run(Code::LinkBusy, delay));
         }
         self.bulk_answers.borrow_mut().begin();
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -151,6 +151,8 @@
     pub queue: RefCell<RequestQueue>,
     /// What became of recent requests and of the calls that they made.
     pub call_trees: RefCell<CallTrees>,
+    /// Predicted costs of requests, and the work that is left at the backend server.
+    pub work: RefCell<super::gate::GateWork>,
     /// Requests that wait in the queue.
     pub tickets: Tickets,
     /// Wakes the task that starts queued requests during a cold start.
@@ -172,6 +174,8 @@
     pub demand: RefCell<Demand>,
     /// The last query of this owner for the load of others.
     pub load_query: RefCell<LoadQuery>,
+    /// When this owner last found no owner to shed hot keys to.
+    pub shed_failed: Cell<Option<Instant>>,
     /// Capacity reserved for overloaded owners that have asked for this owner's load.
     pub reservations: RefCell<Reservations>,
     /// Memory for bodies and answers.
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -24,6 +24,7 @@
 mod server_statements;
 mod store_restore;
 mod tenants;
+mod work_routing;
 
 use std::time::{Duration, Instant};
 
