Keep a departure over a restart of the node, end only after answers are written

A later run of a node ignored that its own record said that the server leaves, and took a late report for that of a new server; a stopping node did not count connections that still write an answer.

--- a/src/kelpwind/mesh/connection.rs
+++ b/src/kelpwind/mesh/connection.rs
@@ -229,6 +229,11 @@
         }
     }
 
+    /// Whether an answer is being written.
+    pub(super) fn is_answering(&self) -> bool {
+        self.answer.borrow().is_some()
+    }
+
     /// Counts an answer of `size` bytes, which is kept whatever the room: it is the result of a request
     /// that has run. Slow readers make room for it.
     fn begin_answer(&self, size: usize) {
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -121,6 +121,8 @@
     pub verified_server: RefCell<Option<Instance>>,
     /// Whether an instance is being asked for its state.
     pub verifying: Cell<bool>,
+    /// A server that reported and was not healthy when it was asked, and when it first was.
+    pub unhealthy_server: RefCell<Option<(Instance, Instant)>>,
     /// Whether a check is in progress whether the backend server's listener is open.
     pub checking_listener: Cell<bool>,
     /// Wakes the task that writes this node's record.
--- a/src/kelpwind/mesh/reattach.rs
+++ b/src/kelpwind/mesh/reattach.rs
@@ -11,8 +11,10 @@
 
 use tokio::time::timeout;
 
+use super::gate::DRAIN_GRACE;
 use super::node::Node;
 use super::platform_api::{BackendSession, ServerReport};
+use super::statements::Source;
 use crate::table::keys::Owner;
 use crate::table::member::{Instance, Member, Server};
 
@@ -33,6 +35,13 @@
         node.held.borrow_mut().limit_former_grants(node.started_boot, excess);
         former.and_then(|m| m.server.clone())
     };
+    if let Some(server) = former.as_ref().filter(|s| s.draining) {
+        // When it said so is not known, so it takes no more requests. A report that it sent before may
+        // yet arrive.
+        let now = Instant::now();
+        let since = now.checked_sub(DRAIN_GRACE).unwrap_or(now);
+        node.record_leaving(&server.instance, since, Source::Peer);
+    }
     if let Some(former) = former.filter(|s| !s.draining)
         && timeout(REATTACH_TIMEOUT, node.reattach_if_same(former)).await.is_err()
     {
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -28,6 +28,8 @@
 /// Silence after which the backend server counts as gone. Reports come about every second, and may
 /// be seconds late.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Age that a report may have when it arrives. Reports may be seconds late.
+const LATE_REPORT_MAX: Duration = Duration::from_secs(10);
 /// Interval at which the age of the last report is checked.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait for the answer to a health check, which waits for a slot of the server.
@@ -164,7 +166,9 @@
     fn must_verify(&self, report: &ServerReport) -> bool {
         let instance = Some(&report.instance);
         let starting = self.settings.borrow().bootstrap && self.started.elapsed() < START_TIME;
-        report.number > 1
+        // The first report of a server that has left since may be late, too.
+        let may_be_late = report.number > 1 || self.started.elapsed() < LATE_REPORT_MAX;
+        may_be_late
             && !report.draining
             && !starting
             && self.last_instance.borrow().as_ref() != instance
@@ -172,7 +176,8 @@
     }
 
     /// Asks a server for its state, and applies its report then. Without an answer or without a known
-    /// path to ask at, the report counts.
+    /// path to ask at, the report counts. If the server says that it is not healthy, which it does also
+    /// when it leaves, a later report is to show that it goes on.
     fn verify(self: &Rc<Self>, report: ServerReport) {
         if self.verifying.replace(true) {
             return;
@@ -192,6 +197,11 @@
                     // When it said so first is not known, so it takes no more requests.
                     let since = asked.checked_sub(DRAIN_GRACE).unwrap_or(asked);
                     node.record_leaving(&instance, since, Source::Answer);
+                } else if !health.healthy && node.awaits_later_report(&instance, asked) {
+                    let id = instance.id.as_str();
+                    spdlog::info!("a server that reports is not healthy, and is not attached yet", kv: { id, number = report.number });
+                    node.verifying.set(false);
+                    return;
                 }
             }
             node.verified_server.replace(Some(instance));
@@ -200,6 +210,19 @@
         });
     }
 
+    /// Whether a server that was found not to be healthy at `asked` has not reported for long enough since
+    /// the first time.
+    fn awaits_later_report(&self, instance: &Instance, asked: Instant) -> bool {
+        let mut unhealthy = self.unhealthy_server.borrow_mut();
+        match unhealthy.as_ref().filter(|(known, _)| known == instance) {
+            Some((_, since)) => asked.duration_since(*since) < LATE_REPORT_MAX,
+            None => {
+                *unhealthy = Some((instance.clone(), asked));
+                true
+            }
+        }
+    }
+
     /// Attaches a server that had closed its listener, and that goes on reporting, once it listens
     /// again.
     fn reconnect(self: &Rc<Self>, report: ServerReport) {
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -130,6 +130,7 @@
         unreachable_server: RefCell::new(None),
         verified_server: RefCell::new(None),
         verifying: Cell::new(false),
+        unhealthy_server: RefCell::new(None),
         checking_listener: Cell::new(false),
         announce_wake: Notify::new(),
         grants_wake: Notify::new(),
@@ -286,6 +287,7 @@
         let table = self.table.borrow();
         let owns = table.keys.values().flat_map(|k| k.owners()).any(|h| me.continues(h));
         let handled = self.inflight.get() == 0 && queue.running() == 0 && queue.waiting() == 0;
-        handled && !owns && !self.has_unsent_replies()
+        let answered = self.callers.borrow().values().all(|caller| !caller.is_answering());
+        handled && answered && !owns && !self.has_unsent_replies()
     }
 }
