Count a request as late with 1.5 times its mean time left

Cause: with three times the mean, requests of a server that is just full counted as late after 160 ms, and then waited behind all others.

--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -65,7 +65,7 @@
 const LEAST_FRACTION: f64 = 0.5;
 /// Time that a request needs until its objective to count as in time, as a multiple of the mean time:
 /// service times vary, and one with just the mean left is late in a third of the cases.
-const OBJECTIVE_MARGIN: f64 = 3.0;
+const OBJECTIVE_MARGIN: f64 = 1.5;
 /// Largest fraction of the time from arrival to objective or deadline that these margins take.
 const ALLOWANCE_FRACTION: f64 = 0.6;
 /// Most queued work, as the time in which all slots together do it.
