--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -52,10 +52,9 @@
 const UNREACHABLE_TIMEOUT_ONCE: Duration = Duration::from_millis(1500);
 /// Retry-after of a request for which there is no memory.
 pub(super) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Time after which small replies are acknowledged. An own message for each would double the number of
-/// messages; with the next request they cost little. The gate keeps them for 2.5 s anyway.
-const ACKNOWLEDGE_AFTER: Duration = Duration::from_secs(1);
-/// Number of replies after which they are acknowledged.
+/// Number of small replies after which they are acknowledged. Fewer are acknowledged with the next request:
+/// an own message for each would double the number of messages, and a timer on each idle connection would wake the node
+/// hundreds of times a second. The gate keeps them for 2.5 s at most.
 const ACKNOWLEDGE_COUNT: usize = 256;
 
 /// Time for which the numbers of cancelled requests are kept. It is longer than it takes to notice that a
@@ -97,8 +96,6 @@
     next_number: Cell<u64>,
     /// Numbers of requests whose replies have arrived and are not acknowledged.
     unacknowledged: RefCell<Vec<u64>>,
-    /// When the first of these replies arrived.
-    unacknowledged_since: Cell<Option<Instant>>,
     /// The receiving side of the current connection.
     receiver: RefCell<Receiver>,
     account: MemoryAccount,
@@ -164,7 +161,6 @@
             pending: RefCell::default(),
             next_number: Cell::new(1),
             unacknowledged: RefCell::default(),
-            unacknowledged_since: Cell::new(None),
             receiver: RefCell::default(),
             account,
             pacer,
@@ -344,10 +340,10 @@
 
     /// Tells the gate which replies have arrived since it was last told.
     fn acknowledge(&self, queue: &SendQueue) {
-        if self.unacknowledged_since.take().is_none() {
+        let numbers = self.unacknowledged.take();
+        if numbers.is_empty() {
             return;
         }
-        let numbers = self.unacknowledged.take();
         let frame = EntryFrame::Acknowledge { numbers, oldest: self.oldest() };
         queue.push_control(&Message::control(&frame));
     }
@@ -355,9 +351,6 @@
     /// Notes that a reply has arrived. Large ones are acknowledged at once.
     fn note_arrived(&self, number: u64, large: bool, queue: &SendQueue) {
         self.unacknowledged.borrow_mut().push(number);
-        if self.unacknowledged_since.get().is_none() {
-            self.unacknowledged_since.set(Some(Instant::now()));
-        }
         if large || self.unacknowledged.borrow().len() >= ACKNOWLEDGE_COUNT {
             self.acknowledge(queue);
         }
@@ -472,11 +465,7 @@
         let ping = Message::control(&EntryFrame::Ping);
         let mut pinged = false;
         loop {
-            let since = self.unacknowledged_since.get();
-            if since.is_some_and(|at| at.elapsed() >= ACKNOWLEDGE_AFTER) {
-                self.acknowledge(queue);
-            }
-            if self.pending.borrow().is_empty() && self.unacknowledged_since.get().is_none() {
+            if self.pending.borrow().is_empty() {
                 if self.retired.get() {
                     return;
                 }
