--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -55,17 +55,17 @@
 
 impl Target {
     async fn start() -> Target {
-        Target::start_with(MEMORY_MB).await
+        Target::start_with(MEMORY_MB, BODY_BYTES, SERVICE_TIME).await
     }
 
-    async fn start_with(memory_mb: usize) -> Target {
+    async fn start_with(memory_mb: usize, body_bytes: usize, service_time: Duration) -> Target {
         let alone = ONE_AT_A_TIME.lock().await;
         let settings =
             format!("self.limits.memory-mb={memory_mb}\nself.limits.max-fds={FDS_MAX}\n");
-        let mut fleet = Fleet::start_with_settings(SERVICES, SERVICE_TIME, &settings).await;
+        let mut fleet = Fleet::start_with_settings(SERVICES, service_time, &settings).await;
         fleet.limits = Some(Limits {
             head_bytes: 16 << 10,
-            body_bytes: BODY_BYTES,
+            body_bytes,
             head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         });
@@ -298,7 +298,7 @@
     const SIZE: usize = 400 << 10;
     /// The clients cannot send as much as with large chunks in the same time.
     const SMALL_MEMORY_MB: usize = 64;
-    let target = Target::start_with(SMALL_MEMORY_MB).await;
+    let target = Target::start_with(SMALL_MEMORY_MB, BODY_BYTES, SERVICE_TIME).await;
     let addr = target.addr;
     let clients =
         spawn_clients(SENDERS, |i| send_chunked(addr, SIZE, i.is_multiple_of(WHOLE_EVERY), 1));
@@ -371,3 +371,46 @@
     });
     target.check("sent ahead", clients).await;
 }
+
+/// Guards against keeping the bodies of requests whose callers have left while the server was at work.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_of_callers_that_leave() {
+    const ROUNDS: usize = 12;
+    /// Long enough for callers to leave before the answer.
+    const LONG_SERVICE_TIME: Duration = Duration::from_millis(600);
+    let target = Target::start_with(MEMORY_MB, BODY_BYTES, LONG_SERVICE_TIME).await;
+    let addr = target.addr;
+    let clients = spawn_clients(4, |_| async move {
+        let mut text = body_head(&format!("Content-Length: {BODY_BYTES}")).into_bytes();
+        text.resize(text.len() + BODY_BYTES, b'a');
+        for _ in 0..ROUNDS {
+            let mut stream = TcpStream::connect(addr).await.ok()?;
+            send_parts(&mut stream, &text, text.len(), Duration::ZERO).await;
+            sleep(Duration::from_millis(300)).await;
+        }
+        None
+    });
+    target.check("left", clients).await;
+}
+
+/// Guards against a share of the memory, or copies, that leave no room for the largest permitted body on
+/// the smallest host.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_body_of_the_largest_size_on_the_smallest_host() {
+    const SMALLEST_MB: usize = 160;
+    const LARGEST: usize = 64 << 20;
+    let target = Target::start_with(SMALLEST_MB, LARGEST, SERVICE_TIME).await;
+    let addr = target.addr;
+    let clients = spawn_clients(1, |_| async move {
+        let mut stream = TcpStream::connect(addr).await.ok()?;
+        let mut text = body_head(&format!("Content-Length: {LARGEST}")).into_bytes();
+        text.resize(text.len() + LARGEST, b'a');
+        send_parts(&mut stream, &text, text.len(), Duration::ZERO).await;
+        let mut answer = vec![0; 1 << 10];
+        let size = timeout(CLIENT_TIME, stream.read(&mut answer)).await.ok()?.ok()?;
+        let answer = String::from_utf8_lossy(&answer[..size]);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        Some(stream)
+    });
+    target.check("largest", clients).await;
+}
