net/http1: one block for an answer of known length

Cause: slow readers reached 113992 and 120416 KiB of 131072 in tests/clients, close to the bound: a block that grows is copied, and its former places stay resident.

--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -31,6 +31,9 @@
 const CHUNK_LINE_BYTES: usize = 18;
 /// Largest size of the trailers of a response together, in bytes, as hyper limits them.
 const TRAILER_BYTES_MAX: usize = 16 << 10;
+/// Largest room that is prepared for a body of known length before it has arrived, in bytes. The system
+/// provides the memory only as it is written.
+const PREPARED_BYTES_MAX: usize = 16 << 20;
 /// Buffer space reserved for each read of a head, in bytes.
 const READ_BYTES: usize = 8 << 10;
 /// Buffer space reserved for each read of a body, in bytes.
@@ -393,6 +396,10 @@
         Framing::None => {}
         Framing::Length(size) => {
             body.size_max = size;
+            if belongs {
+                // A block that grows is copied, and its former places stay resident for a while.
+                body.bytes.reserve_exact(size.min(PREPARED_BYTES_MAX));
+            }
             read_exactly(reader, buffer, &mut body, size).await?;
         }
         Framing::Chunked => read_chunks(reader, buffer, &mut body).await?,
