--- a/src/kelpwind/lib.rs
+++ b/src/kelpwind/lib.rs
@@ -34,7 +34,7 @@
 //!
 //! `ops`, `platform` and `util` serve the program. The other public items are the domain types in
 //! `core` and the parts that tests and benchmarks call directly: `lease`, `table`, `place`,
-//! `log::{replica, snapshot}`, `net::{datagram, http1, memory, pacing, pool}`,
+//! `log::{replica, snapshot}`, `net::{datagram, http1, memory, pacing, pool, transit}`,
 //! `route::{allotment, availability, budget, least_cost, picker, quantile, quarantine, retry_after, round_robin}`,
 //! `gate::{bulk, call_tree, cold_start, cost, grant_time, limiter, queue, rate_limit, server_runs, share}`,
 //! `mesh::{held_ranges, holds, kept_replies, platform_api, report_exchanges, send_order, statements}` and `node::{lifecycle, settings}`. Everything else is internal to the crate.
--- a/src/kelpwind/mesh/balance.rs
+++ b/src/kelpwind/mesh/balance.rs
@@ -6,9 +6,10 @@
 //! owners. An owner that replies counts the load it was asked to take as its own for a while, so
 //! that two overloaded owners do not both fill the same free capacity.
 //!
-//! Where requests of unequal cost share servers ([`crate::core::routes::Routes::has_bulk`]), an owner also looks for an
-//! excess that is certain, twenty times a second, and sheds the hot span to several owners at once;
-//! and loads of others are converted by the measured service times, so that faster servers take more.
+//! Where requests of unequal cost share servers ([`crate::core::routes::Routes::has_bulk`]) and the setting
+//! `placing.shed-hot-keys` is on, an owner also looks for an excess that is certain, twenty times a
+//! second, and sheds the hot span to several owners at once. The setting is off by default: each of the
+//! many small moves costs all nodes calls to the store. Loads of others are converted by the measured service times, so that faster servers take more.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -57,7 +58,7 @@
 pub(crate) async fn rebalance(node: Rc<Node>) {
     let mut checked = Instant::now();
     loop {
-        let by_work = node.weighs_work();
+        let by_work = node.sheds_hot_keys();
         sleep(if by_work { EXCESS_CHECK_INTERVAL } else { CHECK_INTERVAL }).await;
         if !node.can_rebalance() {
             continue;
@@ -108,12 +109,17 @@
         self.routes.borrow().as_ref().is_some_and(|r| r.has_bulk())
     }
 
+    /// Whether hot spans are shed as soon as an excess is certain.
+    fn sheds_hot_keys(&self) -> bool {
+        self.settings.borrow().shed_hot_keys && self.weighs_work()
+    }
+
     /// This owner's load; `None` while it has no backend server.
     fn own_load(&self) -> Option<OwnerLoad> {
         let owner = Owner { holder: self.holder(), instance: self.server_instance()? };
         let now = Instant::now();
         let rate = self.demand.borrow_mut().rate(now);
-        let excess = if self.weighs_work() { self.certain_excess() } else { None };
+        let excess = if self.sheds_hot_keys() { self.certain_excess() } else { None };
         let queue = self.queue.borrow();
         let work = rate * queue.typical_time().as_secs_f64();
         let work = excess.map_or(work, |excess| excess.work.max(work));
--- a/src/kelpwind/mesh/frame.rs
+++ b/src/kelpwind/mesh/frame.rs
@@ -29,6 +29,7 @@
 use super::statements::PeerStatement;
 use crate::core::codes::Code;
 use crate::core::ids::{NodeId, Position, ServiceName};
+use crate::lease::clock::{self, BootInstant};
 use crate::net::memory::{Hold, MemoryAccount, Place};
 
 /// Largest message: the largest body that callers may send, and room for the rest of the request.
@@ -42,7 +43,7 @@
 /// Flag of the last part.
 const LAST: u32 = 1 << 29;
 /// Bytes of the times at the end of a request.
-const TIMES_BYTES: usize = 8;
+const TIMES_BYTES: usize = 16;
 /// Bytes that are read at once if they have arrived. A node may have thousands of connections, and
 /// most messages are smaller.
 const READ_BYTES: usize = 2 << 10;
@@ -147,6 +148,9 @@
     /// end of the message.
     #[serde(skip)]
     pub remaining_ms: u32,
+    /// When the entry sent the end of the message, by the clock of its host.
+    #[serde(skip)]
+    pub sent_at: BootInstant,
     /// How far the entry has read the table.
     pub table_position: Position,
     /// What the entry knows that the backend server has stated of itself. The gate's process may not have
@@ -154,6 +158,15 @@
     pub stated: Option<PeerStatement>,
 }
 
+impl GateRequest {
+    /// Takes time off that the request has been on its way for longer than usual.
+    pub fn shorten(&mut self, time: Duration) {
+        let ms = time.as_millis() as u32;
+        self.objective_ms = self.objective_ms.saturating_sub(ms);
+        self.remaining_ms = self.remaining_ms.saturating_sub(ms);
+    }
+}
+
 /// The outcome of a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Outcome {
@@ -340,6 +353,7 @@
             let now = Instant::now();
             buffer.put_u32(objective.saturating_duration_since(now).as_millis() as u32);
             buffer.put_u32(deadline.saturating_duration_since(now).as_millis() as u32);
+            buffer.put_u64(clock::now().as_micros());
         }
         if last {
             self.sent.set(true);
@@ -366,7 +380,7 @@
     /// Puts a body that was sent apart in its place.
     fn set_body(&mut self, body: Bytes);
     /// Sets the times at the end of a request. Returns whether the value has such.
-    fn set_times(&mut self, objective_ms: u32, remaining_ms: u32) -> bool;
+    fn set_times(&mut self, objective_ms: u32, remaining_ms: u32, sent_at: BootInstant) -> bool;
 }
 
 impl Frame for EntryFrame {
@@ -376,9 +390,10 @@
         }
     }
 
-    fn set_times(&mut self, objective_ms: u32, remaining_ms: u32) -> bool {
+    fn set_times(&mut self, objective_ms: u32, remaining_ms: u32, sent_at: BootInstant) -> bool {
         let EntryFrame::Request(request) = self else { return false };
         (request.objective_ms, request.remaining_ms) = (objective_ms, remaining_ms);
+        request.sent_at = sent_at;
         true
     }
 }
@@ -390,7 +405,7 @@
         }
     }
 
-    fn set_times(&mut self, _objective_ms: u32, _remaining_ms: u32) -> bool {
+    fn set_times(&mut self, _: u32, _: u32, _: BootInstant) -> bool {
         false
     }
 }
@@ -402,10 +417,17 @@
     if !rest.is_empty() {
         times = rest;
     }
-    match times.len() {
-        0 => Ok(frame),
-        TIMES_BYTES if frame.set_times(times.get_u32(), times.get_u32()) => Ok(frame),
-        _ => Err(FrameError::Malformed),
+    if times.is_empty() {
+        return Ok(frame);
+    }
+    if times.len() != TIMES_BYTES {
+        return Err(FrameError::Malformed);
+    }
+    let (objective_ms, remaining_ms) = (times.get_u32(), times.get_u32());
+    let sent_at = BootInstant::from_micros(times.get_u64());
+    match frame.set_times(objective_ms, remaining_ms, sent_at) {
+        true => Ok(frame),
+        false => Err(FrameError::Malformed),
     }
 }
 
--- a/src/kelpwind/mesh/platform_api.rs
+++ b/src/kelpwind/mesh/platform_api.rs
@@ -496,6 +496,9 @@
     pub bootstrap: bool,
     /// Usual interval between two liveness reports of a server.
     pub report_interval: Duration,
+    /// Whether an owner sheds hot keys as soon as an excess of requests is certain, where requests of
+    /// unequal cost share servers.
+    pub shed_hot_keys: bool,
     /// Limits that a reload may change.
     pub bounds: Bounds,
     /// What the process may hold for callers.
--- a/src/kelpwind/mesh/request_state.rs
+++ b/src/kelpwind/mesh/request_state.rs
@@ -12,6 +12,7 @@
 use crate::core::ids::{NodeId, Position, ServiceName};
 use crate::core::routes::Route;
 use crate::core::tenants::Tenant;
+use crate::lease::clock::BootInstant;
 use crate::route::budget::Budget;
 use crate::route::retry_after;
 
@@ -103,6 +104,7 @@
             may_return: self.may_return,
             objective_ms: self.objective.saturating_duration_since(now).as_millis() as u32,
             remaining_ms: self.deadline.saturating_duration_since(now).as_millis() as u32,
+            sent_at: BootInstant::default(),
             table_position,
             stated,
         }
--- a/src/kelpwind/mesh/serve.rs
+++ b/src/kelpwind/mesh/serve.rs
@@ -23,8 +23,10 @@
 use super::node::Node;
 use super::send_queue::SendQueue;
 use crate::core::codes::Code;
+use crate::lease::clock;
 use crate::net::http1::set_dead_peer_timeouts;
 use crate::net::memory::{Hold, Place};
+use crate::net::transit::TransitTime;
 
 /// Longest wait for the first frame of a connection.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
@@ -52,6 +54,8 @@
 struct Connection {
     queue: Rc<SendQueue>,
     receiver: RefCell<Receiver>,
+    /// How long requests have been on their way.
+    transit: RefCell<TransitTime>,
 }
 
 /// The requests of one link of an entry.
@@ -97,7 +101,11 @@
     }
     let (mut reader, writer) = stream.into_split();
     let queue = Rc::new(SendQueue::new(node.pacer.clone()));
-    let connection = Rc::new(Connection { queue: queue.clone(), receiver: RefCell::default() });
+    let connection = Rc::new(Connection {
+        queue: queue.clone(),
+        receiver: RefCell::default(),
+        transit: RefCell::default(),
+    });
     let Ok(Some(hello)) = timeout(HELLO_TIMEOUT, read_hello(&mut reader, &connection)).await else {
         return;
     };
@@ -144,7 +152,10 @@
             break;
         }
         match received.frame {
-            EntryFrame::Request(request) => {
+            EntryFrame::Request(mut request) => {
+                let now = clock::now();
+                let late = connection.transit.borrow_mut().record(request.sent_at, now);
+                request.shorten(late);
                 accept_request(&node, &session, *request, received.hold);
             }
             EntryFrame::Cancel(number) => {
@@ -309,6 +320,12 @@
             return session.push(&encode_reply(node, number, priority, outcome, report));
         }
     }
+    if request.remaining_ms == 0 {
+        let outcome = Outcome::not_run(Code::DeadlinePast, Duration::ZERO);
+        let reply = encode_reply(node, number, priority, outcome, node.load_report(""));
+        session.push(&reply);
+        return session.requests.borrow_mut().keep(number, reply, Instant::now());
+    }
     let sent = Rc::new(Cell::new(false));
     let (node, task_session, mark) = (node.clone(), session.clone(), sent.clone());
     let task = tokio::task::spawn_local(async move {
--- a/src/kelpwind/net/mod.rs
+++ b/src/kelpwind/net/mod.rs
@@ -9,3 +9,4 @@
 pub mod memory;
 pub mod pacing;
 pub mod pool;
+pub mod transit;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -47,4 +47,5 @@
 mod table;
 mod table_eras;
 mod tenants;
+mod transit;
 mod work_routing;
