Accept late work only with capacity to spare; read the store as before

Cause: callers that wait at an overloaded owner do not return to another one, and work that can only be late holds memory. The trials of passing on all records are taken back: they raised the calls to the store.

--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -480,7 +480,13 @@
             self.secs_until_free() + ahead_secs / slots + self.cold_start.wait_secs(now, ahead);
         let wait = wait.max(self.rate_limit.wait(now, ahead).as_secs_f64());
         let start = SharedView { now: now + Duration::from_secs_f64(wait), ..self.view(now) };
-        if start.is_hopeless(&queued) {
+        let end = start.now + Duration::from_secs_f64(own);
+        // Work that can only be late is queued while there is capacity to spare. In an overload it would keep
+        // its caller from returning when there is room, and fill memory.
+        let late_fits = self.offered_load < LATE_LOAD_MAX * self.capacity()
+            && (self.waiting.len() as u32) < self.slots;
+        let too_late = end > queued.request.objective && !queued.short && !late_fits;
+        if too_late || start.is_hopeless(&queued) {
             return AdmitDecision::Refuse(self.return_delay(
                 all_secs - own,
                 queued.request.deadline,
--- a/src/kelpwind/mesh/commit.rs
+++ b/src/kelpwind/mesh/commit.rs
@@ -3,21 +3,22 @@
 
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::datagram::TableUpdate;
-use super::metrics::ReadResult;
 use super::node::Node;
-use super::platform_api::{ReadRequest, StoreError, Topic};
+use super::platform_api::StoreError;
 use crate::core::ids::Position;
 use crate::table::{Table, WriteBatch};
 
-/// Longest pause after the first conflict; it doubles with each further one. The pause is drawn at
+/// Longest wait, after a conflict, for the record that was appended first.
+const CONFLICT_READ_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest pause after the first conflict; it grows with each failure. The pause is drawn at
 /// random, so that concurrent writers do not retry in step.
-const CONFLICT_PAUSE: Duration = Duration::from_millis(15);
-/// Number of conflicts after which the pause stops growing. Some twenty owners that move keys at once
-/// take half a second for one attempt each, if a read and an append take 25 ms.
-const CONFLICT_DOUBLINGS: u32 = 5;
+const CONFLICT_PAUSE: Duration = Duration::from_millis(8);
+/// The same pause per member, used if it is longer: with more concurrent writers it takes longer
+/// until all have written.
+const CONFLICT_PAUSE_EACH: Duration = Duration::from_micros(400);
 /// Pause after the first append that fails for another reason than a conflict; it grows with each
 /// failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
@@ -81,17 +82,14 @@
                     let next = Position { offset: next, ..at };
                     let update = TableUpdate { next, batch };
                     self.apply_table_update(&update);
-                    if self.informs_all_members() {
-                        self.notify_members(&update).await;
-                    }
                     return Some(update);
                 }
                 Err(StoreError::Conflict) => {
-                    let pause = CONFLICT_PAUSE * 2_u32.pow(failures.min(CONFLICT_DOUBLINGS));
-                    sleep(pause.mul_f64(fastrand::f64())).await;
-                    // The shorter the time between a read and the next attempt, the fewer attempts
-                    // conflict. Records that others pass on may be late on a busy link.
-                    self.read_table_once().await;
+                    self.request_table_read();
+                    // On a timeout the next attempt conflicts again, which is harmless.
+                    let _ = timeout(CONFLICT_READ_TIMEOUT, self.wait_for_table(at.next())).await;
+                    let pause = CONFLICT_PAUSE.max(CONFLICT_PAUSE_EACH * self.member_count());
+                    sleep(pause.mul_f64(fastrand::f64() * f64::from(failures + 1))).await;
                 }
                 Err(e) => {
                     let why = e.to_string();
@@ -113,24 +111,10 @@
         None
     }
 
-    /// Reads the records after the end of the table, without a wait for more.
-    async fn read_table_once(&self) {
-        let from = self.followed_position().0;
-        let request = ReadRequest::new(Topic::Table, from.offset, Duration::ZERO);
-        match (self.platform.store.read)(request).await {
-            Ok(batch) if self.followed_position().0.era == from.era => {
-                self.metrics.count_read(Topic::Table, ReadResult::Done);
-                self.apply_table_records(&batch.records, false, batch.next);
-            }
-            // The records are of a former era.
-            Ok(_) => {}
-            Err(e) => {
-                self.metrics.count_read(Topic::Table, ReadResult::Failed);
-                let why = e.to_string();
-                spdlog::debug!("failed to read the table after a conflict", kv: { why = why.as_str() });
-                self.request_table_read();
-                sleep(RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
-            }
-        }
+    /// Waits until the table contains all records before an offset.
+    async fn wait_for_table(&self, position: Position) {
+        let mut known = self.table_position.subscribe();
+        // `wait_for` fails only if the sender is dropped, and `self` owns the sender.
+        drop(known.wait_for(|next| next.is_some_and(|next| next >= position)).await);
     }
 }
--- a/src/kelpwind/mesh/grants.rs
+++ b/src/kelpwind/mesh/grants.rs
@@ -330,7 +330,7 @@
             let owners = table.keys.values().flat_map(|k| k.owners());
             owners.map(|h| h.node.clone()).filter(|n| *n != me).collect()
         };
-        self.notify_concerned(owners, update).await;
+        self.send_table_update(owners, update).await;
     }
 
     /// Members that can receive keys of the service: those that take work, have witnesses and are not
--- a/src/kelpwind/mesh/moves.rs
+++ b/src/kelpwind/mesh/moves.rs
@@ -166,7 +166,7 @@
             .filter(|(moved, _)| free.iter().any(|(span, _)| span.intersection(*moved).is_some()))
             .map(|(_, to)| to.holder.node.clone())
             .collect();
-        self.notify_concerned(receivers, update).await;
+        self.send_table_update(receivers, update).await;
         Ok(true)
     }
 
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -48,7 +48,6 @@
 use crate::route::round_robin::WeightedRoundRobin;
 use crate::table::Table;
 use crate::table::member::{Instance, Member, Server};
-use crate::table::pending::PendingBatches;
 
 /// Largest difference between two consecutive incarnations of a node. Leaves room for millions.
 const INCARNATION_STEP_MAX: u64 = 1 << 40;
@@ -159,10 +158,6 @@
     pub tickets: Tickets,
     /// Wakes the task that starts queued requests during a cold start.
     pub queue_wake: Notify,
-    /// Records of the table that other nodes have passed on and that earlier ones are missing for.
-    pub pending_batches: RefCell<PendingBatches>,
-    /// Whether a task waits for the missing ones.
-    pub awaiting_records: Cell<bool>,
     /// Keys that the backend server holds.
     pub held: RefCell<HeldRanges>,
     /// How much longer than its lease this incarnation's grants may last; `None` until its record is
--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -476,17 +476,16 @@
             Ok(next) => {
                 let next = Position { era, offset: next };
                 let update = TableUpdate { next, batch };
-                if node.is_keyed() {
-                    node.receive_table_update(&update);
-                } else {
-                    node.apply_table_update(&update);
+                let known = node.apply_table_update(&update);
+                if node.is_keyed() && !known {
+                    node.request_table_read();
                 }
-                if concerns_all || node.informs_all_members() {
+                if concerns_all {
                     node.notify_members(&update).await;
                 } else if node.is_keyed() {
                     // They must know an incarnation before they can acknowledge it.
                     let witnesses = record.witnesses.iter().map(|p| p.holder.node.clone());
-                    node.notify_concerned(witnesses, &update).await;
+                    node.send_table_update(witnesses, &update).await;
                 }
                 if node.is_restoring() {
                     // A timeout means that the record was not read back; it is written again then.
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -149,8 +149,6 @@
         work: RefCell::default(),
         tickets: RefCell::default(),
         queue_wake: Notify::new(),
-        pending_batches: RefCell::default(),
-        awaiting_records: Cell::new(false),
         held: RefCell::new(held),
         grant_excess: Cell::new(None),
         transit_times: RefCell::default(),
--- a/src/kelpwind/mesh/udp.rs
+++ b/src/kelpwind/mesh/udp.rs
@@ -46,11 +46,13 @@
     }
 
     /// Handles a datagram and returns the reply to its sender, if any.
-    fn handle_datagram(self: &Rc<Self>, datagram: Datagram) -> Option<Datagram> {
+    fn handle_datagram(&self, datagram: Datagram) -> Option<Datagram> {
         match datagram {
             Datagram::Lease(message) => self.handle_lease_message(message).map(Datagram::Lease),
             Datagram::TableUpdate(update) => {
-                self.receive_table_update(&update);
+                if !self.apply_table_update(&update) {
+                    self.request_table_read();
+                }
                 None
             }
             Datagram::OrdersPublished { next } => {
--- a/src/kelpwind/net/datagram.rs
+++ b/src/kelpwind/net/datagram.rs
@@ -6,9 +6,8 @@
 /// Format number that this version writes and reads.
 const FORMAT: u8 = 1;
 /// Largest datagram that is read, in bytes. It spans only a few IP packets, because one lost packet
-/// loses the whole datagram. The largest is a record of 1,024 keys of which two hundred are divided
-/// among a dozen owners, some 8 KB.
-pub const DATAGRAM_BYTES_MAX: usize = 12 << 10;
+/// loses the whole datagram.
+pub const DATAGRAM_BYTES_MAX: usize = 4 << 10;
 
 /// Why a datagram cannot be decoded.
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
--- a/src/kelpwind/table/mod.rs
+++ b/src/kelpwind/table/mod.rs
@@ -21,7 +21,6 @@
 pub mod claim;
 pub mod keys;
 pub mod member;
-pub mod pending;
 pub mod polling;
 pub mod suspect;
 
