--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -18,8 +18,7 @@
 //!
 //! Where kinds of requests of unequal cost share the server ([`RequestQueue::set_sharing`]), the load
 //! pattern is 1.2 to 2.5 times the capacity for seconds, and a refused caller returns to the same
-//! overload. A late answer is worth something and a refusal nothing, so a request is then accepted if
-//! its deadline can be met behind what starts before it. The order of starts is:
+//! overload. The order of starts is:
 //! 1. classes that get less than their guaranteed share ([`super::share`]);
 //! 2. classes with little time by configuration, which are nested calls: each keeps the slot of
 //!    another request waiting. They are refused only if their deadline cannot be met;
@@ -64,11 +63,13 @@
 /// Least such time, for a request that arrives with little time: a short one may take half the mean.
 const LEAST_FRACTION: f64 = 0.5;
 /// Time that a request needs until its objective to count as in time, as a multiple of the mean time:
-/// service times vary, and one with just the mean left is late in a third of the cases.
+/// service times vary, and one with just the mean left is late in a third of the cases. With three times the
+/// mean, requests of a server that is just full count as late while they could be in time.
 const OBJECTIVE_MARGIN: f64 = 1.5;
 /// Largest fraction of the time from arrival to objective or deadline that these margins take.
 const ALLOWANCE_FRACTION: f64 = 0.6;
-/// Most queued work, as the time in which all slots together do it.
+/// Most queued work, as the time in which all slots together do it. Callers are better off elsewhere, or
+/// refused early, than behind more.
 const BACKLOG_MAX: Duration = Duration::from_millis(1200);
 
 /// A request for a slot of the backend server.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod malformed_input;
 mod memory;
 mod ownership;
+mod pacing;
 mod placing;
 mod pool;
 mod quarantine;
