--- a/tests/mesh/large_messages.rs
+++ b/tests/mesh/large_messages.rs
@@ -220,7 +220,12 @@
 async fn bodies_without_room_at_a_gate_are_held_or_run() {
     const SIZE: usize = 48 << 20;
     const ENTRIES: usize = 4;
-    let mut fleet = start(LONG_PUT, &[("books", ENTRIES as u32), ("maps", 1)]).await;
+    // Room for one of these bodies, as on the smallest node.
+    let services = &[("books", ENTRIES as u32), ("maps", 1)];
+    let settings = "self.limits.memory-mb=160\n";
+    let mut fleet = Fleet::start_with_settings(services, SERVICE_TIME, settings).await;
+    fleet.publish(services, LONG_PUT);
+    sleep(Duration::from_secs(1)).await;
     fleet.divert_peers(ENTRIES, Faults { delay_ms: 2, ..SLOW }).await;
     // The entries learn the address with their next read of the table.
     sleep(Duration::from_secs(2)).await;
