Use one delay for requests without memory, and one view of the queue for a decision

Cause: a second reading of the change. mesh/link.rs and mesh/gate.rs each had MEMORY_RETRY_AFTER of 500 ms; admit_shared computed the shares of all classes twice for each request that waits, though whether a deadline can be met does not depend on them; the doc comment of set_sharing described a decision that was replaced. Change: behaviour is as before.

--- a/src/kelpwind/gate/queue.rs
+++ b/src/kelpwind/gate/queue.rs
@@ -151,12 +151,17 @@
 
     /// Whether a request that starts now would probably miss its deadline.
     fn is_hopeless(&self, queued: &Queued) -> bool {
+        self.is_hopeless_at(queued, self.now)
+    }
+
+    /// Whether a request that starts at `start` would probably miss its deadline.
+    fn is_hopeless_at(&self, queued: &Queued, start: Instant) -> bool {
         let own = self.expected(queued);
         // A request with little time on arrival is tried if half of the usual time is left.
         let allowance = queued.request.deadline.saturating_duration_since(queued.arrived);
         let most = (allowance.as_secs_f64() * ALLOWANCE_FRACTION).max(own * LEAST_FRACTION);
         let needed = Duration::from_secs_f64((own * DEADLINE_MARGIN).min(most));
-        self.now + needed > queued.request.deadline
+        start + needed > queued.request.deadline
     }
 
     /// Whether a request that starts now would probably miss its latency objective.
@@ -235,8 +240,7 @@
         self.slots = slots.max(1);
     }
 
-    /// Sets whether kinds of requests of unequal cost share the server. If they do, requests are
-    /// accepted up to their deadlines; see the module's documentation.
+    /// Sets whether kinds of requests of unequal cost share the server; see the module's documentation.
     pub fn set_sharing(&mut self, sharing: bool) {
         if sharing != self.sharing.is_some() {
             self.sharing = sharing.then(Sharing::default);
@@ -480,14 +484,14 @@
         let wait =
             self.secs_until_free() + ahead_secs / slots + self.cold_start.wait_secs(now, ahead);
         let wait = wait.max(self.rate_limit.wait(now, ahead).as_secs_f64());
-        let start = SharedView { now: now + Duration::from_secs_f64(wait), ..self.view(now) };
-        let end = start.now + Duration::from_secs_f64(own);
+        let start = now + Duration::from_secs_f64(wait);
+        let end = start + Duration::from_secs_f64(own);
         // Work that can only be late is queued while there is capacity to spare. In an overload it would keep
         // its caller from returning when there is room, and fill memory.
         let late_fits = self.offered_load < LATE_LOAD_MAX * self.capacity()
             && (self.waiting.len() as u32) < self.slots;
         let too_late = end > queued.request.objective && !queued.short && !late_fits;
-        if too_late || start.is_hopeless(&queued) {
+        if too_late || view.is_hopeless_at(&queued, start) {
             return AdmitDecision::Refuse(self.return_delay(
                 all_secs - own,
                 queued.request.deadline,
--- a/src/kelpwind/mesh/link.rs
+++ b/src/kelpwind/mesh/link.rs
@@ -19,6 +19,7 @@
 use super::frame::{
     self, EntryFrame, Events, GateFrame, GateRequest, LoadReport, Message, Outcome, Receiver,
 };
+use super::gate::MEMORY_RETRY_AFTER;
 use super::send_order::{CHUNK_BYTES, Removed};
 use super::send_queue::SendQueue;
 use super::statements::PeerStatement;
@@ -50,8 +51,6 @@
 /// Time after which other requests to an unreachable gate end. It is longer because their answers
 /// may still be fetched over a new connection.
 const UNREACHABLE_TIMEOUT_ONCE: Duration = Duration::from_millis(1500);
-/// Retry-after of a request for which there is no memory.
-pub(super) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Number of small replies after which they are acknowledged. Fewer are acknowledged with the next request:
 /// an own message for each would double the number of messages, and a timer on each idle connection would wake the node
 /// hundreds of times a second. The gate keeps them for 2.5 s at most.
--- a/src/kelpwind/mesh/serve.rs
+++ b/src/kelpwind/mesh/serve.rs
@@ -18,8 +18,8 @@
 use super::frame::{
     self, EntryFrame, Events, GateFrame, GateRequest, LoadReport, Message, Outcome, Receiver,
 };
+use super::gate::MEMORY_RETRY_AFTER;
 use super::kept_replies::{Decision, KeptReply, SessionRequests, choose_evictions};
-use super::link::MEMORY_RETRY_AFTER;
 use super::node::Node;
 use super::send_queue::SendQueue;
 use crate::core::codes::Code;
