Log connections that are closed with unread bytes

Two hypotheses:

The node closes a connection on which requests were sent ahead while these are unread, and the kernel resets it, which discards what of the answer the caller has not received. The process ends, or gives the answer up as stalled, before it is written. Expected: no unread bytes, resets at the end of the process or a count of memory refusals.

No log line or metric told them apart. A counter and a line do now.

--- a/src/kelpwind/mesh/connection.rs
+++ b/src/kelpwind/mesh/connection.rs
@@ -385,6 +385,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match rustix::io::ioctl_fionread(&self.stream) {
+            Ok(0) => {}
+            Ok(unread) => self.activity.node.metrics.count_unread_close(unread),
+            Err(e) => spdlog::debug!("failed to count the unread bytes of a connection: {e}"),
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -118,6 +118,7 @@
     memory_refusals: IntCounterVec,
     /// Limits log lines about these refusals.
     pub memory_log: RateLimitedLog,
+    unread_closes: IntCounter,
 }
 
 /// Why a request or a connection of a caller was refused for the sake of the process; the value of a
@@ -476,6 +477,13 @@
                 &["reason"],
             ),
             memory_log: RateLimitedLog::default(),
+            unread_closes: register(
+                &registry,
+                IntCounter::new(
+                    "kelpwind_unread_closes_total",
+                    "Connections of HTTP clients that were closed while bytes of the client were unread.",
+                ),
+            ),
             registry,
         }
     }
@@ -542,6 +550,14 @@
         });
     }
 
+    /// Counts a connection that is closed while `unread` bytes of the client have not been read.
+    pub fn count_unread_close(&self, unread: u64) {
+        self.unread_closes.inc();
+        self.failure_log.write(|left_out| {
+            spdlog::info!("a connection with unread bytes is closed", kv: { unread, left_out });
+        });
+    }
+
     /// Counts a request that the gate sends to the backend server.
     pub fn count_sent(&self) {
         self.sent.inc();
