Read until the client has closed when a connection closes

Cause: the socket was dropped once the HTTP library had shut down its write side. The library reads one request ahead at most, so further ones were unread, and the kernel resets a connection that is closed then, which discards what the client has not received.

A connection that closes now discards what comes until the client has closed its side, for limits.answer-stall-s at most, and is the first to go when there are too many. A stopping node waits for those that have just answered, since its end closes sockets too. Answers that refuse a request before its body has arrived go the same way.

Tried first: discarding in the stream's shutdown. The HTTP library reports a request that cannot be read only after that, so a_request_that_cannot_be_read_is_logged failed.

--- a/src/kelpwind/mesh/connection.rs
+++ b/src/kelpwind/mesh/connection.rs
@@ -20,7 +20,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
@@ -37,6 +37,8 @@
 const HEAD_BYTES_MAX: usize = 64 << 10;
 /// Most headers of a request. The HTTP library prepares room for all of them for each request.
 const HEADERS_MAX: usize = 256;
+/// Bytes that are discarded at a time of a connection that is closing.
+const DISCARD_BYTES: usize = 4 << 10;
 
 /// Serves a connection until the client ends it, keeps the node waiting for longer than the limits
 /// allow, others need its memory, or `closed` becomes true.
@@ -75,12 +77,11 @@
             Ok::<_, Infallible>(reply)
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(head_bytes)
         .max_headers(HEADERS_MAX)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
     let mut expired = pin!(activity.expired());
     let mut closing = false;
     let ended = loop {
@@ -88,11 +89,13 @@
         // time ends.
         tokio::select! {
             biased;
-            ended = connection.as_mut() => break ended,
-            () = expired.as_mut() => break Ok(()),
-            () = activity.evicted.notified() => break Ok(()),
+            ended = &mut connection => break ended,
+            () = expired.as_mut() => return,
+            () = activity.evicted.notified() => return,
             () = wait_until_true(&mut closed), if !closing => {
-                connection.as_mut().graceful_shutdown();
+                let waiting = matches!(activity.phase.get(), Phase::Idle(_) | Phase::Head(_));
+                activity.closed_waiting.set(waiting);
+                Pin::new(&mut connection).graceful_shutdown();
                 closing = true;
             }
         }
@@ -103,7 +106,33 @@
         Err(e) if e.is_parse() => activity.node.metrics.failure_log.write(|left_out| {
             spdlog::info!("a request cannot be read", kv: { why = e.to_string(), left_out });
         }),
-        Err(e) => spdlog::debug!("failed to serve an HTTP connection: {e}"),
+        Err(e) => return spdlog::debug!("failed to serve an HTTP connection: {e}"),
+    }
+    activity.phase.set(Phase::Closing(Instant::now()));
+    let stream = connection.into_parts().io.into_inner().stream;
+    tokio::select! {
+        () = discard(stream, &activity.node) => {}
+        () = expired => {}
+        () = activity.evicted.notified() => {}
+    }
+}
+
+/// Discards what the client sends until it has closed its side. The kernel resets a connection that is
+/// closed with unread bytes, such as requests that were sent ahead, and the client then loses what it has
+/// not received of its answer.
+async fn discard(mut stream: TcpStream, node: &Node) {
+    let mut unread = vec![0; DISCARD_BYTES];
+    let mut counted = false;
+    loop {
+        match stream.read(&mut unread).await {
+            Ok(0) => return,
+            Ok(size) if !counted => {
+                node.metrics.count_unread_close(size);
+                counted = true;
+            }
+            Ok(_) => {}
+            Err(e) => return spdlog::debug!("a closing HTTP connection failed: {e}"),
+        }
     }
 }
 
@@ -118,6 +147,8 @@
     Handling,
     /// An answer is being written.
     Answering,
+    /// All is written, and the client has not closed its side yet.
+    Closing(Instant),
 }
 
 /// A wait for the client.
@@ -157,6 +188,8 @@
     /// Notified when the connection is to be closed because others need its memory.
     evicted: Notify,
     is_evicted: Cell<bool>,
+    /// Whether the connection was told to close while it waited for a request.
+    closed_waiting: Cell<bool>,
 }
 
 impl Activity {
@@ -173,6 +206,7 @@
             answer: RefCell::default(),
             evicted: Notify::new(),
             is_evicted: Cell::new(false),
+            closed_waiting: Cell::new(false),
         };
         activity.phase.set(Phase::Idle(activity.start_wait()));
         activity
@@ -225,13 +259,15 @@
         match self.phase.get() {
             _ if self.is_evicted() || self.answer.borrow().is_some() => None,
             Phase::Idle(wait) | Phase::Head(wait) => Some(wait.since),
+            Phase::Closing(since) => Some(since),
             Phase::Handling | Phase::Answering => None,
         }
     }
 
-    /// Whether an answer is being written.
-    pub(super) fn is_answering(&self) -> bool {
-        self.answer.borrow().is_some()
+    /// Whether the client may be without a part of its answer.
+    pub(super) fn is_delivering(&self) -> bool {
+        let closing = matches!(self.phase.get(), Phase::Closing(_)) && !self.closed_waiting.get();
+        self.answer.borrow().is_some() || closing
     }
 
     /// Counts an answer of `size` bytes, which is kept whatever the room: it is the result of a request
@@ -265,7 +301,7 @@
         match self.phase.get() {
             Phase::Idle(_) => self.phase.set(Phase::Head(self.start_wait())),
             Phase::Head(_) => {}
-            Phase::Handling | Phase::Answering => return Ok(()),
+            Phase::Handling | Phase::Answering | Phase::Closing(_) => return Ok(()),
         }
         let read = self.head_read.get() + size;
         self.head_read.set(read);
@@ -290,16 +326,22 @@
         }
     }
 
+    /// Time that the client may take without progress.
+    fn answer_stall(&self) -> Duration {
+        self.node.settings.borrow().limits.answer_stall
+    }
+
     /// When the present wait ends the connection; `None` if it does not wait for the client.
     fn deadline(&self) -> Option<Instant> {
         let answer = self.answer.borrow().as_ref().map(|a| a.progress);
         if let Some(progress) = answer {
-            return progress.checked_add(self.node.settings.borrow().limits.answer_stall);
+            return progress.checked_add(self.answer_stall());
         }
         let now = self.limits();
         let (wait, timeout) = match self.phase.get() {
             Phase::Idle(wait) => (wait, wait.limits.idle_timeout.max(now.idle_timeout)),
             Phase::Head(wait) => (wait, wait.limits.head_timeout.max(now.head_timeout)),
+            Phase::Closing(since) => return since.checked_add(self.answer_stall()),
             Phase::Handling | Phase::Answering => return None,
         };
         // The client measures its time at the other end of the network, and may know of a raised
@@ -385,11 +427,6 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match rustix::io::ioctl_fionread(&self.stream) {
-            Ok(0) => {}
-            Ok(unread) => self.activity.node.metrics.count_unread_close(unread),
-            Err(e) => spdlog::debug!("failed to count the unread bytes of a connection: {e}"),
-        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/src/kelpwind/mesh/metrics.rs
+++ b/src/kelpwind/mesh/metrics.rs
@@ -481,7 +481,7 @@
                 &registry,
                 IntCounter::new(
                     "kelpwind_unread_closes_total",
-                    "Connections of HTTP clients that were closed while bytes of the client were unread.",
+                    "Connections of HTTP clients that were closed while the client went on sending.",
                 ),
             ),
             registry,
@@ -550,11 +550,11 @@
         });
     }
 
-    /// Counts a connection that is closed while `unread` bytes of the client have not been read.
-    pub fn count_unread_close(&self, unread: u64) {
+    /// Counts a connection that is closing and on which `unread` bytes of the client are discarded.
+    pub fn count_unread_close(&self, unread: usize) {
         self.unread_closes.inc();
         self.failure_log.write(|left_out| {
-            spdlog::info!("a connection with unread bytes is closed", kv: { unread, left_out });
+            spdlog::info!("a client has sent more on a connection that closes", kv: { unread, left_out });
         });
     }
 
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -285,7 +285,7 @@
         let table = self.table.borrow();
         let owns = table.keys.values().flat_map(|k| k.owners()).any(|h| me.continues(h));
         let handled = self.inflight.get() == 0 && queue.running() == 0 && queue.waiting() == 0;
-        let answered = self.callers.borrow().values().all(|caller| !caller.is_answering());
+        let answered = self.callers.borrow().values().all(|caller| !caller.is_delivering());
         handled && answered && !owns && !self.has_unsent_replies()
     }
 }
--- a/tests/mesh/large_messages.rs
+++ b/tests/mesh/large_messages.rs
@@ -5,7 +5,7 @@
 
 use kelpwind_stand_ins::proxy::Faults;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
@@ -293,3 +293,46 @@
     let size = 512 + rest.len();
     assert!(read.is_ok() && size > SIZE, "{size} bytes, {read:?}");
 }
+
+/// A node that is told to stop closed connections on which requests had been sent ahead while these were
+/// unread. The kernel resets such a connection, and the caller got a part of the answer before them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_resets_connections_with_requests_sent_ahead() {
+    const SIZE: usize = 540_000;
+    let mut fleet = Fleet::start(SERVICES, Duration::from_millis(600)).await;
+    fleet.publish(SERVICES, LONG_GET);
+    sleep(Duration::from_secs(1)).await;
+    let addr = SocketAddr::new(fleet.hosts[GATE].ip.into(), 8304);
+    let callers: Vec<_> =
+        (0..4).map(|i| tokio::spawn(read_with_requests_ahead(addr, i, SIZE))).collect();
+    sleep(Duration::from_millis(300)).await;
+    fleet.signal_node(GATE, "TERM");
+    for caller in callers {
+        let (size, read) = caller.await.unwrap();
+        assert!(read.is_ok() && size > SIZE, "{size} bytes, {read:?}");
+    }
+}
+
+/// Requests an answer of `size` bytes, sends two more requests while the server is at work, and reads what
+/// comes, slowly at first.
+async fn read_with_requests_ahead(
+    addr: SocketAddr,
+    caller: usize,
+    size: usize,
+) -> (usize, std::io::Result<usize>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(16 << 10).unwrap();
+    let mut stream = socket.connect(addr).await.unwrap();
+    for (i, bytes) in [size, 10, 10].into_iter().enumerate() {
+        let request = format!(
+            "GET /get/1?answer-bytes={bytes} HTTP/1.1\r\nhost: long.example\r\n\
+             x-request-id: ahead-{caller}-{i}\r\nx-deadline-ms: 30000\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        sleep(Duration::from_millis(60)).await;
+    }
+    sleep(Duration::from_secs(1)).await;
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer).await;
+    (answer.len(), read)
+}
