Attach a server by a late report only once it has answered

Cause of what a test shows: the next run asks the server for its health, but without an answer, or without a configuration that says where to ask, the report counted. A departure that was acknowledged while the store was down is in no record.

A report that may have been sent to a former run now attaches a server only after it has answered as that instance; it is asked until its next report is due.

--- a/src/kelpwind/mesh/reports.rs
+++ b/src/kelpwind/mesh/reports.rs
@@ -13,7 +13,7 @@
 use super::gate::DRAIN_GRACE;
 use super::metrics::ServerChange;
 use super::node::{BackendStatus, Node};
-use super::platform_api::{Departure, KeyAssignment, ServerMessage, ServerReport};
+use super::platform_api::{Departure, Health, KeyAssignment, ServerMessage, ServerReport};
 use super::reattach;
 use super::report_exchanges::ConnectionId;
 use super::statements::{Change, Source};
@@ -34,6 +34,8 @@
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait for the answer to a health check, which waits for a slot of the server.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause before a server that has not answered a health check is asked again.
+const HEALTH_RETRY: Duration = Duration::from_millis(100);
 /// Pause before a record is written, so that several changes go into one record.
 const COALESCE_PAUSE: Duration = Duration::from_millis(15);
 /// Average pause after a failed write; the actual one is drawn between half and one and a half of
@@ -175,41 +177,62 @@
             && self.verified_server.borrow().as_ref() != instance
     }
 
-    /// Asks a server for its state, and applies its report then. Without an answer or without a known
-    /// path to ask at, the report counts. If the server says that it is not healthy, which it does also
-    /// when it leaves, a later report is to show that it goes on.
+    /// Asks a server for its state, and applies its report then. If the server says that it is not healthy,
+    /// which it does also when it leaves, a later report is to show that it goes on. So is one if the
+    /// server cannot be asked, as long as the report may have been sent to a former run of this node.
     fn verify(self: &Rc<Self>, report: ServerReport) {
         if self.verifying.replace(true) {
             return;
         }
         let node = self.clone();
         tokio::task::spawn_local(async move {
-            let asked = Instant::now();
-            let health = match node.health_path() {
-                Some(path) => (node.platform.backend.health)(&path, HEALTH_TIMEOUT).await,
-                None => None,
-            };
+            let received = Instant::now();
             let instance = report.instance.clone();
-            let same = health.filter(|h| h.id.as_ref() == Some(&instance.id));
-            if let Some(health) = same {
-                node.record_server_state(&instance, &health.state, asked);
-                if health.state.leaving {
-                    // When it said so first is not known, so it takes no more requests.
-                    let since = asked.checked_sub(DRAIN_GRACE).unwrap_or(asked);
-                    node.record_leaving(&instance, since, Source::Answer);
-                } else if !health.healthy && node.awaits_later_report(&instance, asked) {
-                    let id = instance.id.as_str();
-                    spdlog::info!("a server that reports is not healthy, and is not attached yet", kv: { id, number = report.number });
-                    node.verifying.set(false);
-                    return;
+            let counts = match node.ask_state(&instance).await {
+                Some((health, asked)) => {
+                    node.record_server_state(&instance, &health.state, asked);
+                    if health.state.leaving {
+                        // When it said so first is not known, so it takes no more requests.
+                        let since = asked.checked_sub(DRAIN_GRACE).unwrap_or(asked);
+                        node.record_leaving(&instance, since, Source::Answer);
+                    }
+                    let healthy = health.healthy || health.state.leaving;
+                    healthy || !node.awaits_later_report(&instance, asked)
                 }
+                None => received.duration_since(node.started) >= LATE_REPORT_MAX,
+            };
+            node.verifying.set(false);
+            if !counts {
+                let id = instance.id.as_str();
+                spdlog::info!("a server that reports is not known to be healthy, and is not attached yet", kv: { id, number = report.number });
+                return;
             }
             node.verified_server.replace(Some(instance));
-            node.verifying.set(false);
             node.handle_report(report);
         });
     }
 
+    /// Asks the server at the address of the backend server for its health until it answers as
+    /// `instance`, for as long as until its next report is due. Returns also when it was asked.
+    async fn ask_state(&self, instance: &Instance) -> Option<(Health, Instant)> {
+        let interval = self.settings.borrow().report_interval;
+        let began = Instant::now();
+        loop {
+            let asked = Instant::now();
+            let health = match self.health_path() {
+                Some(path) => (self.platform.backend.health)(&path, HEALTH_TIMEOUT).await,
+                None => None,
+            };
+            if let Some(health) = health.filter(|h| h.id.as_ref() == Some(&instance.id)) {
+                return Some((health, asked));
+            }
+            if began.elapsed() + HEALTH_RETRY >= interval {
+                return None;
+            }
+            sleep(HEALTH_RETRY).await;
+        }
+    }
+
     /// Whether a server that was found not to be healthy at `asked` has not reported for long enough since
     /// the first time.
     fn awaits_later_report(&self, instance: &Instance, asked: Instant) -> bool {
--- a/tests/mesh/server_lifecycle.rs
+++ b/tests/mesh/server_lifecycle.rs
@@ -225,3 +225,39 @@
     callers.iter().for_each(|c| c.abort());
     assert_no_violations(&fleet);
 }
+
+/// Like the test before, with a node that is killed while the store is down, so that its next run has no
+/// record of the departure. That run counted the late report because the server, busy with its last
+/// requests, did not answer the health check (`asked_at` is known), or because there was no configuration that
+/// says where to ask.
+#[rstest]
+#[case::health_not_answered(true)]
+#[case::health_path_unknown(false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_report_attaches_a_server_that_cannot_be_asked(#[case] asked_at: bool) {
+    const HOST: usize = 3;
+    let mut fleet = Fleet::start(&[("books", 3), ("maps", 2)], SERVICE_TIME).await;
+    let server = fleet.hosts[HOST].server.clone().unwrap();
+    let runs = |fleet: &Fleet| {
+        let id = &server.id;
+        fleet.history.with(|records| records.runs.iter().filter(|run| run.server == *id).count())
+    };
+    fleet.store.set_down(true);
+    server.stop_reports();
+    server.deregister().await;
+    fleet.hosts[HOST].node = None;
+    server.delay_health(Duration::from_secs(5));
+    if asked_at {
+        fleet.store.set_down(false);
+    }
+    fleet.start_node(HOST);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let callers = fleet.spawn_reusing_callers(&["maps"], Duration::from_millis(10));
+    let before = runs(&fleet);
+    // A report that was sent before the server left.
+    server.report_once().await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(runs(&fleet) - before, 0, "requests to a server that has deregistered");
+    callers.iter().for_each(|c| c.abort());
+    assert_no_violations(&fleet);
+}
