Answer what is left before a node ends, and take only what it can answer

Cause: the node ended after the grace period less a reserve, whatever was in progress, and took requests until then without comparing the time they may take with the time it had left.

A node now answers what is left before it ends (503 if it was not sent on, else 502, new code 306), waits until callers have taken that, and rejects at once what its timeout and the route's latest answers say it cannot answer in time.

Tests failed before ("left: None": cut with no answer, GET and POST taken 1.8 s after SIGTERM, and a POST of 9 s); they pass now, with the other tests of planned stops.

--- a/src/kelpwind/core/codes.rs
+++ b/src/kelpwind/core/codes.rs
@@ -85,6 +85,7 @@
     Revoked = 303, Unknown, 502, "the lease ended while the backend server worked";
     EarlierUnknown = 304, Unknown, 502, "an earlier request with this idempotency key has no known outcome";
     InvalidStatus = 305, Unknown, 502, "the backend server answered with a status that HTTP does not define";
+    NodeStopped = 306, Unknown, 502, "the node has stopped before the answer arrived";
     BadName = 400, NotRun, 400, "not a valid name";
     BadValue = 401, NotRun, 400, "not a valid value";
     UnknownField = 402, NotRun, 400, "no such field or object kind";
--- a/src/kelpwind/mesh/entry.rs
+++ b/src/kelpwind/mesh/entry.rs
@@ -14,6 +14,7 @@
 
 use super::frame::Outcome;
 use super::gate;
+use super::http::wait_until_true;
 use super::node::Node;
 use super::orders::Confirmation;
 use super::platform_api::{Answer, CallerRequest};
@@ -24,6 +25,7 @@
 use crate::core::ids::ServiceName;
 use crate::core::routes::{Route, Routes};
 use crate::core::tenants::Tenant;
+use crate::route::answer_times::may_begin;
 use crate::route::budget::{Budget, BudgetShare};
 
 /// Longest time that a request waits for a key without an owner. The takeover of a lost owner takes
@@ -73,22 +75,31 @@
         }
         state.tenant = tenant;
         state.suspicion = suspicion;
+        if let Some(failure) = self.reject_before_end(&state) {
+            self.metrics.count_request(&state.service, &Err(failure), arrived.elapsed());
+            return Err(failure);
+        }
         if let Err(failure) = self.take_quota(&state).await {
             self.metrics.count_request(&state.service, &Err(failure), arrived.elapsed());
             return Err(failure);
         }
         let id = state.request.id.clone();
         let left = state.deadline.saturating_duration_since(arrived).saturating_sub(ANSWER_MARGIN);
-        let ended = timeout(left, self.try_gates(&mut state)).await;
+        let mut work_ended = self.work_ended.subscribe();
+        let ended = tokio::select! {
+            ended = timeout(left, self.try_gates(&mut state)) => {
+                ended.map_err(|_| (Code::Expired, Code::DeadlinePast))
+            }
+            () = wait_until_true(&mut work_ended) => Err((Code::NodeStopped, Code::Draining)),
+        };
         let result = match ended {
             Ok(result) => result,
-            Err(_) if state.may_be_running() => {
-                Err(Failure { code: Code::Expired, retry_after: None })
-            }
-            Err(_) => {
-                state.fail(Failure { code: Code::DeadlinePast, retry_after: Some(Duration::ZERO) })
-            }
+            Err((code, _)) if state.may_be_running() => Err(Failure { code, retry_after: None }),
+            Err((_, code)) => state.fail(Failure { code, retry_after: Some(Duration::ZERO) }),
         };
+        if !state.tried_gates.is_empty() {
+            self.record_answer_time(&state.route, arrived.elapsed());
+        }
         self.metrics.count_request(&state.service, &result, arrived.elapsed());
         let failed = result.as_ref().map_or(true, |answer| answer.status >= 500);
         if failed && state.sharing && self.queue.borrow().running() > 0 {
@@ -110,6 +121,25 @@
         result
     }
 
+    fn record_answer_time(&self, route: &Route, took: Duration) {
+        let mut times = self.answer_times.borrow_mut();
+        match times.get_mut(&route.name) {
+            Some(times) => times.record(took),
+            None => times.entry(route.name.clone()).or_default().record(took),
+        }
+    }
+
+    /// The failure of a request that a node which stops could not answer before its end.
+    fn reject_before_end(&self, state: &RequestState) -> Option<Failure> {
+        let now = Instant::now();
+        let left = self.work_ends.get()?.saturating_duration_since(now);
+        let longest = self.answer_times.borrow().get(&state.route.name).and_then(|t| t.longest());
+        let expected = longest.unwrap_or(state.route.objective);
+        let timeout = state.deadline.saturating_duration_since(now);
+        (!may_begin(left, timeout, expected))
+            .then_some(Failure { code: Code::Draining, retry_after: Some(Duration::ZERO) })
+    }
+
     /// Finds the route of a request and picks one of its services. Rejects the request as invalid
     /// only if no newer configuration can allow it.
     async fn find_route(&self, call: &CallerRequest, arrived: Instant) -> Result<Found, Failure> {
--- a/src/kelpwind/mesh/node.rs
+++ b/src/kelpwind/mesh/node.rs
@@ -43,6 +43,7 @@
 use crate::net::memory::MemoryAccount;
 use crate::net::pacing::Pacer;
 use crate::place::relief::Demand;
+use crate::route::answer_times::AnswerTimes;
 use crate::route::budget::Budget;
 use crate::route::quarantine::Quarantine;
 use crate::route::round_robin::WeightedRoundRobin;
@@ -209,6 +210,12 @@
     pub stopping: watch::Sender<bool>,
     /// When the node began to stop.
     pub stop_began: Cell<Option<Instant>>,
+    /// When a node that stops ends all requests; `None` while it runs.
+    pub work_ends: Cell<Option<Instant>>,
+    /// Whether a node that stops has ended all requests.
+    pub work_ended: watch::Sender<bool>,
+    /// How long the answers of each route take.
+    pub answer_times: RefCell<HashMap<String, AnswerTimes>>,
     /// Number of the last connection that was accepted.
     pub last_connection: Cell<u64>,
     /// Callers' requests in progress.
--- a/src/kelpwind/mesh/start.rs
+++ b/src/kelpwind/mesh/start.rs
@@ -170,6 +170,9 @@
         udp,
         stopping: watch::Sender::new(false),
         stop_began: Cell::new(None),
+        work_ends: Cell::new(None),
+        work_ended: watch::Sender::new(false),
+        answer_times: RefCell::default(),
         last_connection: Cell::new(0),
         inflight: Cell::new(0),
         callers: RefCell::default(),
@@ -253,6 +256,7 @@
     let began = Instant::now();
     let grace = node.settings.borrow().bounds.grace.saturating_sub(EXIT_RESERVE);
     node.stop_began.set(Some(began));
+    node.work_ends.set(Some(began + grace));
     node.stopping.send_replace(true);
     node.notify_leaving();
     spdlog::info!("the node stops", kv: { inflight = node.inflight.get() });
@@ -269,12 +273,24 @@
         }
         sleep(STOP_CHECK_INTERVAL).await;
     }
+    closed.send_replace(true);
+    node.work_ended.send_replace(true);
+    let answered = async {
+        while !node.has_answered_callers() {
+            sleep(STOP_CHECK_INTERVAL).await;
+        }
+    };
     let gone = node.commit("the record of a node that stops", |node, table| {
         table.member(&node.holder()).map(|m| WriteBatch::delete_member(&m.holder.node))
     });
-    if timeout(EXIT_RESERVE / 2, gone).await.is_err() {
+    let (gone, answered) =
+        tokio::join!(timeout(EXIT_RESERVE / 2, gone), timeout(EXIT_RESERVE / 2, answered));
+    if gone.is_err() {
         spdlog::warn!("failed to remove the node's record from the table in time");
     }
+    if answered.is_err() {
+        spdlog::warn!("callers have not taken all answers", kv: { inflight = node.inflight.get() });
+    }
 }
 
 impl Node {
@@ -284,8 +300,13 @@
         let me = self.holder();
         let table = self.table.borrow();
         let owns = table.keys.values().flat_map(|k| k.owners()).any(|h| me.continues(h));
-        let handled = self.inflight.get() == 0 && queue.running() == 0 && queue.waiting() == 0;
+        let handled = queue.running() == 0 && queue.waiting() == 0;
+        handled && self.has_answered_callers() && !owns && !self.has_unsent_replies()
+    }
+
+    /// Whether callers have the answers to all requests that were taken.
+    fn has_answered_callers(&self) -> bool {
         let answered = self.callers.borrow().values().all(|caller| !caller.is_delivering());
-        handled && answered && !owns && !self.has_unsent_replies()
+        self.inflight.get() == 0 && answered
     }
 }
--- a/src/kelpwind/route/mod.rs
+++ b/src/kelpwind/route/mod.rs
@@ -7,10 +7,11 @@
 //! idempotent by its policy, or if its owner deduplicates it by idempotency key.
 //!
 //! On a platform ([`crate::mesh`]), [`least_cost`] chooses the target, [`round_robin`] the service
-//! of a weighted route, [`allotment`] divides quotas of tenants among nodes, [`availability`] and [`retry_after`] handle refusals, and [`quarantine`] keeps
+//! of a weighted route, [`allotment`] divides quotas of tenants among nodes, [`availability`] and [`retry_after`] handle refusals, [`answer_times`] decides what a node that stops still takes, and [`quarantine`] keeps
 //! requests away from servers that end when they run them.
 
 pub mod allotment;
+pub mod answer_times;
 pub mod availability;
 pub mod budget;
 pub(crate) mod entry;
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -15,6 +15,7 @@
 mod malformed_messages;
 mod node_runs;
 mod odd_numbers;
+mod planned_stops;
 #[path = "../platform/mod.rs"]
 mod platform;
 mod repeated_requests;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -741,7 +741,8 @@
         if let Some(name) = query_param(&request, "crash") {
             self.crash_under(name).await;
         }
-        tokio::time::sleep(self.config.service_time).await;
+        let work = query_param(&request, "work-ms").and_then(|ms| ms.parse().ok());
+        tokio::time::sleep(work.map_or(self.config.service_time, Duration::from_millis)).await;
         // Work must not outlast the grant that was in force when it began.
         if self.config.keyed && held_until.is_some_and(|until| until < Moment::now()) {
             let mut failed = reply(500);
