Keep bodies in blocks that do not grow

Reported by another operator: a faulty server sent bytes without end, the process that had called it kept them all and ran out of memory, and the requests of all clients on its host ended with it (LOST).

Everything is limited here, but on the smallest host, of 160 MB, the limits together were not: all bodies may have 64 MiB, each in a block that grew by half, and what a block has left stays resident for a while.

A body of known length has one block of that size, of which the system provides what is written; others are kept in blocks that are joined once the body is whole.

--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -36,9 +36,9 @@
 const CHUNK_LINE_BYTES: usize = 18;
 /// Largest size of the trailers of a response together, in bytes, as hyper limits them.
 const TRAILER_BYTES_MAX: usize = 16 << 10;
-/// Largest room that is prepared for a body of known length before it has arrived, in bytes. The system
-/// provides the memory only as it is written.
-const PREPARED_BYTES_MAX: usize = 16 << 20;
+/// Sizes of the blocks in which a body of unknown length is kept until it is whole, in bytes. Each is as
+/// large as all before it, within these limits.
+const BLOCK_BYTES: RangeInclusive<usize> = (64 << 10)..=(4 << 20);
 /// Buffer space reserved for each read of a head, in bytes.
 const READ_BYTES: usize = 8 << 10;
 /// Buffer space reserved for each read of a body, in bytes.
@@ -418,18 +418,16 @@
     match framing {
         Framing::None => {}
         Framing::Length(size) => {
-            body.size_max = size;
             if belongs {
-                // A block that grows is copied, and its former places stay resident for a while.
-                body.bytes.reserve_exact(size.min(PREPARED_BYTES_MAX));
+                // The system provides the memory only as it is written.
+                body.blocks.push(Vec::with_capacity(size));
             }
             read_exactly(reader, buffer, &mut body, size).await?;
         }
         Framing::Chunked => read_chunks(reader, buffer, &mut body).await?,
         Framing::UntilClose => read_to_end(reader, buffer, &mut body).await?,
     }
-    let body = Bytes::from(body.bytes);
-    Ok(Received { response: Response { head, body }, belongs, closed })
+    Ok(Received { response: Response { head, body: body.into_bytes() }, belongs, closed })
 }
 
 /// A body of which a part has arrived.
@@ -437,10 +435,10 @@
     limits: &'a Limits,
     /// Whether its bytes are kept, or only counted.
     keep: bool,
-    bytes: Vec<u8>,
+    /// The bytes. A block that grows is copied, and its former places stay resident for a while, so further
+    /// ones are added instead.
+    blocks: Vec<Vec<u8>>,
     size: usize,
-    /// Most bytes that it can have.
-    size_max: usize,
     /// Bytes read since other tasks last ran.
     unyielded: usize,
     memory: Option<SemaphorePermit<'a>>,
@@ -451,17 +449,7 @@
 impl<'a> Body<'a> {
     fn new(limits: &'a Limits, keep: bool) -> Body<'a> {
         let hold = limits.account.as_ref().map(|a| a.take(Place::Answer, 0));
-        let size_max = limits.body.0;
-        Body {
-            limits,
-            keep,
-            bytes: Vec::new(),
-            size: 0,
-            size_max,
-            unyielded: 0,
-            memory: None,
-            hold,
-        }
+        Body { limits, keep, blocks: Vec::new(), size: 0, unyielded: 0, memory: None, hold }
     }
 
     /// Adds bytes that have arrived.
@@ -477,15 +465,36 @@
         if let Some(hold) = &mut self.hold {
             hold.grow(part.len());
         }
-        // Doubling would take twice the memory of a body of known size.
-        if self.size > self.bytes.capacity() {
-            let grown = (self.bytes.capacity() * 3 / 2).min(self.size_max).max(self.size);
-            self.bytes.reserve_exact(grown - self.bytes.len());
+        let mut part = part;
+        while !part.is_empty() {
+            let room = self.blocks.last().map_or(0, |b| b.capacity() - b.len());
+            if room == 0 {
+                let kept: usize = self.blocks.iter().map(Vec::len).sum();
+                let size = kept.clamp(*BLOCK_BYTES.start(), *BLOCK_BYTES.end());
+                self.blocks.push(Vec::with_capacity(size));
+                continue;
+            }
+            let (now, later) = part.split_at(room.min(part.len()));
+            if let Some(block) = self.blocks.last_mut() {
+                block.extend_from_slice(now);
+            }
+            part = later;
         }
-        self.bytes.extend_from_slice(part);
         Ok(())
     }
 
+    /// Joins the blocks.
+    fn into_bytes(mut self) -> Bytes {
+        if self.blocks.len() <= 1 {
+            return Bytes::from(self.blocks.pop().unwrap_or_default());
+        }
+        let mut whole = Vec::with_capacity(self.blocks.iter().map(Vec::len).sum());
+        for block in self.blocks {
+            whole.extend_from_slice(&block);
+        }
+        Bytes::from(whole)
+    }
+
     /// Reserves memory for the bytes that have arrived.
     fn reserve(&mut self) -> Result<()> {
         let reserved = self.memory.as_ref().map_or(0, SemaphorePermit::num_permits);
--- a/tests/mesh/endless_answers.rs
+++ b/tests/mesh/endless_answers.rs
@@ -83,6 +83,45 @@
     assert!(healing < Duration::from_secs(4), "keys had no owner for {healing:?}");
 }
 
+/// Guards against a node that keeps what servers send without end until it runs out of memory, with which the
+/// requests of all callers on its host end: the smallest host, and answers without end to as many requests as
+/// the server runs at once.
+#[rstest]
+#[case::status_line("x", "x")]
+#[case::header("HTTP/1.1 200 OK\r\na: ", "x")]
+#[case::body("HTTP/1.1 500 No\r\n\r\n", "x")]
+#[case::chunks(
+    "HTTP/1.1 500 No\r\ntransfer-encoding: chunked\r\n\r\n",
+    "10\r\n0123456789abcdef\r\n"
+)]
+#[case::body_of_known_length("HTTP/1.1 500 No\r\ncontent-length: 67108864\r\n\r\n", "x")]
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_answers_fill_the_memory_of_the_smallest_host(
+    #[case] start: &'static str,
+    #[case] unit: &'static str,
+) {
+    const MEMORY_KB: u64 = 160 << 10;
+    let settings = "self.limits.memory-mb=160\nself.limits.max-fds=4100\n";
+    let fleet = Fleet::start_with_settings(SERVICES, SERVICE_TIME, settings).await;
+    let former = fleet.hosts[0].node.as_ref().unwrap().id();
+    fleet.hosts[0].server.as_ref().unwrap().set_endless(Some(Endless { start, unit }));
+    let callers: Vec<_> =
+        (0..6).flat_map(|_| fleet.spawn_callers(&["books"], Duration::from_millis(10))).collect();
+    let began = Instant::now();
+    let mut failed = Vec::new();
+    while began.elapsed() < FAULT_TIME {
+        let result = fleet.call(0, "maps", 1, false).await;
+        failed.extend((result.status != 200).then_some(result));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    callers.iter().for_each(|c| c.abort());
+    let peak = peak_memory_kb(&fleet, 0);
+    println!("{failed:?}, {peak} kB");
+    assert_eq!(fleet.hosts[0].node.as_ref().unwrap().id(), former);
+    assert!(failed.is_empty(), "{} other requests failed: {:?}", failed.len(), failed[0]);
+    assert!(peak < MEMORY_KB, "the node used {peak} kB");
+}
+
 /// Sends `start`, and then `unit` every `pause` until the other end closes; returns the time taken.
 async fn send_without_end(
     fleet: &Fleet,
