--- a/tests/testsuite/decisions.rs
+++ b/tests/testsuite/decisions.rs
@@ -10,6 +10,7 @@
 use kelpwind::gate::limiter::Limiter;
 use kelpwind::lease::clock::BootInstant;
 use kelpwind::lease::set::{self, Urgency};
+use kelpwind::route::answer_times::{AnswerTimes, may_begin};
 use kelpwind::route::availability::{Availability, UNAVAILABLE_TIME};
 use kelpwind::route::budget::{Budget, BudgetShare};
 use kelpwind::route::picker::{Candidate, choose};
@@ -309,3 +310,22 @@
     times.record(Duration::from_millis(1), at(14_500));
     assert!(times.allowance(at(15_000)) < DELAY);
 }
+
+/// A node that stops went on taking requests that it could not answer before its end.
+#[test]
+fn a_stopping_node_takes_only_what_it_can_answer() {
+    let ms = Duration::from_millis;
+    let mut times = AnswerTimes::default();
+    assert_eq!(times.longest(), None);
+    times.record(ms(5000));
+    for _ in 0..31 {
+        times.record(ms(300));
+    }
+    assert_eq!(times.longest(), Some(ms(5000)));
+    assert!(!may_begin(ms(4000), ms(6000), ms(5000)), "as slow as the slowest");
+    assert!(may_begin(ms(4000), ms(4000), ms(5000)), "answered by its timeout at the latest");
+    times.record(ms(300));
+    assert_eq!(times.longest(), Some(ms(300)), "the slow phase is over");
+    assert!(may_begin(ms(4000), ms(6000), ms(300)));
+    assert!(!may_begin(Duration::ZERO, ms(6000), ms(300)), "no time is left");
+}
