Size the blocks of a body by what arrives

The first block of a body of unknown length took 64 KiB, also for an answer of some hundred bytes, which a kept reply then holds. Each block is now as large as those before it, or as what arrives at once.

--- a/src/kelpwind/net/http1.rs
+++ b/src/kelpwind/net/http1.rs
@@ -36,9 +36,9 @@
 const CHUNK_LINE_BYTES: usize = 18;
 /// Largest size of the trailers of a response together, in bytes, as hyper limits them.
 const TRAILER_BYTES_MAX: usize = 16 << 10;
-/// Sizes of the blocks in which a body of unknown length is kept until it is whole, in bytes. Each is as
-/// large as all before it, within these limits.
-const BLOCK_BYTES: RangeInclusive<usize> = (64 << 10)..=(4 << 20);
+/// Largest block in which a body of unknown length is kept until it is whole, in bytes, unless more arrives
+/// at once. Smaller ones are as large as all before them.
+const BLOCK_BYTES_MAX: usize = 4 << 20;
 /// Buffer space reserved for each read of a head, in bytes.
 const READ_BYTES: usize = 8 << 10;
 /// Buffer space reserved for each read of a body, in bytes.
@@ -470,7 +470,7 @@
             let room = self.blocks.last().map_or(0, |b| b.capacity() - b.len());
             if room == 0 {
                 let kept: usize = self.blocks.iter().map(Vec::len).sum();
-                let size = kept.clamp(*BLOCK_BYTES.start(), *BLOCK_BYTES.end());
+                let size = kept.min(BLOCK_BYTES_MAX).max(part.len());
                 self.blocks.push(Vec::with_capacity(size));
                 continue;
             }
