--- /dev/null
+++ b/review/stand-ins-3/src/main.rs
@@ -0,0 +1,48 @@
+//! Stand-ins and scenarios of the cases of this review. Usage: review-3 SCENARIO RECORD
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+
+mod crowd;
+mod fleet;
+mod http;
+mod record;
+mod release;
+mod server;
+mod spin;
+mod store;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use record::Record;
+
+/// How a case ended.
+pub enum End {
+    Broken,
+    Held,
+    Failed,
+}
+
+fn main() {
+    let mut words = std::env::args().skip(1);
+    let (Some(scenario), Some(path)) = (words.next(), words.next()) else {
+        eprintln!("usage: review-3 SCENARIO RECORD");
+        std::process::exit(2);
+    };
+    let record = Arc::new(Record::create(&path));
+    let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
+    fleet::end_after(Duration::from_secs(110));
+    let end = match scenario.as_str() {
+        "heads" => crowd::heads(&record, trouble),
+        "release" => release::repeated(&record, trouble),
+        "spin" => spin::removed(&record, trouble),
+        _ => End::Failed,
+    };
+    let (text, code) = match end {
+        End::Broken => ("the rule was broken", 1),
+        End::Held => ("the rule held", 0),
+        End::Failed => ("the case could not run", 2),
+    };
+    record.note(text);
+    std::process::exit(code);
+}
