--- a/review/stand-ins-3/src/crowd.rs
+++ b/review/stand-ins-3/src/crowd.rs
@@ -87,7 +87,7 @@
 }
 
 /// Whether the other end has neither answered nor closed.
-fn is_open(stream: &TcpStream) -> bool {
+pub fn is_open(stream: &TcpStream) -> bool {
     let mut byte = [0; 1];
     let _ = stream.set_nonblocking(true);
     let peeked = stream.peek(&mut byte);
--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -69,6 +69,8 @@
     /// More lines for the settings of each node.
     settings: String,
     bootstrap: bool,
+    /// Whether the nodes' output goes to pipes, which the scenario reads, instead of files.
+    piped_logs: bool,
 }
 
 /// What runs on a host.
@@ -82,6 +84,17 @@
 impl Fleet {
     /// Starts a store, servers and nodes. `config` is the operator's configuration.
     pub fn start(plans: &[Plan], config: &str, settings: &str, record: Arc<Record>) -> Fleet {
+        Fleet::start_with(plans, config, settings, record, false)
+    }
+
+    /// The same. With `piped_logs` the nodes' output goes to pipes, which the scenario reads.
+    pub fn start_with(
+        plans: &[Plan],
+        config: &str,
+        settings: &str,
+        record: Arc<Record>,
+        piped_logs: bool,
+    ) -> Fleet {
         let net = free_net(plans.len());
         let ip = |i: usize| Ipv4Addr::new(127, net.0, net.1, i as u8);
         let store_addr = SocketAddr::new(ip(250).into(), STORE);
@@ -97,6 +110,7 @@
             store_addr,
             settings: settings.to_owned(),
             bootstrap: true,
+            piped_logs,
         };
         for (i, plan) in plans.iter().enumerate() {
             let zone = ["z1", "z2", "z3"][i % 3].to_owned();
@@ -134,15 +148,15 @@
             eprintln!("cannot write the settings: {e}");
             std::process::exit(2);
         }
-        let log = fs::File::create(self.folder.join(format!("{}.log", self.hosts[i].name)));
         let mut command = Command::new("target/release/kelpwind");
         command.arg("node").env("KELPWIND_BOOT", &path).stdin(Stdio::null());
-        match log {
-            Ok(log) => {
-                let err = log.try_clone().map_or_else(|_| Stdio::null(), Stdio::from);
-                command.stdout(log).stderr(err);
-            }
-            Err(_) => drop(command.stdout(Stdio::null()).stderr(Stdio::null())),
+        if self.piped_logs {
+            command.stdout(Stdio::piped()).stderr(Stdio::piped());
+        } else {
+            let log = fs::File::create(self.folder.join(format!("{}.log", self.hosts[i].name)));
+            let file = || log.as_ref().ok().and_then(|l| l.try_clone().ok());
+            command.stdout(file().map_or_else(Stdio::null, Stdio::from));
+            command.stderr(file().map_or_else(Stdio::null, Stdio::from));
         }
         match command.spawn() {
             Ok(child) => {
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -5,9 +5,11 @@
 mod crowd;
 mod fleet;
 mod http;
+mod logs;
 mod record;
 mod release;
 mod server;
+mod slots;
 mod spin;
 mod store;
 
@@ -31,10 +33,12 @@
     };
     let record = Arc::new(Record::create(&path));
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
-    fleet::end_after(Duration::from_secs(110));
+    fleet::end_after(Duration::from_secs(117));
     let end = match scenario.as_str() {
         "heads" => crowd::heads(&record, trouble),
         "release" => release::repeated(&record, trouble),
+        "logs" => logs::unread(&record, trouble),
+        "slots" => slots::taken(&record, trouble),
         "spin" => spin::removed(&record, trouble),
         _ => End::Failed,
     };
