--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -17,6 +17,8 @@
 const OUTBOUND: u16 = 8304;
 const CONTROL: u16 = 8306;
 const STORE: u16 = 8309;
+/// Most hosts of a deployment.
+const HOSTS_MAX: u8 = 40;
 
 /// Nodes that were started, for [`end_after`].
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
@@ -65,6 +67,8 @@
     pub store: Arc<Store>,
     pub hosts: Vec<Host>,
     folder: PathBuf,
+    /// Second and third byte of the addresses.
+    net: (u8, u8),
     store_addr: SocketAddr,
     /// More lines for the settings of each node.
     settings: String,
@@ -95,9 +99,8 @@
         record: Arc<Record>,
         piped_logs: bool,
     ) -> Fleet {
-        let net = free_net(plans.len());
-        let ip = |i: usize| Ipv4Addr::new(127, net.0, net.1, i as u8);
-        let store_addr = SocketAddr::new(ip(250).into(), STORE);
+        let net = free_net();
+        let store_addr = SocketAddr::new(Ipv4Addr::new(127, net.0, net.1, 250).into(), STORE);
         let store = Store::start(store_addr);
         store.put("keyed.op", "config", config.as_bytes());
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
@@ -107,33 +110,14 @@
             store,
             hosts: Vec::new(),
             folder,
+            net,
             store_addr,
             settings: settings.to_owned(),
             bootstrap: true,
             piped_logs,
         };
-        for (i, plan) in plans.iter().enumerate() {
-            let zone = ["z1", "z2", "z3"][i % 3].to_owned();
-            let mut host = Host {
-                name: format!("side-{i}"),
-                ip: ip(i + 1),
-                service: plan.service.to_owned(),
-                zone,
-                server: None,
-                node: None,
-            };
-            let setup = Setup {
-                id: format!("i-{i}"),
-                service: host.service.clone(),
-                zone: host.zone.clone(),
-                addr: host.addr(APP),
-                control: host.addr(CONTROL),
-                slots: plan.slots,
-                sharded: plan.sharded,
-                work: plan.work,
-            };
-            host.server = Some(Server::start(setup, fleet.record.clone()));
-            fleet.hosts.push(host);
+        for plan in plans {
+            fleet.add_host(plan);
         }
         for i in 0..fleet.hosts.len() {
             fleet.start_node(i);
@@ -141,6 +125,55 @@
         fleet
     }
 
+    /// Adds a host at a new address, with its server but without its node. Returns its number.
+    pub fn add_host(&mut self, plan: &Plan) -> usize {
+        let i = self.hosts.len();
+        let mut host = Host {
+            name: format!("side-{i}"),
+            ip: Ipv4Addr::new(127, self.net.0, self.net.1, i as u8 + 1),
+            service: plan.service.to_owned(),
+            zone: ["z1", "z2", "z3"][i % 3].to_owned(),
+            server: None,
+            node: None,
+        };
+        let setup = Setup {
+            id: format!("i-{i}"),
+            service: host.service.clone(),
+            zone: host.zone.clone(),
+            addr: host.addr(APP),
+            control: host.addr(CONTROL),
+            slots: plan.slots,
+            sharded: plan.sharded,
+            work: plan.work,
+        };
+        host.server = Some(Server::start(setup, self.record.clone()));
+        self.hosts.push(host);
+        i
+    }
+
+    /// Removes a machine for good, with its server and its node, without notice.
+    pub fn remove_host(&mut self, i: usize) {
+        self.record.line(&format!("machine {} is gone for good", self.hosts[i].name));
+        self.kill_node(i);
+        if let Some(server) = &self.hosts[i].server {
+            server.end();
+        }
+    }
+
+    /// Kills the node of a host.
+    pub fn kill_node(&mut self, i: usize) {
+        self.record.line(&format!("SIGKILL to node {}", self.hosts[i].name));
+        if let Some(mut child) = self.hosts[i].node.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Nodes that start from now on are not started for the first time.
+    pub fn set_started(&mut self) {
+        self.bootstrap = false;
+    }
+
     /// Starts the node of a host with the command of the deploy file.
     pub fn start_node(&mut self, i: usize) {
         let path = self.folder.join(format!("{}.conf", self.hosts[i].name));
@@ -205,11 +238,7 @@
     /// Kills the node of a host, and starts it again after a pause.
     pub fn restart_node(&mut self, i: usize, pause: Duration) {
         self.bootstrap = false;
-        self.record.line(&format!("SIGKILL to node {}", self.hosts[i].name));
-        if let Some(mut child) = self.hosts[i].node.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.kill_node(i);
         std::thread::sleep(pause);
         self.start_node(i);
     }
@@ -307,7 +336,7 @@
 }
 
 /// The second and third byte of loopback addresses on which all ports are free.
-fn free_net(hosts: usize) -> (u8, u8) {
+fn free_net() -> (u8, u8) {
     let mut seed = std::process::id();
     for _ in 0..200 {
         seed = seed.wrapping_mul(1_103_515_245).wrapping_add(12_345);
@@ -316,7 +345,7 @@
         let free = |last: u8, port: u16| {
             TcpListener::bind((Ipv4Addr::new(127, net.0, net.1, last), port)).is_ok()
         };
-        let all = (1..=hosts as u8).all(|last| ports.iter().all(|port| free(last, *port)));
+        let all = (1..=HOSTS_MAX).all(|last| ports.iter().all(|port| free(last, *port)));
         if all && free(250, STORE) {
             return net;
         }
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -12,6 +12,7 @@
 mod slots;
 mod spin;
 mod store;
+mod witness;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +40,7 @@
         "release" => release::repeated(&record, trouble),
         "logs" => logs::unread(&record, trouble),
         "slots" => slots::taken(&record, trouble),
+        "witness" => witness::replaced(&record, trouble),
         "spin" => spin::removed(&record, trouble),
         _ => End::Failed,
     };
--- a/review/stand-ins-3/src/server.rs
+++ b/review/stand-ins-3/src/server.rs
@@ -1,6 +1,6 @@
 //! A backend server, as PROTOCOL.md describes it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -45,6 +45,8 @@
     pub work: Duration,
     pub record: Arc<Record>,
     pub reporting: AtomicBool,
+    /// Whether the process has ended.
+    gone: AtomicBool,
     /// Whether the answer to the next renewal of a grant is sent a second time, where the next response
     /// on its connection is expected.
     pub repeats: AtomicBool,
@@ -53,6 +55,8 @@
     /// Answers that are yet to be sent a second time, by connection.
     late: Mutex<HashMap<SocketAddr, Vec<u8>>>,
     sequence: AtomicU64,
+    /// Ids of the requests that it has begun to run.
+    begun: Mutex<HashSet<String>>,
     state: Mutex<State>,
     ended: Condvar,
 }
@@ -85,10 +89,12 @@
             work: setup.work,
             record,
             reporting: AtomicBool::new(true),
+            gone: AtomicBool::new(false),
             repeats: AtomicBool::new(false),
             answers: Default::default(),
             late: Mutex::default(),
             sequence: AtomicU64::new(0),
+            begun: Mutex::default(),
             state: Mutex::default(),
             ended: Condvar::new(),
         });
@@ -120,7 +126,16 @@
         answer.is_ok_and(|a| a.status() / 100 == 2)
     }
 
+    /// Ends the process: it neither reports nor answers any more.
+    pub fn end(&self) {
+        self.reporting.store(false, Ordering::Relaxed);
+        self.gone.store(true, Ordering::Relaxed);
+    }
+
     fn handle(&self, request: &Message, out: &mut TcpStream) -> io::Result<()> {
+        if self.gone.load(Ordering::Relaxed) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         let late = self.late.lock().unwrap().remove(&out.peer_addr()?);
         if let Some(answer) = late {
             self.answers.1.fetch_add(1, Ordering::Relaxed);
@@ -241,6 +256,7 @@
             }
             state.busy += 1;
         }
+        self.begun.lock().unwrap().insert(id.clone());
         self.record.line(&format!("server {} runs {id} {} key {key:?}", self.id, request.start));
         let work = request.header("x-work-ms").and_then(|w| w.parse().ok());
         thread::sleep(work.map_or(self.work, Duration::from_millis));
@@ -278,6 +294,11 @@
 }
 
 impl Server {
+    /// Whether the server has begun to run a request.
+    pub fn has_begun(&self, id: &str) -> bool {
+        self.begun.lock().unwrap().contains(id)
+    }
+
     /// Spans that the server holds now.
     pub fn held(&self) -> Vec<(u16, u16)> {
         let now = Instant::now();
