--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -7,7 +7,6 @@
 mod http;
 mod logs;
 mod record;
-mod release;
 mod server;
 mod slots;
 mod spin;
@@ -37,7 +36,6 @@
     fleet::end_after(Duration::from_secs(117));
     let end = match scenario.as_str() {
         "heads" => crowd::heads(&record, trouble),
-        "release" => release::repeated(&record, trouble),
         "logs" => logs::unread(&record, trouble),
         "slots" => slots::taken(&record, trouble),
         "witness" => witness::replaced(&record, trouble),
--- a/review/stand-ins-3/src/server.rs
+++ b/review/stand-ins-3/src/server.rs
@@ -1,6 +1,6 @@
 //! A backend server, as PROTOCOL.md describes it.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -26,8 +26,6 @@
 #[derive(Default)]
 struct State {
     holds: Vec<Hold>,
-    /// Until when each released span would have been held.
-    released: Vec<Hold>,
     /// Keys of running requests.
     running: Vec<u16>,
     busy: u32,
@@ -47,13 +45,6 @@
     pub reporting: AtomicBool,
     /// Whether the process has ended.
     gone: AtomicBool,
-    /// Whether the answer to the next renewal of a grant is sent a second time, where the next response
-    /// on its connection is expected.
-    pub repeats: AtomicBool,
-    /// Number of answers, and of those that were sent a second time.
-    pub answers: (AtomicU64, AtomicU64),
-    /// Answers that are yet to be sent a second time, by connection.
-    late: Mutex<HashMap<SocketAddr, Vec<u8>>>,
     sequence: AtomicU64,
     /// Ids of the requests that it has begun to run.
     begun: Mutex<HashSet<String>>,
@@ -90,9 +81,6 @@
             record,
             reporting: AtomicBool::new(true),
             gone: AtomicBool::new(false),
-            repeats: AtomicBool::new(false),
-            answers: Default::default(),
-            late: Mutex::default(),
             sequence: AtomicU64::new(0),
             begun: Mutex::default(),
             state: Mutex::default(),
@@ -136,16 +124,6 @@
         if self.gone.load(Ordering::Relaxed) {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        let late = self.late.lock().unwrap().remove(&out.peer_addr()?);
-        if let Some(answer) = late {
-            self.answers.1.fetch_add(1, Ordering::Relaxed);
-            self.record.line(&format!(
-                "server {} sends its last answer once more before that to {}",
-                self.id, request.start
-            ));
-            out.write_all(&answer)?;
-        }
-        self.answers.0.fetch_add(1, Ordering::Relaxed);
         match request.path() {
             "/healthz" => {
                 let busy = self.state.lock().unwrap().busy;
@@ -153,14 +131,7 @@
                 let reply = Reply::new(200).with("X-Instance-Id", &self.id);
                 out.write_all(&reply.with("X-Server-Load", load).encode())
             }
-            "/-/grant" => {
-                let reply = self.grant(request).encode();
-                out.write_all(&reply)?;
-                if self.repeats.swap(false, Ordering::Relaxed) {
-                    self.late.lock().unwrap().insert(out.peer_addr()?, reply);
-                }
-                Ok(())
-            }
+            "/-/grant" => out.write_all(&self.grant(request).encode()),
             "/-/release" => self.release(request, out),
             _ => {
                 let reply = self.run(request);
@@ -209,7 +180,6 @@
                 state.holds.push(hold);
                 continue;
             }
-            state.released.push(hold.clone());
             if hold.from < from {
                 state.holds.push(Hold { to: from - 1, ..hold.clone() });
             }
@@ -298,28 +268,4 @@
     pub fn has_begun(&self, id: &str) -> bool {
         self.begun.lock().unwrap().contains(id)
     }
-
-    /// Spans that the server holds now.
-    pub fn held(&self) -> Vec<(u16, u16)> {
-        let now = Instant::now();
-        let state = self.state.lock().unwrap();
-        let mut held: Vec<_> =
-            state.holds.iter().filter(|h| h.until > now).map(|h| (h.from, h.to)).collect();
-        held.sort_unstable();
-        held.dedup();
-        held
-    }
-
-    /// How much longer the server would have held a key if it had not been asked to release it.
-    pub fn hold_left(&self, key: u16) -> Duration {
-        let state = self.state.lock().unwrap();
-        let held = state.holds.iter().chain(&state.released);
-        let until = held.filter(|h| h.from <= key && key <= h.to).map(|h| h.until).max();
-        until.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()))
-    }
-
-    /// Whether the server is at work on a key.
-    pub fn works_on(&self, key: u16) -> bool {
-        self.state.lock().unwrap().running.contains(&key)
-    }
 }
