--- a/review/stand-ins-3/src/crowd.rs
+++ b/review/stand-ins-3/src/crowd.rs
@@ -101,10 +101,18 @@
     matches!(peeked, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
 }
 
-/// Sends ordinary requests, one after the other, on a connection that is kept.
-fn callers(record: Arc<Record>, shared: Arc<Shared>, name: String, addr: SocketAddr) {
+/// Sends ordinary requests, one after the other, on a connection that is kept, and notes in `cut` those
+/// on which a used connection ended without an answer.
+pub fn keep_calling(
+    record: &Record,
+    ended: &AtomicBool,
+    cut: &Mutex<Vec<String>>,
+    name: &str,
+    addr: SocketAddr,
+    ordinary: &dyn Fn(&str) -> String,
+) -> u32 {
     let (mut number, mut kept, mut used) = (0, None, false);
-    while !shared.ended.load(Ordering::Relaxed) {
+    while !ended.load(Ordering::Relaxed) {
         if kept.is_none() {
             used = false;
             kept = TcpStream::connect_timeout(&addr, Duration::from_secs(1)).ok();
@@ -116,7 +124,6 @@
         number += 1;
         let id = format!("o-{name}-{number}");
         record.line(&format!("caller sends {id}, on a kept connection: {used}"));
-        shared.ordinary.fetch_add(1, Ordering::Relaxed);
         match exchange(stream, &ordinary(&id)) {
             Ok(answer) => {
                 record.line(&format!("caller gets {} for {id}", answer.status()));
@@ -128,13 +135,14 @@
             Err(e) => {
                 record.line(&format!("caller gets no answer for {id}: {e}"));
                 if used && e.kind() != io::ErrorKind::WouldBlock {
-                    shared.cut.lock().unwrap().push(id);
+                    cut.lock().unwrap().push(id);
                 }
                 kept = None;
                 thread::sleep(Duration::from_millis(100));
             }
         }
     }
+    number
 }
 
 /// Sends a request and reads its answer.
@@ -163,7 +171,10 @@
         let addr = host.outbound();
         for i in 0..ORDINARY {
             let (r, s, name) = (record.clone(), shared.clone(), format!("{}-{i}", host.name));
-            threads.push(thread::spawn(move || callers(r, s, name, addr)));
+            threads.push(thread::spawn(move || {
+                let sent = keep_calling(&r, &s.ended, &s.cut, &name, addr, &ordinary);
+                s.ordinary.fetch_add(sent, Ordering::Relaxed);
+            }));
         }
         for part in 0..if trouble { 10 } else { 0 } {
             let (r, s) = (record.clone(), shared.clone());
